--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,229 @@
+//! The duty that operators and the host's own targets talk to.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::consts::SLOW_SENDER;
+use crate::entry::EntryEvent;
+use crate::guard::{GuardEvent, TargetAnnouncement};
+use crate::ids::{HostName, TargetName};
+use crate::membership::FleetView;
+use crate::metrics::DaemonMetrics;
+use crate::peers::PeersEvent;
+use crate::platform::PlatformEvent;
+use crate::revision::RevisionHead;
+use crate::ring::{RingInbox, RingSender};
+
+/// Longest body an operator or target may send, in bytes.
+const MAX_BODY: usize = 64 << 10;
+
+/// Longest wait for another duty's answer.
+const DUTY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What others tell this duty.
+#[derive(Debug)]
+pub(crate) enum AdminEvent {
+    /// A revision came in force.
+    Config(RevisionHead),
+}
+
+/// Rings to all other duties.
+#[derive(Debug)]
+pub(crate) struct AdminRings {
+    pub(crate) entry: RingSender<EntryEvent>,
+    pub(crate) guard: RingSender<GuardEvent>,
+    pub(crate) peers: RingSender<PeersEvent>,
+    pub(crate) platform: RingSender<PlatformEvent>,
+}
+
+pub(crate) struct AdminDuty {
+    host: HostName,
+    head: RefCell<Option<RevisionHead>>,
+    metrics: Arc<DaemonMetrics>,
+    pub(crate) rings: AdminRings,
+}
+
+impl AdminDuty {
+    /// Makes the duty; [`serve`] runs it.
+    pub(crate) fn new(host: HostName, rings: AdminRings, metrics: Arc<DaemonMetrics>) -> Rc<Self> {
+        Rc::new(Self { host, head: RefCell::default(), metrics, rings })
+    }
+
+    /// Takes what other duties tell.
+    pub(crate) async fn hear(self: Rc<Self>, mut inbox: RingInbox<AdminEvent>) {
+        loop {
+            let AdminEvent::Config(head) = inbox.next().await;
+            *self.head.borrow_mut() = Some(head);
+        }
+    }
+
+    /// Serves operators and targets until the runtime ends.
+    pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else { continue };
+            spawn_local(Rc::clone(&self).serve_connection(socket));
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
+        let serve = service_fn(move |request| {
+            let duty = Rc::clone(&self);
+            async move { Ok::<_, Infallible>(duty.answer(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(SLOW_SENDER)
+            .serve_connection(TokioIo::new(socket), serve);
+        // A broken connection is the asker's own affair.
+        drop(connection.await);
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => self.health().await,
+            (&Method::GET, "/metrics") => {
+                Response::new(Full::new(Bytes::from(self.metrics.render())))
+            }
+            (&Method::GET, "/state") => to_json(StatusCode::OK, &self.state().await),
+            (&Method::GET, "/status") => to_json(StatusCode::OK, &self.status().await),
+            (&Method::GET, "/members") => self.members().await,
+            (&Method::POST, "/announce") => self.announce(request).await,
+            (&Method::POST, "/drain") => self.drain(request).await,
+            (&Method::POST, "/hint") => {
+                drop(self.rings.platform.push(PlatformEvent::Hint));
+                to_json(StatusCode::OK, &json!({"hinted": true}))
+            }
+            _ => fault(StatusCode::NOT_FOUND, "no such page"),
+        }
+    }
+
+    async fn health(&self) -> Response<Full<Bytes>> {
+        let entry = ask(&self.rings.entry, EntryEvent::Dump).await;
+        let ready = entry.as_ref().is_some_and(|entry| entry["ready"] == json!(true));
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        to_json(status, &json!({"ready": ready}))
+    }
+
+    /// Returns the inputs of every decision this daemon makes.
+    async fn state(&self) -> Value {
+        let (entry, guard, peers, platform) = tokio::join!(
+            ask(&self.rings.entry, EntryEvent::Dump),
+            ask(&self.rings.guard, GuardEvent::Dump),
+            ask(&self.rings.peers, PeersEvent::Dump),
+            ask(&self.rings.platform, PlatformEvent::Dump),
+        );
+        json!({
+            "host": self.host,
+            "entry": entry,
+            "guard": guard,
+            "peers": peers,
+            "platform": platform,
+        })
+    }
+
+    async fn status(&self) -> Value {
+        let entry = ask(&self.rings.entry, EntryEvent::Dump).await.unwrap_or_default();
+        json!({
+            "host": self.host,
+            "ready": entry["ready"],
+            "in_force": entry["revision"],
+            "head": *self.head.borrow(),
+        })
+    }
+
+    async fn members(&self) -> Response<Full<Bytes>> {
+        let view: Option<FleetView> = ask(&self.rings.peers, PeersEvent::Members).await;
+        match view {
+            Some(view) => to_json(StatusCode::OK, &view),
+            None => busy(),
+        }
+    }
+
+    async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let body = match read(request).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        match serde_json::from_slice::<TargetAnnouncement>(&body) {
+            Err(error) => fault(StatusCode::BAD_REQUEST, &error.to_string()),
+            Ok(announcement) if announcement.slots == 0 => {
+                fault(StatusCode::BAD_REQUEST, "slots must be at least 1")
+            }
+            Ok(announcement) => match self.rings.guard.push(GuardEvent::Announce(announcement)) {
+                Ok(()) => to_json(StatusCode::OK, &json!({"announced": true})),
+                Err(_full) => busy(),
+            },
+        }
+    }
+
+    async fn drain(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let query = request.uri().query().unwrap_or_default();
+        let field = |name: &str| {
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+        };
+        let Some(target) = field("target").map(TargetName::from) else {
+            return fault(StatusCode::BAD_REQUEST, "expected ?target=NAME&on=true|false");
+        };
+        let drained = field("on") != Some("false");
+        let asked = ask(&self.rings.guard, |reply| GuardEvent::Drain { target, drained, reply });
+        match asked.await {
+            Some(true) => to_json(StatusCode::OK, &json!({"drained": drained})),
+            Some(false) => fault(StatusCode::NOT_FOUND, "no such target on this host"),
+            None => busy(),
+        }
+    }
+}
+
+/// Asks another duty; nothing if it is too busy to answer.
+pub(crate) async fn ask<E, T>(
+    ring: &RingSender<E>,
+    event: impl FnOnce(oneshot::Sender<T>) -> E,
+) -> Option<T> {
+    let (reply, answer) = oneshot::channel();
+    ring.push(event(reply)).ok()?;
+    timeout(DUTY_TIMEOUT, answer).await.ok()?.ok()
+}
+
+async fn read(request: Request<Incoming>) -> Result<Bytes, Response<Full<Bytes>>> {
+    let body = timeout(SLOW_SENDER, Limited::new(request.into_body(), MAX_BODY).collect()).await;
+    match body {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) => Err(fault(StatusCode::BAD_REQUEST, &error.to_string())),
+        Err(_elapsed) => Err(fault(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    }
+}
+
+fn busy() -> Response<Full<Bytes>> {
+    fault(StatusCode::SERVICE_UNAVAILABLE, "the daemon is busy")
+}
+
+fn fault(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    to_json(status, &json!({"error": text}))
+}
+
+fn to_json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
+    let text = serde_json::to_vec_pretty(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,277 @@
+//! Which calls a guard lets into its target, and in which order.
+//!
+//! Pure: every event carries the time. As many calls run as the target has
+//! slots; a short queue holds the rest, ordered by priority, then by the
+//! account that is furthest below its share, then by deadline. What can't be
+//! served in time is refused at once.
+
+use std::collections::HashMap;
+
+use crate::clock::MicroTime;
+use crate::ids::{AccountName, CallId};
+use crate::wire::{CallPriority, LoadWord, RefusalReason};
+
+/// Waiting calls for each slot of the target.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// Weight of the newest service time in the smoothed one.
+const SERVICE_WEIGHT: f64 = 0.2;
+
+/// Weight of the newest answer in the smoothed share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Service time assumed before the first answer, in microseconds.
+const FIRST_SERVICE_US: f64 = 10_000.0;
+
+/// Retry times told to callers, in milliseconds.
+const RETRY_AFTER_BOUNDS: (u64, u64) = (5, 5_000);
+
+/// A call at the door of a guard.
+#[derive(Clone, Debug)]
+pub struct WaitingCall {
+    /// The call.
+    pub call: CallId,
+    /// Who calls.
+    pub account: AccountName,
+    /// The account's share.
+    pub share: u16,
+    /// How it competes.
+    pub priority: CallPriority,
+    /// When its caller stops waiting.
+    pub deadline: MicroTime,
+}
+
+/// What happens at a guard.
+#[derive(Clone, Debug)]
+pub enum AdmissionEvent {
+    /// A call came.
+    Arrive(WaitingCall),
+    /// A started call ended after `took`; `failed` if the target broke it.
+    Finish {
+        /// The call.
+        call: CallId,
+        /// Time in the target, or none if it was never dispatched.
+        took: Option<MicroTime>,
+        /// Whether the target failed it.
+        failed: bool,
+    },
+    /// A waiting call was revoked or its caller left.
+    Cancel(CallId),
+    /// Time passed.
+    Tick,
+}
+
+/// What a guard has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// Start the call now.
+    Start(CallId),
+    /// Refuse the call now.
+    Refuse {
+        /// The call.
+        call: CallId,
+        /// Why.
+        reason: RefusalReason,
+        /// When its caller may come back.
+        retry_after_ms: u32,
+    },
+}
+
+/// The door of one target.
+///
+/// Invariants: `running.len() <= slots`; a call waits only while every slot is
+/// taken; each arrival gets exactly one `Start` or `Refuse`, unless cancelled.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    slots: usize,
+    running: HashMap<CallId, (AccountName, u16)>,
+    waiting: Vec<WaitingCall>,
+    service_us: f64,
+    failing: f64,
+    leaving: bool,
+    sequence: u64,
+}
+
+impl AdmissionQueue {
+    /// Opens the door of a target that runs `slots` calls at once.
+    #[must_use]
+    pub fn open(slots: u16) -> Self {
+        Self {
+            slots: usize::from(slots.max(1)),
+            running: HashMap::new(),
+            waiting: Vec::new(),
+            service_us: FIRST_SERVICE_US,
+            failing: 0.0,
+            leaving: false,
+            sequence: 0,
+        }
+    }
+
+    /// Takes one event and appends what follows from it.
+    pub fn step(&mut self, now: MicroTime, event: AdmissionEvent, out: &mut Vec<AdmissionAction>) {
+        match event {
+            AdmissionEvent::Arrive(call) => self.arrive(now, call, out),
+            AdmissionEvent::Finish { call, took, failed } => self.finish(call, took, failed),
+            AdmissionEvent::Cancel(call) => self.waiting.retain(|waiting| waiting.call != call),
+            AdmissionEvent::Tick => {}
+        }
+        self.expire(now, out);
+        self.start(out);
+    }
+
+    /// Refuses all that waits, and all that comes, from now on.
+    pub fn leave(&mut self, out: &mut Vec<AdmissionAction>) {
+        self.leaving = true;
+        let waiting = std::mem::take(&mut self.waiting);
+        for call in waiting {
+            out.push(self.refuse(call.call, RefusalReason::Leaving));
+        }
+    }
+
+    /// Opens the door again after [`Self::leave`].
+    pub fn rejoin(&mut self) {
+        self.leaving = false;
+    }
+
+    /// Tells whether the target is leaving.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Changes the number of slots.
+    pub fn resize(&mut self, slots: u16) {
+        self.slots = usize::from(slots.max(1));
+    }
+
+    /// Returns the load for the next message to an entry.
+    pub fn load(&mut self) -> LoadWord {
+        self.sequence += 1;
+        LoadWord {
+            in_flight: self.running.len() as u16,
+            queued: self.waiting.len() as u16,
+            slots: self.slots as u16,
+            service_us: self.service_us as u32,
+            failing: (self.failing * 1_000.0) as u16,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Returns how many calls run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how many calls wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn arrive(&mut self, now: MicroTime, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
+        if self.leaving {
+            out.push(self.refuse(call.call, RefusalReason::Leaving));
+            return;
+        }
+        if self.running.len() < self.slots && self.waiting.is_empty() {
+            self.waiting.push(call);
+            return;
+        }
+        let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other)).count();
+        if now + self.wait_behind(ahead) >= call.deadline {
+            out.push(self.refuse(call.call, RefusalReason::TooLate));
+            return;
+        }
+        self.waiting.push(call);
+        if self.waiting.len() > self.slots * QUEUE_PER_SLOT {
+            self.evict(out);
+        }
+    }
+
+    /// Refuses the last in the queue, which may be the newcomer.
+    fn evict(&mut self, out: &mut Vec<AdmissionAction>) {
+        let newcomer = self.waiting.len() - 1;
+        let mut last = newcomer;
+        for index in 0..newcomer {
+            if self.goes_before(&self.waiting[last], &self.waiting[index]) {
+                last = index;
+            }
+        }
+        let reason = if last == newcomer { RefusalReason::Full } else { RefusalReason::Outranked };
+        let call = self.waiting.swap_remove(last).call;
+        out.push(self.refuse(call, reason));
+    }
+
+    fn finish(&mut self, call: CallId, took: Option<MicroTime>, failed: bool) {
+        if self.running.remove(&call).is_none() {
+            return;
+        }
+        let Some(took) = took else { return };
+        self.failing += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failing);
+        // A fast failure says nothing of how long an answer takes.
+        if !failed {
+            self.service_us += SERVICE_WEIGHT * (took.0 as f64 - self.service_us);
+        }
+    }
+
+    fn expire(&mut self, now: MicroTime, out: &mut Vec<AdmissionAction>) {
+        let mut index = 0;
+        while index < self.waiting.len() {
+            if self.waiting[index].deadline > now {
+                index += 1;
+                continue;
+            }
+            let call = self.waiting.swap_remove(index).call;
+            out.push(self.refuse(call, RefusalReason::TooLate));
+        }
+    }
+
+    fn start(&mut self, out: &mut Vec<AdmissionAction>) {
+        while self.running.len() < self.slots && !self.waiting.is_empty() {
+            let mut first = 0;
+            for index in 1..self.waiting.len() {
+                if self.goes_before(&self.waiting[index], &self.waiting[first]) {
+                    first = index;
+                }
+            }
+            let call = self.waiting.swap_remove(first);
+            self.running.insert(call.call, (call.account, call.share));
+            out.push(AdmissionAction::Start(call.call));
+        }
+    }
+
+    fn goes_before(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
+        if left.priority != right.priority {
+            return left.priority > right.priority;
+        }
+        let (left_use, right_use) = (self.use_of(left), self.use_of(right));
+        if left.account != right.account && left_use != right_use {
+            return left_use < right_use;
+        }
+        left.deadline < right.deadline
+    }
+
+    /// Returns the calls an account runs here, per thousand shares.
+    fn use_of(&self, call: &WaitingCall) -> usize {
+        let own = self.running.values().filter(|(account, _)| *account == call.account).count();
+        own * 1_000 / usize::from(call.share.max(1))
+    }
+
+    /// Returns the time until a call behind `ahead` others gets a slot.
+    fn wait_behind(&self, ahead: usize) -> MicroTime {
+        let turns = (ahead + 1) as f64 / self.slots as f64;
+        MicroTime((turns * self.service_us) as u64)
+    }
+
+    fn refuse(&self, call: CallId, reason: RefusalReason) -> AdmissionAction {
+        AdmissionAction::Refuse { call, reason, retry_after_ms: self.retry_after_ms() }
+    }
+
+    /// Returns when the present queue will have been served.
+    #[must_use]
+    pub fn retry_after_ms(&self) -> u32 {
+        let wait = self.wait_behind(self.waiting.len()).ceil_millis();
+        wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
+    }
+}
--- /dev/null
+++ b/src/attempt.rs
@@ -0,0 +1,281 @@
+//! One try of a call at one target.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::{ResponseFuture, SendRequest};
+use http::{Request, Response};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::clock::MicroTime;
+use crate::consts::REVOKE_MARGIN;
+use crate::entry::{CallerCall, EntryDuty};
+use crate::h2io::{self, HeadReader};
+use crate::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::outcome::{CallFate, ClaimRow};
+use crate::reply::{self, EntryBody, GuardBody};
+use crate::selection::TargetPlace;
+use crate::wire::{AnswerHead, CallHead, LoadWord, RefusalReason, RevokeHead, RevokeReply};
+
+/// Wait told to a caller whose target could not be reached, in milliseconds.
+const UNREACHABLE_RETRY_MS: u32 = 100;
+
+/// Longest wait for a guard's word about an earlier call.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How a try ended.
+pub(crate) enum AttemptEnd {
+    /// The target answered.
+    Answered(Response<EntryBody>),
+    /// The call did not run there.
+    Refused { reason: RefusalReason, retry_after_ms: u32 },
+    /// The call may have run there.
+    Lost,
+    /// Its key is claimed by an earlier call; it did not run.
+    Claimed { row: Box<ClaimRow>, version: u64 },
+}
+
+impl AttemptEnd {
+    const fn unreachable() -> Self {
+        Self::Refused { reason: RefusalReason::Unreachable, retry_after_ms: UNREACHABLE_RETRY_MS }
+    }
+}
+
+/// A call under way at a target; takes itself off the books when dropped.
+struct OutstandingCall {
+    duty: Rc<EntryDuty>,
+    service: ServiceName,
+    target: TargetName,
+    sent: MicroTime,
+    latency: Option<MicroTime>,
+    failed: bool,
+}
+
+impl OutstandingCall {
+    fn hear(&self, load: LoadWord) {
+        let now = self.duty.clock.now();
+        let mut registry = self.duty.registry.borrow_mut();
+        let targets = registry.services.get_mut(&self.service);
+        if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
+            record.hear(now, load);
+        }
+    }
+}
+
+impl Drop for OutstandingCall {
+    fn drop(&mut self) {
+        let now = self.duty.clock.now();
+        let mut registry = self.duty.registry.borrow_mut();
+        let targets = registry.services.get_mut(&self.service);
+        if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
+            record.finish(now, self.latency, self.failed);
+        }
+    }
+}
+
+/// Tries a call at a target.
+pub(crate) async fn run(
+    duty: &Rc<EntryDuty>,
+    call: &CallerCall,
+    target: &TargetName,
+    place: &TargetPlace,
+) -> AttemptEnd {
+    let now = duty.clock.now();
+    let mut outstanding = OutstandingCall {
+        duty: Rc::clone(duty),
+        service: call.service.clone(),
+        target: target.clone(),
+        sent: now,
+        latency: None,
+        failed: false,
+    };
+    let left = call.deadline.since(now).duration();
+    let deadline = Instant::now() + left;
+    let head = make_head(call, target, place, left);
+    let Some(sender) = connect(duty, place, deadline).await else {
+        outstanding.failed = true;
+        return AttemptEnd::unreachable();
+    };
+    let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendFailure::NotSent)) => {
+            outstanding.failed = true;
+            return AttemptEnd::unreachable();
+        }
+        Ok(Err(SendFailure::MaybeSent)) | Err(_) => {
+            outstanding.failed = true;
+            return AttemptEnd::Lost;
+        }
+    };
+    let mut answer = Box::pin(read_answer(response));
+    let patience = left.saturating_sub(REVOKE_MARGIN.min(left / 4));
+    let answered = match timeout(patience, &mut answer).await {
+        Ok(answered) => answered,
+        Err(_elapsed) => {
+            let fate = revoke(duty, place.guard, place.incarnation, head.call, call.deadline).await;
+            if fate == Some(CallFate::NotRun) {
+                return AttemptEnd::Refused { reason: RefusalReason::Revoked, retry_after_ms: 0 };
+            }
+            let Ok(answered) = timeout_at(deadline, &mut answer).await else {
+                outstanding.failed = fate.is_none();
+                return AttemptEnd::Lost;
+            };
+            answered
+        }
+    };
+    if let Some((answer, reader)) = answered {
+        return conclude(outstanding, head.call, &answer, reader);
+    }
+    outstanding.failed = true;
+    AttemptEnd::Lost
+}
+
+fn make_head(
+    call: &CallerCall,
+    target: &TargetName,
+    place: &TargetPlace,
+    left: Duration,
+) -> CallHead {
+    CallHead {
+        call: CallId::random(),
+        incarnation: place.incarnation,
+        service: call.service.clone(),
+        target: target.clone(),
+        account: call.account.clone(),
+        share: call.share,
+        priority: call.terms.priority,
+        remaining_ms: left.as_millis() as u32,
+        repeatable: call.terms.repeatable,
+        claim: call.claim.clone(),
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        body_len: call.body.len() as u32,
+    }
+}
+
+async fn connect(
+    duty: &EntryDuty,
+    place: &TargetPlace,
+    deadline: Instant,
+) -> Option<SendRequest<Bytes>> {
+    let connecting = duty.pool.connect(place.guard, place.incarnation);
+    timeout_at(deadline, connecting).await.ok()?
+}
+
+/// How sending failed.
+enum SendFailure {
+    /// The guard can't have the whole call, so it can't run it.
+    NotSent,
+    /// The guard may have the whole call.
+    MaybeSent,
+}
+
+/// Sends a call; the last byte decides whether a guard could run it.
+async fn send(
+    mut sender: SendRequest<Bytes>,
+    head: &CallHead,
+    body: &Bytes,
+) -> Result<ResponseFuture, SendFailure> {
+    let framed = h2io::frame(head).map_err(|_too_long| SendFailure::NotSent)?;
+    let request = Request::post("http://guard/call").body(());
+    let request = request.map_err(|_never| SendFailure::NotSent)?;
+    let sent = sender.send_request(request, false).map_err(|_closed| SendFailure::NotSent);
+    let (response, mut stream) = sent?;
+    let whole = body.is_empty();
+    let first = h2io::send_all(&mut stream, framed, whole).await;
+    if whole {
+        first.map_err(|_broken| SendFailure::MaybeSent)?;
+        return Ok(response);
+    }
+    first.map_err(|_broken| SendFailure::NotSent)?;
+    let rest = h2io::send_all(&mut stream, body.clone(), true).await;
+    rest.map_err(|_broken| SendFailure::MaybeSent)?;
+    Ok(response)
+}
+
+/// Reads the answer's head; nothing if the stream broke.
+async fn read_answer(response: ResponseFuture) -> Option<(AnswerHead, HeadReader)> {
+    let response = response.await.ok()?;
+    let mut reader = HeadReader::open(response.into_body());
+    let head = reader.head().await.ok()?;
+    Some((head, reader))
+}
+
+/// Turns a guard's answer into the end of the try.
+fn conclude(
+    mut outstanding: OutstandingCall,
+    call: CallId,
+    answer: &AnswerHead,
+    reader: HeadReader,
+) -> AttemptEnd {
+    let latency = outstanding.duty.clock.now().since(outstanding.sent);
+    match answer {
+        AnswerHead::Answered { call: own, .. }
+        | AnswerHead::Refused { call: own, .. }
+        | AnswerHead::Lost { call: own, .. }
+        | AnswerHead::Claimed { call: own, .. }
+            if *own != call =>
+        {
+            outstanding.failed = true;
+            AttemptEnd::Lost
+        }
+        AnswerHead::Answered { status, length, load, .. } => {
+            outstanding.hear(*load);
+            outstanding.failed = *status >= 500;
+            outstanding.latency = Some(latency);
+            let (rest, stream) = reader.into_rest();
+            let target = outstanding.target.to_string();
+            let length = *length;
+            let ended = Box::new(move |_whole| drop(outstanding));
+            let body = GuardBody::open(rest, stream, length, ended);
+            AttemptEnd::Answered(reply::answered(answer, &target, body))
+        }
+        AnswerHead::Refused { reason, retry_after_ms, load, .. } => {
+            outstanding.hear(*load);
+            let gone = matches!(reason, RefusalReason::Unreachable | RefusalReason::Absent);
+            outstanding.failed = gone || *reason == RefusalReason::Leaving;
+            AttemptEnd::Refused { reason: *reason, retry_after_ms: *retry_after_ms }
+        }
+        AnswerHead::Lost { load, .. } => {
+            outstanding.hear(*load);
+            outstanding.failed = true;
+            AttemptEnd::Lost
+        }
+        AnswerHead::Claimed { row, version, .. } => {
+            AttemptEnd::Claimed { row: row.clone(), version: *version }
+        }
+    }
+}
+
+/// Asks a guard to make sure that a call never runs; nothing if it is silent.
+pub(crate) async fn revoke(
+    duty: &EntryDuty,
+    guard: SocketAddr,
+    incarnation: DaemonIncarnation,
+    call: CallId,
+    deadline: MicroTime,
+) -> Option<CallFate> {
+    let left = deadline.since(duty.clock.now()).duration().min(SETTLE_TIMEOUT);
+    let asked = ask_fate(duty, guard, incarnation, call);
+    timeout(left, asked).await.ok()?
+}
+
+async fn ask_fate(
+    duty: &EntryDuty,
+    guard: SocketAddr,
+    incarnation: DaemonIncarnation,
+    call: CallId,
+) -> Option<CallFate> {
+    let mut sender = duty.pool.connect(guard, incarnation).await?;
+    let request = Request::post("http://guard/revoke").body(()).ok()?;
+    let (response, mut stream) = sender.send_request(request, false).ok()?;
+    let bytes = h2io::frame(&RevokeHead { call, incarnation }).ok()?;
+    h2io::send_all(&mut stream, bytes, true).await.ok()?;
+    let mut reader = HeadReader::open(response.await.ok()?.into_body());
+    let reply: RevokeReply = reader.head().await.ok()?;
+    Some(reply.fate)
+}
--- /dev/null
+++ b/src/findings.rs
@@ -0,0 +1,91 @@
+//! Faults in a file, collected with their places and reported together.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// A place in a text file, counted from one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct TextPlace {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+}
+
+impl TextPlace {
+    /// Finds the place of a byte offset in `text`.
+    #[must_use]
+    pub fn of(text: &str, offset: usize) -> Self {
+        let mut end = offset.min(text.len());
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        let before = &text[..end];
+        let line = before.matches('\n').count() + 1;
+        let column = before.chars().rev().take_while(|&c| c != '\n').count() + 1;
+        Self { line, column }
+    }
+}
+
+/// One fault, and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct FileFinding {
+    /// The file's name as the operator gave it.
+    pub file: String,
+    /// Where in the file.
+    pub place: TextPlace,
+    /// What is wrong, and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for FileFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}: {}", self.file, self.place.line, self.place.column, self.text)
+    }
+}
+
+/// Every fault found; nothing was started or changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FindingList(pub Vec<FileFinding>);
+
+impl fmt::Display for FindingList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                f.write_str("\n")?;
+            }
+            finding.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for FindingList {}
+
+/// Returns the known name nearest to `wrong`, if one is near.
+#[must_use]
+pub fn nearest<'a>(wrong: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let limit = wrong.chars().count() / 2 + 1;
+    known
+        .map(|name| (distance(wrong, name), name))
+        .filter(|&(distance, _)| distance <= limit)
+        .min()
+        .map(|(_, name)| name)
+}
+
+/// Counts the edits between two names (Levenshtein).
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, a) in left.chars().enumerate() {
+        let mut corner = row[0];
+        row[0] = i + 1;
+        for (j, &b) in right.iter().enumerate() {
+            let replace = corner + usize::from(a != b);
+            corner = row[j + 1];
+            row[j + 1] = replace.min(corner + 1).min(row[j] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/src/guard.rs
@@ -0,0 +1,587 @@
+//! The duty beside the targets: admits calls, and alone speaks to the targets.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use slog::{Logger, info};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+use crate::clock::ProcessClock;
+use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, MAX_REQUEST_BODY, SLOW_SENDER};
+use crate::h2io::{self, HeadReader, StreamError};
+use crate::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::lease::{TargetCondition, TargetLease};
+use crate::membership::TargetNotice;
+use crate::metrics::DaemonMetrics;
+use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
+use crate::peers::PeersEvent;
+use crate::platform::{ClaimReply, ClaimRequest, PlatformEvent};
+use crate::ring::{RingInbox, RingSender};
+use crate::served::{ClaimPlace, HeldClaim, ServedCall};
+use crate::table::TableWrite;
+use crate::wire::{
+    self, AnswerHead, CallHead, KeyClaim, LoadWord, ProbeReply, ProbeRequest, RefusalReason,
+    RevokeHead, RevokeReply,
+};
+
+/// How often leases and deadlines are looked at.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Longest wait for a connection to a target on the same host.
+const TARGET_CONNECT: Duration = Duration::from_millis(500);
+
+/// When to come back to a target that is leaving or gone, in milliseconds.
+pub(crate) const LEAVING_RETRY_MS: u32 = 200;
+
+/// When to come back after the table did not accept a claim, in milliseconds.
+const PLATFORM_RETRY_MS: u32 = 1_000;
+
+/// A target's announcement, and its heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TargetAnnouncement {
+    /// The service it offers.
+    pub service: ServiceName,
+    /// Its name, unique within the service.
+    pub target: TargetName,
+    /// Where it listens, on this host.
+    pub address: SocketAddr,
+    /// Calls it runs at once.
+    pub slots: u16,
+    /// Whether it takes new work.
+    pub condition: TargetCondition,
+}
+
+/// What others tell this duty.
+#[derive(Debug)]
+pub(crate) enum GuardEvent {
+    /// A target announced itself.
+    Announce(TargetAnnouncement),
+    /// An operator drains a target, or takes that back.
+    Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
+    /// Tell the state.
+    Dump(oneshot::Sender<Value>),
+    /// Refuse new work, finish the old, then tell.
+    Stop(oneshot::Sender<()>),
+}
+
+/// Where this duty's news go.
+#[derive(Debug)]
+pub(crate) struct GuardRings {
+    pub(crate) peers: RingSender<PeersEvent>,
+    pub(crate) platform: RingSender<PlatformEvent>,
+}
+
+/// What the duty needs to run.
+#[derive(Debug)]
+pub(crate) struct GuardParts {
+    pub(crate) host: HostName,
+    pub(crate) incarnation: DaemonIncarnation,
+    pub(crate) address: SocketAddr,
+    pub(crate) listener: std::net::TcpListener,
+    pub(crate) socket: std::net::UdpSocket,
+}
+
+pub(crate) struct LocalTarget {
+    pub(crate) announcement: TargetAnnouncement,
+    lease: TargetLease,
+    door: AdmissionQueue,
+    /// Calls that wait for the table while they hold a slot.
+    pub(crate) claiming: usize,
+}
+
+type StartSignal = Result<(), (RefusalReason, u32)>;
+
+pub(crate) struct GuardDuty {
+    pub(crate) clock: ProcessClock,
+    host: HostName,
+    incarnation: DaemonIncarnation,
+    address: SocketAddr,
+    pub(crate) targets: RefCell<HashMap<(ServiceName, TargetName), LocalTarget>>,
+    pub(crate) ledger: RefCell<CallLedger>,
+    waiters: RefCell<HashMap<CallId, oneshot::Sender<StartSignal>>>,
+    /// Streams of calls that have not ended.
+    open: watch::Sender<usize>,
+    stopping: watch::Sender<bool>,
+    pub(crate) client: Client<HttpConnector, Full<Bytes>>,
+    pub(crate) metrics: Arc<DaemonMetrics>,
+    rings: GuardRings,
+    logger: Logger,
+}
+
+/// Runs the duty until the thread's runtime ends.
+pub(crate) async fn run(
+    parts: GuardParts,
+    mut inbox: RingInbox<GuardEvent>,
+    rings: GuardRings,
+    metrics: Arc<DaemonMetrics>,
+    logger: Logger,
+) {
+    let listener = TcpListener::from_std(parts.listener);
+    let socket = UdpSocket::from_std(parts.socket);
+    let (Ok(listener), Ok(socket)) = (listener, socket) else { return };
+    let duty = Rc::new(GuardDuty {
+        clock: ProcessClock::open(),
+        host: parts.host,
+        incarnation: parts.incarnation,
+        address: parts.address,
+        targets: RefCell::default(),
+        ledger: RefCell::default(),
+        waiters: RefCell::default(),
+        open: watch::Sender::new(0),
+        stopping: watch::Sender::new(false),
+        client: target_client(),
+        metrics,
+        rings,
+        logger,
+    });
+    spawn_local(Rc::clone(&duty).accept(listener));
+    spawn_local(Rc::clone(&duty).answer_probes(socket));
+    spawn_local(Rc::clone(&duty).tick());
+    loop {
+        duty.handle(inbox.next().await);
+    }
+}
+
+fn target_client() -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(TARGET_CONNECT));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(64)
+        .pool_idle_timeout(Duration::from_secs(20))
+        // A repeat is this system's decision, never the library's.
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+impl GuardDuty {
+    fn handle(self: &Rc<Self>, event: GuardEvent) {
+        match event {
+            GuardEvent::Announce(announcement) => self.announce(announcement),
+            GuardEvent::Drain { target, drained, reply } => {
+                _ = reply.send(self.drain(&target, drained));
+            }
+            GuardEvent::Dump(reply) => drop(reply.send(self.dump())),
+            GuardEvent::Stop(done) => {
+                spawn_local(Rc::clone(self).stop(done));
+            }
+        }
+    }
+
+    fn announce(&self, announcement: TargetAnnouncement) {
+        let now = self.clock.now();
+        let key = (announcement.service.clone(), announcement.target.clone());
+        let mut targets = self.targets.borrow_mut();
+        if let Some(target) = targets.get_mut(&key) {
+            target.lease.renew(now, announcement.condition);
+            target.door.resize(announcement.slots);
+            target.announcement = announcement;
+        } else {
+            info!(self.logger, "target announced"; "target" => %announcement.target);
+            let mut door = AdmissionQueue::open(announcement.slots);
+            door.leave(&mut Vec::new());
+            let lease = TargetLease::open(now, announcement.condition);
+            targets.insert(key, LocalTarget { announcement, lease, door, claiming: 0 });
+        }
+        drop(targets);
+        self.check_leases();
+    }
+
+    fn drain(&self, name: &TargetName, drained: bool) -> bool {
+        let mut found = false;
+        for target in self.targets.borrow_mut().values_mut() {
+            if target.announcement.target == *name {
+                target.lease.drain(drained);
+                found = true;
+            }
+        }
+        self.check_leases();
+        found
+    }
+
+    /// Opens and shuts doors as the leases say, and tells the peers.
+    fn check_leases(&self) {
+        let now = self.clock.now();
+        let stopping = *self.stopping.borrow();
+        let mut actions = Vec::new();
+        let mut changed = false;
+        for target in self.targets.borrow_mut().values_mut() {
+            let ready = target.lease.is_ready(now) && !stopping;
+            if ready == target.door.is_leaving() {
+                changed = true;
+                info!(self.logger, "target"; "name" => %target.announcement.target, "ready" => ready);
+                if ready {
+                    target.door.rejoin();
+                } else {
+                    target.door.leave(&mut actions);
+                }
+            }
+        }
+        self.carry_out(actions);
+        if changed {
+            self.tell_peers();
+        }
+    }
+
+    fn tell_peers(&self) {
+        let targets = self.targets.borrow();
+        let notices = targets.values().map(|target| TargetNotice {
+            service: target.announcement.service.clone(),
+            name: target.announcement.target.clone(),
+            slots: target.announcement.slots,
+            ready: !target.door.is_leaving(),
+        });
+        let mut notices: Vec<TargetNotice> = notices.collect();
+        notices.sort_by(|a, b| a.name.cmp(&b.name));
+        if self.rings.peers.push(PeersEvent::Local(notices)).is_err() {
+            self.metrics.shed.with_label_values(&["peers"]).inc();
+        }
+    }
+
+    /// Takes one event to a target's door.
+    pub(crate) fn step_door(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
+        let mut actions = Vec::new();
+        if let Some(target) = self.targets.borrow_mut().get_mut(key) {
+            target.door.step(self.clock.now(), event, &mut actions);
+        }
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&self, actions: Vec<AdmissionAction>) {
+        for action in actions {
+            let (call, signal) = match action {
+                AdmissionAction::Start(call) => (call, Ok(())),
+                AdmissionAction::Refuse { call, reason, retry_after_ms } => {
+                    (call, Err((reason, retry_after_ms)))
+                }
+            };
+            if let Some(waiter) = self.waiters.borrow_mut().remove(&call) {
+                _ = waiter.send(signal);
+            }
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        let mut timer = tokio::time::interval(TICK);
+        timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            let mut actions = Vec::new();
+            let now = self.clock.now();
+            for target in self.targets.borrow_mut().values_mut() {
+                target.door.step(now, AdmissionEvent::Tick, &mut actions);
+            }
+            self.carry_out(actions);
+            self.check_leases();
+        }
+    }
+
+    /// Answers measuring messages.
+    async fn answer_probes(self: Rc<Self>, socket: UdpSocket) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+            let Ok(request) = wire::decode::<ProbeRequest>(&buffer[..length]) else { continue };
+            let key = (request.service, request.target);
+            if request.incarnation != self.incarnation {
+                continue;
+            }
+            let load = self.targets.borrow_mut().get_mut(&key).map(|target| target.door.load());
+            let Some(load) = load else { continue };
+            let (service, target) = key;
+            let reply = ProbeReply { service, target, load };
+            if let Ok(bytes) = wire::encode(&reply) {
+                // A lost answer is a lost measurement, nothing more.
+                drop(socket.try_send_to(&bytes, from));
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else { continue };
+            drop(socket.set_nodelay(true));
+            spawn_local(Rc::clone(&self).serve_connection(socket));
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
+        let handshake = timeout(SLOW_SENDER, h2io::server().handshake(socket)).await;
+        let Ok(Ok(mut connection)) = handshake else { return };
+        let mut stopping = self.stopping.subscribe();
+        let mut told = false;
+        loop {
+            tokio::select! {
+                accepted = connection.accept() => match accepted {
+                    Some(Ok((request, respond))) => {
+                        spawn_local(Rc::clone(&self).serve_stream(request, respond));
+                    }
+                    _ => return,
+                },
+                _ = stopping.wait_for(|stopping| *stopping), if !told => {
+                    told = true;
+                    connection.graceful_shutdown();
+                }
+            }
+        }
+    }
+
+    async fn serve_stream(
+        self: Rc<Self>,
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+    ) {
+        self.open.send_modify(|open| *open += 1);
+        let revoke = request.uri().path() == "/revoke";
+        let reader = HeadReader::open(request.into_body());
+        if revoke {
+            self.serve_revoke(reader, respond).await;
+        } else {
+            self.serve_call(reader, respond).await;
+        }
+        self.open.send_modify(|open| *open -= 1);
+    }
+
+    async fn serve_revoke(&self, mut reader: HeadReader, mut respond: SendResponse<Bytes>) {
+        let Ok(Ok(head)) = timeout(SLOW_SENDER, reader.head::<RevokeHead>()).await else { return };
+        let fate = if head.incarnation == self.incarnation {
+            self.revoke(head.call)
+        } else {
+            CallFate::Unknown
+        };
+        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
+        if let Ok(bytes) = h2io::frame(&RevokeReply { fate }) {
+            drop(h2io::send_all(&mut stream, bytes, true).await);
+        }
+    }
+
+    /// Makes sure that a call does not run, or tells what became of it.
+    fn revoke(&self, call: CallId) -> CallFate {
+        let fate = self.ledger.borrow_mut().revoke(self.clock.now(), call);
+        if fate == CallFate::NotRun {
+            let refusal = AdmissionAction::Refuse {
+                call,
+                reason: RefusalReason::Revoked,
+                retry_after_ms: LEAVING_RETRY_MS,
+            };
+            self.carry_out(vec![refusal]);
+        }
+        fate
+    }
+
+    async fn serve_call(self: &Rc<Self>, mut reader: HeadReader, mut respond: SendResponse<Bytes>) {
+        let received = timeout(SLOW_SENDER, receive_call(&mut reader)).await;
+        let Ok(Ok((head, body))) = received else {
+            respond.send_reset(Reason::PROTOCOL_ERROR);
+            return;
+        };
+        let call = ServedCall::open(self, &head);
+        let reply = match self.admit(&call, &head, &mut respond).await {
+            Ok(claim) => {
+                call.run(&head, body, claim, respond).await;
+                return;
+            }
+            Err(Some(reply)) => reply,
+            Err(None) => return,
+        };
+        drop(call);
+        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
+        if let Ok(bytes) = h2io::frame(&reply) {
+            drop(h2io::send_all(&mut stream, bytes, true).await);
+        }
+    }
+
+    /// Brings a call to the point of dispatch, or to an answer that it did not run.
+    ///
+    /// `Err(None)` is a caller that has gone.
+    async fn admit(
+        &self,
+        call: &ServedCall,
+        head: &CallHead,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<Option<HeldClaim>, Option<AnswerHead>> {
+        if head.incarnation != self.incarnation || !self.targets.borrow().contains_key(&call.key) {
+            return Err(Some(self.refusal(call, RefusalReason::Absent, LEAVING_RETRY_MS)));
+        }
+        if !self.ledger.borrow_mut().arrive(self.clock.now(), head.call) {
+            return Err(Some(self.refusal(call, RefusalReason::Revoked, LEAVING_RETRY_MS)));
+        }
+        let signal = self.enqueue(call, head);
+        let started = tokio::select! {
+            signal = signal => signal.unwrap_or(Err((RefusalReason::Leaving, LEAVING_RETRY_MS))),
+            _ = poll_fn(|cx| respond.poll_reset(cx)) => {
+                self.bury(call);
+                return Err(None);
+            }
+        };
+        if let Err((reason, retry_after_ms)) = started {
+            self.bury(call);
+            return Err(Some(self.refusal(call, reason, retry_after_ms)));
+        }
+        call.started.set(Some(self.clock.now()));
+        let claim = match &head.claim {
+            Some(claim) => Some(self.claim(call, head, claim).await.map_err(|reply| {
+                self.bury(call);
+                Some(reply)
+            })?),
+            None => None,
+        };
+        let in_time = self.clock.now() < call.deadline;
+        if in_time && self.ledger.borrow_mut().dispatch(head.call) {
+            return Ok(claim);
+        }
+        if let Some(claim) = claim {
+            self.write(TableWrite { key: claim.key, expect: Some(claim.version), value: None });
+        }
+        self.bury(call);
+        let reason = if in_time { RefusalReason::Revoked } else { RefusalReason::TooLate };
+        Err(Some(self.refusal(call, reason, LEAVING_RETRY_MS)))
+    }
+
+    fn enqueue(&self, call: &ServedCall, head: &CallHead) -> oneshot::Receiver<StartSignal> {
+        let (waiter, signal) = oneshot::channel();
+        self.waiters.borrow_mut().insert(head.call, waiter);
+        call.entered.set(true);
+        let waiting = WaitingCall {
+            call: head.call,
+            account: head.account.clone(),
+            share: head.share,
+            priority: head.priority,
+            deadline: call.deadline,
+        };
+        self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
+        signal
+    }
+
+    /// Makes sure that a call that was not dispatched never will be.
+    fn bury(&self, call: &ServedCall) {
+        self.waiters.borrow_mut().remove(&call.call);
+        self.ledger.borrow_mut().revoke(self.clock.now(), call.call);
+    }
+
+    /// Writes the claim of a keyed call; the call holds its slot meanwhile.
+    async fn claim(
+        &self,
+        call: &ServedCall,
+        head: &CallHead,
+        claim: &KeyClaim,
+    ) -> Result<HeldClaim, AnswerHead> {
+        let Some(place) = ClaimPlace::take(call) else {
+            return Err(self.refusal(call, RefusalReason::Full, PLATFORM_RETRY_MS));
+        };
+        let row = ClaimRow {
+            call: head.call,
+            host: self.host.clone(),
+            guard: self.address,
+            incarnation: self.incarnation,
+            print: claim.print.clone(),
+            state: ClaimState::Started,
+        };
+        let (reply, answer) = oneshot::channel();
+        let request = ClaimRequest {
+            key: claim.row.clone(),
+            row: row.clone(),
+            expect: claim.takeover.unwrap_or(0),
+            reply,
+        };
+        let down = || self.refusal(call, RefusalReason::PlatformDown, PLATFORM_RETRY_MS);
+        self.rings.platform.push(PlatformEvent::Claim(request)).map_err(|_full| down())?;
+        let left = call.deadline.since(self.clock.now()).duration();
+        let answer = timeout(CLAIM_TIMEOUT.min(left), answer).await;
+        drop(place);
+        match answer {
+            Ok(Ok(ClaimReply::Held(version))) => {
+                Ok(HeldClaim { key: claim.row.clone(), version, row })
+            }
+            Ok(Ok(ClaimReply::Found { row, version })) => {
+                Err(AnswerHead::Claimed { call: head.call, row, version })
+            }
+            _ => Err(down()),
+        }
+    }
+
+    pub(crate) fn write(&self, write: TableWrite) {
+        if self.rings.platform.push(PlatformEvent::Write(write)).is_err() {
+            self.metrics.shed.with_label_values(&["platform"]).inc();
+        }
+    }
+
+    pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadWord {
+        let mut targets = self.targets.borrow_mut();
+        targets.get_mut(key).map(|target| target.door.load()).unwrap_or_default()
+    }
+
+    pub(crate) fn refusal(
+        &self,
+        call: &ServedCall,
+        reason: RefusalReason,
+        retry_after_ms: u32,
+    ) -> AnswerHead {
+        self.metrics.refusals.with_label_values(&[reason.label()]).inc();
+        AnswerHead::Refused { call: call.call, reason, retry_after_ms, load: self.load(&call.key) }
+    }
+
+    /// Refuses new work at once and waits for the old to end.
+    async fn stop(self: Rc<Self>, done: oneshot::Sender<()>) {
+        self.stopping.send_replace(true);
+        self.check_leases();
+        let mut open = self.open.subscribe();
+        // Fails only when the duty itself is gone.
+        drop(open.wait_for(|open| *open == 0).await);
+        _ = done.send(());
+    }
+
+    fn dump(&self) -> Value {
+        let targets = self.targets.borrow();
+        let now = self.clock.now();
+        let targets: Vec<Value> = targets
+            .values()
+            .map(|target| {
+                json!({
+                    "announcement": target.announcement,
+                    "lease": target.lease,
+                    "ready": target.lease.is_ready(now),
+                    "running": target.door.running(),
+                    "waiting": target.door.waiting(),
+                    "claiming": target.claiming,
+                    "retry_after_ms": target.door.retry_after_ms(),
+                })
+            })
+            .collect();
+        json!({
+            "targets": targets,
+            "calls_remembered": self.ledger.borrow().len(),
+            "streams": *self.open.borrow(),
+            "stopping": *self.stopping.borrow(),
+        })
+    }
+}
+
+async fn receive_call(reader: &mut HeadReader) -> Result<(CallHead, Bytes), StreamError> {
+    let head: CallHead = reader.head().await?;
+    let length = head.body_len as usize;
+    if length > MAX_REQUEST_BODY {
+        return Err(StreamError::Short);
+    }
+    let body = reader.body(length).await?;
+    Ok((head, body))
+}
--- /dev/null
+++ b/src/h2io.rs
@@ -0,0 +1,212 @@
+//! Heads and bodies on `h2` streams.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::consts::MAX_HEAD;
+use crate::wire::{self, WireError};
+
+/// Length of the number that precedes a head, in bytes.
+const PREFIX: usize = 4;
+
+/// Receive window of one stream, in bytes.
+const STREAM_WINDOW: u32 = 1 << 20;
+
+/// Receive window of one connection, in bytes.
+const CONNECTION_WINDOW: u32 = 8 << 20;
+
+/// Streams that one connection carries at once.
+const MAX_STREAMS: u32 = 10_000;
+
+/// A stream that broke, or said something else than expected.
+#[derive(Debug, Snafu)]
+pub(crate) enum StreamError {
+    /// The transport failed or the peer reset the stream.
+    #[snafu(display("stream broken: {source}"))]
+    Broken { source: h2::Error },
+    /// The stream ended too early.
+    #[snafu(display("stream ended early"))]
+    Short,
+    /// The head can't be read.
+    #[snafu(display("{source}"))]
+    Head { source: WireError },
+}
+
+/// Returns the settings of the serving side.
+pub(crate) fn server() -> h2::server::Builder {
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS);
+    builder
+}
+
+/// Returns the settings of the asking side.
+pub(crate) fn client() -> h2::client::Builder {
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .initial_max_send_streams(MAX_STREAMS as usize)
+        .enable_push(false);
+    builder
+}
+
+/// Encodes a head with its length before it.
+pub(crate) fn frame<T: Serialize>(head: &T) -> Result<Bytes, WireError> {
+    let encoded = wire::encode(head)?;
+    let mut framed = BytesMut::with_capacity(PREFIX + encoded.len());
+    framed.put_u32(encoded.len() as u32);
+    framed.put_slice(&encoded);
+    Ok(framed.freeze())
+}
+
+/// Sends all bytes as the peer's window allows.
+pub(crate) async fn send_all(
+    stream: &mut SendStream<Bytes>,
+    mut bytes: Bytes,
+    end: bool,
+) -> Result<(), StreamError> {
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        let granted = poll_fn(|cx| stream.poll_capacity(cx)).await;
+        let room = granted.ok_or(StreamError::Short)?.context(BrokenSnafu)?;
+        let part = bytes.split_to(room.min(bytes.len()));
+        let last = end && bytes.is_empty();
+        stream.send_data(part, last).context(BrokenSnafu)?;
+        if last {
+            return Ok(());
+        }
+    }
+    if end {
+        stream.send_data(Bytes::new(), true).context(BrokenSnafu)?;
+    }
+    Ok(())
+}
+
+/// Reads one head and the bytes behind it.
+#[derive(Debug)]
+pub(crate) struct HeadReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl HeadReader {
+    /// Starts to read a stream.
+    pub(crate) fn open(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new() }
+    }
+
+    /// Reads the head.
+    pub(crate) async fn head<T: DeserializeOwned>(&mut self) -> Result<T, StreamError> {
+        self.fill(PREFIX).await?;
+        let length = self.buffer.get_u32() as usize;
+        if length > MAX_HEAD {
+            return Err(WireError::TooLong { length, limit: MAX_HEAD }).context(HeadSnafu);
+        }
+        self.fill(length).await?;
+        let bytes = self.buffer.split_to(length);
+        wire::decode(&bytes).context(HeadSnafu)
+    }
+
+    /// Reads a body of exactly `length` bytes.
+    pub(crate) async fn body(&mut self, length: usize) -> Result<Bytes, StreamError> {
+        self.fill(length).await?;
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    /// Returns what was read too far, and the stream.
+    pub(crate) fn into_rest(self) -> (Bytes, RecvStream) {
+        (self.buffer.freeze(), self.stream)
+    }
+
+    async fn fill(&mut self, length: usize) -> Result<(), StreamError> {
+        while self.buffer.len() < length {
+            let part = self.stream.data().await.ok_or(StreamError::Short)?.context(BrokenSnafu)?;
+            release(&mut self.stream, part.len());
+            self.buffer.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+}
+
+/// Gives the sender its window back.
+pub(crate) fn release(stream: &mut RecvStream, length: usize) {
+    // Fails only on a stream that is closed already, where no window matters.
+    drop(stream.flow_control().release_capacity(length));
+}
+
+/// An `h2` stream as a byte stream, for codecs that want one.
+#[derive(Debug)]
+pub(crate) struct ByteStream {
+    send: SendStream<Bytes>,
+    recv: RecvStream,
+    rest: Bytes,
+}
+
+impl ByteStream {
+    /// Joins the two halves of a stream.
+    pub(crate) fn open(send: SendStream<Bytes>, recv: RecvStream) -> Self {
+        Self { send, recv, rest: Bytes::new() }
+    }
+}
+
+impl AsyncRead for ByteStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.rest.is_empty() {
+            match ready!(self.recv.poll_data(cx)) {
+                None => return Poll::Ready(Ok(())),
+                Some(Err(error)) => return Poll::Ready(Err(io::Error::other(error))),
+                Some(Ok(part)) => {
+                    release(&mut self.recv, part.len());
+                    self.rest = part;
+                }
+            }
+        }
+        let length = buf.remaining().min(self.rest.len());
+        let part = self.rest.split_to(length);
+        buf.put_slice(&part);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ByteStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.send.reserve_capacity(buf.len());
+        let room = match ready!(self.send.poll_capacity(cx)) {
+            None => return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+            Some(Err(error)) => return Poll::Ready(Err(io::Error::other(error))),
+            Some(Ok(room)) => room.min(buf.len()),
+        };
+        let part = Bytes::copy_from_slice(&buf[..room]);
+        self.send.send_data(part, false).map_err(io::Error::other)?;
+        Poll::Ready(Ok(room))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let ended = self.send.send_data(Bytes::new(), true);
+        Poll::Ready(ended.map_err(io::Error::other))
+    }
+}
--- /dev/null
+++ b/src/lease.rs
@@ -0,0 +1,60 @@
+//! Whether a target on this host takes new work.
+//!
+//! Pure. A target announces itself and repeats that as a heartbeat. It stops
+//! taking new work when it says so, when an operator drains it, or when its
+//! heartbeats stop.
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::MicroTime;
+use crate::consts::TARGET_LEASE;
+
+/// What a target says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetCondition {
+    /// Started, but not ready for calls.
+    Warming,
+    /// Ready for calls.
+    Ready,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+}
+
+/// The lease of one target.
+///
+/// Invariant: after a heartbeat at `t`, and without another, `is_ready` is
+/// false from `t + TARGET_LEASE` on.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetLease {
+    condition: TargetCondition,
+    heard: MicroTime,
+    /// Set by an operator; only an operator takes it back.
+    drained: bool,
+}
+
+impl TargetLease {
+    /// Opens the lease of a target heard of now.
+    #[must_use]
+    pub const fn open(now: MicroTime, condition: TargetCondition) -> Self {
+        Self { condition, heard: now, drained: false }
+    }
+
+    /// Notes a heartbeat.
+    pub fn renew(&mut self, now: MicroTime, condition: TargetCondition) {
+        self.heard = self.heard.max(now);
+        self.condition = condition;
+    }
+
+    /// Notes an operator's order.
+    pub const fn drain(&mut self, drained: bool) {
+        self.drained = drained;
+    }
+
+    /// Tells whether the target takes new work.
+    #[must_use]
+    pub fn is_ready(&self, now: MicroTime) -> bool {
+        let fresh = now.since(self.heard) < TARGET_LEASE.into();
+        fresh && !self.drained && self.condition == TargetCondition::Ready
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,98 @@
+//! A load balancer for servers whose load shifts in milliseconds.
+//!
+//! One daemon runs beside each target host. Any daemon takes a call, chooses a
+//! target, and sends the call to the daemon beside it, which alone speaks to
+//! the target. Everything that decides is a kernel without I/O or clock; the
+//! threads around it only move bytes.
+//!
+//! # Examples
+//!
+//! ```
+//! use railspan::{AdmissionAction, AdmissionEvent, AdmissionQueue, MicroTime, WaitingCall};
+//! use railspan::{CallId, CallPriority};
+//!
+//! let mut queue = AdmissionQueue::open(1);
+//! let mut actions = Vec::new();
+//! let call = WaitingCall {
+//!     call: CallId(7),
+//!     account: "rio-pilots".into(),
+//!     share: 1,
+//!     priority: CallPriority { urgent: true, worth: 9 },
+//!     deadline: MicroTime::from_millis(100),
+//! };
+//! queue.step(MicroTime(0), AdmissionEvent::Arrive(call), &mut actions);
+//! assert_eq!(actions, [AdmissionAction::Start(CallId(7))]);
+//! ```
+
+mod admin;
+mod admission;
+mod attempt;
+mod clock;
+mod config;
+mod consts;
+mod daemon;
+mod duty;
+mod entry;
+mod findings;
+mod guard;
+mod h2io;
+mod headers;
+mod ids;
+mod lease;
+mod log;
+mod measure;
+mod membership;
+mod metrics;
+mod outcome;
+mod peers;
+mod platform;
+mod pool;
+mod probe;
+mod publish;
+mod reply;
+mod retry;
+mod revision;
+mod ring;
+mod rpc;
+mod schema;
+mod selection;
+mod served;
+mod settings;
+mod table;
+mod wire;
+
+pub use admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+pub use clock::MicroTime;
+pub use config::{
+    AccountParameters, CallTerms, FleetConfig, KindParameters, KindTerms, RequestKind,
+    ServiceTemplate,
+};
+pub use consts::*;
+pub use daemon::{DaemonAddresses, RunningDaemon, StartError, spawn};
+pub use findings::{FileFinding, FindingList, TextPlace, nearest};
+pub use guard::TargetAnnouncement;
+pub use headers::*;
+pub use ids::{
+    AccountName, CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName,
+};
+pub use lease::{TargetCondition, TargetLease};
+pub use membership::{
+    FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, MembershipAction,
+    MembershipEvent, MembershipState, SYNC_BUCKETS, TargetNotice,
+};
+pub use outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer};
+pub use probe::ProbeBudget;
+pub use publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
+pub use reply::CallOutcome;
+pub use retry::RetryBudget;
+pub use revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
+pub use selection::{
+    DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
+    TargetRegistry, default_policy, policy, policy_names,
+};
+pub use settings::{BudgetSettings, DaemonSettings, is_settings};
+pub use table::{CommitReply, PlatformClient, PlatformError, TableRow, TableWrite};
+pub use wire::{
+    AnswerHead, CallHead, CallPriority, KeyClaim, LoadWord, ProbeReply, ProbeRequest,
+    RefusalReason, RevokeHead, RevokeReply, WireError, decode, encode,
+};
--- /dev/null
+++ b/src/outcome.rs
@@ -0,0 +1,168 @@
+//! At most once: what became of each call, in a guard and in the table.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::MicroTime;
+use crate::consts::{LEDGER_CAPACITY, LEDGER_RETENTION};
+use crate::ids::{CallId, DaemonIncarnation, HostName};
+
+/// The answer of a call that ran, kept for repeats.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type, where the target named one.
+    pub content_type: Option<String>,
+    /// The body, or nothing where it was over the limit.
+    pub body: Option<Vec<u8>>,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallFate {
+    /// It did not run, and never will.
+    NotRun,
+    /// It was dispatched and has not ended.
+    Running,
+    /// It ran to its end.
+    Answered(RecordedAnswer),
+    /// It may have run.
+    Unknown,
+}
+
+/// The state of a claim in the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// Its guard may dispatch, or has dispatched, the call.
+    Started,
+    /// The call ran to its end.
+    Answered(RecordedAnswer),
+    /// The call may have run; nobody will learn more.
+    Unknown,
+}
+
+/// The row that stands for one idempotency key.
+///
+/// Only the guard whose insert created or took over the row may dispatch.
+/// The row is no lease: it never expires into the hands of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRow {
+    /// The call that holds the key.
+    pub call: CallId,
+    /// The host whose guard runs the call.
+    pub host: HostName,
+    /// Where that guard listens.
+    pub guard: SocketAddr,
+    /// The guard's life; another one knows nothing of the call.
+    pub incarnation: DaemonIncarnation,
+    /// Hash of the request.
+    pub print: String,
+    /// What is known of the call.
+    pub state: ClaimState,
+}
+
+#[derive(Clone, Debug)]
+enum LedgerEntry {
+    /// Received, not dispatched.
+    Waiting,
+    /// Revoked or refused: must never be dispatched.
+    Dead,
+    Running,
+    Done(CallFate),
+}
+
+/// A guard's memory of the calls it received in this life.
+///
+/// Invariants: a dead call is never dispatched; a call is dispatched at most
+/// once; an entry is forgotten only after [`LEDGER_RETENTION`].
+#[derive(Debug, Default)]
+pub struct CallLedger {
+    entries: HashMap<CallId, LedgerEntry>,
+    /// Calls by the time they may be forgotten, oldest first.
+    ended: VecDeque<(MicroTime, CallId)>,
+}
+
+impl CallLedger {
+    /// Notes the arrival of a call; `false` if it is known already.
+    ///
+    /// A known id is a late copy, a repeat or a revoked call: it must not run.
+    pub fn arrive(&mut self, now: MicroTime, call: CallId) -> bool {
+        self.forget(now);
+        if self.entries.len() >= LEDGER_CAPACITY || self.entries.contains_key(&call) {
+            return false;
+        }
+        self.entries.insert(call, LedgerEntry::Waiting);
+        true
+    }
+
+    /// Asks leave to dispatch; granted at most once for each call.
+    pub fn dispatch(&mut self, call: CallId) -> bool {
+        match self.entries.get_mut(&call) {
+            Some(entry @ LedgerEntry::Waiting) => {
+                *entry = LedgerEntry::Running;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Makes sure that a call not yet dispatched never will be.
+    ///
+    /// Returns its fate. `Unknown` where the memory is full, since then the
+    /// revocation itself could not be kept.
+    pub fn revoke(&mut self, now: MicroTime, call: CallId) -> CallFate {
+        self.forget(now);
+        match self.entries.get(&call) {
+            Some(LedgerEntry::Running) => CallFate::Running,
+            Some(LedgerEntry::Done(fate)) => fate.clone(),
+            Some(LedgerEntry::Dead) => CallFate::NotRun,
+            Some(LedgerEntry::Waiting) => self.bury(now, call),
+            None if self.entries.len() < LEDGER_CAPACITY => self.bury(now, call),
+            None => CallFate::Unknown,
+        }
+    }
+
+    /// Notes the end of a call that was dispatched.
+    pub fn finish(&mut self, now: MicroTime, call: CallId, fate: CallFate) {
+        self.entries.insert(call, LedgerEntry::Done(fate));
+        self.ended.push_back((now + LEDGER_RETENTION.into(), call));
+    }
+
+    /// Tells whether a call waits to be dispatched.
+    #[must_use]
+    pub fn is_waiting(&self, call: CallId) -> bool {
+        matches!(self.entries.get(&call), Some(LedgerEntry::Waiting))
+    }
+
+    /// Returns how many calls are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no call is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn bury(&mut self, now: MicroTime, call: CallId) -> CallFate {
+        self.entries.insert(call, LedgerEntry::Dead);
+        self.ended.push_back((now + LEDGER_RETENTION.into(), call));
+        CallFate::NotRun
+    }
+
+    fn forget(&mut self, now: MicroTime) {
+        while let Some(&(until, call)) = self.ended.front() {
+            if until > now {
+                return;
+            }
+            self.ended.pop_front();
+            self.entries.remove(&call);
+        }
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,301 @@
+//! The duty that keeps the fleet together: gossip, full exchanges, revisions.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use slog::{Logger, info};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::{MicroTime, ProcessClock};
+use crate::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
+use crate::entry::EntryEvent;
+use crate::membership::{
+    FleetView, GossipMessage, MemberRecord, MembershipAction, MembershipEvent, MembershipState,
+    TargetNotice,
+};
+use crate::metrics::DaemonMetrics;
+use crate::platform::PlatformEvent;
+use crate::revision::ActiveRevision;
+use crate::ring::{RingInbox, RingSender};
+use crate::rpc;
+use crate::wire;
+
+/// Peers a fresh daemon asks before it serves.
+const JOIN_PEERS: usize = 3;
+
+/// Longest wait for one peer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Least time between two views handed to the entry.
+const VIEW_EVERY: MicroTime = MicroTime::from_millis(100);
+
+/// What others tell this duty.
+#[derive(Debug)]
+pub(crate) enum PeersEvent {
+    /// Members that the table names; none if the platform is down.
+    Bootstrap(Vec<MemberRecord>),
+    /// A revision came in force.
+    Config(ActiveRevision),
+    /// The host's targets changed.
+    Local(Vec<TargetNotice>),
+    /// Tell the state.
+    Dump(oneshot::Sender<Value>),
+    /// Tell the members.
+    Members(oneshot::Sender<FleetView>),
+    /// Say good-bye, then tell.
+    Leave(oneshot::Sender<()>),
+}
+
+/// Where this duty's news go.
+#[derive(Debug)]
+pub(crate) struct PeersRings {
+    pub(crate) entry: RingSender<EntryEvent>,
+    pub(crate) platform: RingSender<PlatformEvent>,
+}
+
+/// The state that this duty's tasks share.
+pub(crate) struct PeersDuty {
+    clock: ProcessClock,
+    pub(crate) membership: RefCell<MembershipState>,
+    pub(crate) active: RefCell<Option<ActiveRevision>>,
+    rng: RefCell<Pcg64Mcg>,
+    socket: UdpSocket,
+    seeds: Vec<SocketAddr>,
+    dirty: RefCell<bool>,
+    joined: RefCell<bool>,
+    fetching: RefCell<bool>,
+    pub(crate) metrics: Arc<DaemonMetrics>,
+    rings: PeersRings,
+    logger: Logger,
+}
+
+/// What the duty needs to run.
+#[derive(Debug)]
+pub(crate) struct PeersParts {
+    pub(crate) own: MemberRecord,
+    pub(crate) seed: u64,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) socket: std::net::UdpSocket,
+    pub(crate) listener: std::net::TcpListener,
+}
+
+/// Runs the duty until the thread's runtime ends.
+pub(crate) async fn run(
+    parts: PeersParts,
+    mut inbox: RingInbox<PeersEvent>,
+    rings: PeersRings,
+    metrics: Arc<DaemonMetrics>,
+    logger: Logger,
+) {
+    let PeersParts { own, seed, seeds, socket, listener } = parts;
+    let (Ok(socket), Ok(listener)) = (UdpSocket::from_std(socket), TcpListener::from_std(listener))
+    else {
+        return;
+    };
+    let duty = Rc::new(PeersDuty {
+        clock: ProcessClock::open(),
+        membership: RefCell::new(MembershipState::open(own)),
+        active: RefCell::default(),
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+        socket,
+        seeds,
+        dirty: RefCell::new(true),
+        joined: RefCell::new(false),
+        fetching: RefCell::new(false),
+        metrics,
+        rings,
+        logger,
+    });
+    spawn_local(Rc::clone(&duty).receive());
+    spawn_local(Rc::clone(&duty).tick());
+    spawn_local(rpc::serve(Rc::clone(&duty), listener));
+    loop {
+        duty.handle(inbox.next().await);
+    }
+}
+
+impl PeersDuty {
+    fn handle(self: &Rc<Self>, event: PeersEvent) {
+        match event {
+            PeersEvent::Bootstrap(members) => {
+                spawn_local(Rc::clone(self).join(members));
+            }
+            PeersEvent::Config(active) => {
+                let targets = self.membership.borrow().own().targets.clone();
+                let revision = active.head.revision;
+                *self.active.borrow_mut() = Some(active);
+                self.step(MembershipEvent::Local { targets, revision });
+            }
+            PeersEvent::Local(targets) => {
+                let revision = self.membership.borrow().own().revision;
+                self.step(MembershipEvent::Local { targets, revision });
+            }
+            PeersEvent::Dump(reply) => drop(reply.send(self.dump())),
+            PeersEvent::Members(reply) => drop(reply.send(self.membership.borrow().view())),
+            PeersEvent::Leave(done) => {
+                self.step(MembershipEvent::Leave);
+                _ = done.send(());
+            }
+        }
+    }
+
+    /// Takes one event to the kernel and does what follows from it.
+    pub(crate) fn step(self: &Rc<Self>, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        self.membership.borrow_mut().step(now, event, &mut self.rng.borrow_mut(), &mut actions);
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, message } => self.send(to, &message),
+                MembershipAction::Changed => *self.dirty.borrow_mut() = true,
+                MembershipAction::NewerRevision { peer } => self.fetch_revision(peer),
+                MembershipAction::Sync { peer } => {
+                    spawn_local(Rc::clone(self).exchange(peer));
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &GossipMessage) {
+        let Ok(bytes) = wire::encode(message) else { return };
+        // A datagram that does not go out is one lost on the way.
+        if self.socket.try_send_to(&bytes, to).is_ok() {
+            self.metrics.gossip_messages.inc();
+            self.metrics.gossip_bytes.inc_by(bytes.len() as u64);
+        }
+    }
+
+    async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM * 2];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            if let Ok(message) = wire::decode(&buffer[..length]) {
+                self.step(MembershipEvent::Message { from, message });
+            }
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        let mut timer = tokio::time::interval(GOSSIP_PERIOD / 5);
+        timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut viewed = MicroTime(0);
+        loop {
+            timer.tick().await;
+            self.step(MembershipEvent::Tick);
+            let now = self.clock.now();
+            if *self.dirty.borrow() && now.since(viewed) >= VIEW_EVERY {
+                viewed = now;
+                self.hand_out_view();
+            }
+        }
+    }
+
+    fn hand_out_view(&self) {
+        let view = Arc::new(self.membership.borrow().view());
+        let size = view.serving().count();
+        let entry = self.rings.entry.push(EntryEvent::Fleet(view)).is_ok();
+        let platform = self.rings.platform.push(PlatformEvent::FleetSize(size)).is_ok();
+        *self.dirty.borrow_mut() = !(entry && platform);
+    }
+
+    /// Learns from the table and from some peers; then the entry may serve.
+    async fn join(self: Rc<Self>, members: Vec<MemberRecord>) {
+        let own = self.membership.borrow().own().host.clone();
+        let mut peers: Vec<SocketAddr> = members
+            .iter()
+            .filter(|member| member.host != own)
+            .map(|member| member.peer)
+            .chain(self.seeds.iter().copied())
+            .collect();
+        let platform_up = !members.is_empty() || peers.is_empty();
+        self.step(MembershipEvent::Learn(members));
+        peers.shuffle(&mut *self.rng.borrow_mut());
+        let mut asked = 0;
+        let mut least = 0;
+        for peer in peers {
+            if let Some(revision) = Rc::clone(&self).meet(peer).await {
+                asked += 1;
+                least = least.max(revision);
+            }
+            if asked >= JOIN_PEERS {
+                break;
+            }
+        }
+        if !*self.joined.borrow() && (asked > 0 || platform_up) {
+            *self.joined.borrow_mut() = true;
+            info!(self.logger, "joined"; "peers" => asked, "least_revision" => least);
+            drop(self.rings.entry.push(EntryEvent::Joined { least_revision: least }));
+        }
+    }
+
+    /// Exchanges everything with one peer; returns its revision.
+    async fn meet(self: Rc<Self>, peer: SocketAddr) -> Option<u64> {
+        let client = timeout(PEER_TIMEOUT, rpc::connect(peer)).await.ok()??;
+        let digests = self.membership.borrow().bucket_digests();
+        let asked = client.exchange(tarpc::context::current(), digests);
+        let records = timeout(PEER_TIMEOUT, asked).await.ok()?.ok()?;
+        self.step(MembershipEvent::Learn(records));
+        Rc::clone(&self).take_revision(&client).await
+    }
+
+    /// Takes a peer's revision if it is newer; returns its number.
+    async fn take_revision(self: Rc<Self>, client: &rpc::PeerCallsClient) -> Option<u64> {
+        let own = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
+        let asked = client.revision(tarpc::context::current(), own);
+        let offer = timeout(PEER_TIMEOUT, asked).await.ok()?.ok()?;
+        let Some((head, body)) = offer else { return Some(own) };
+        let revision = head.revision;
+        let offer = PlatformEvent::Offer { head, body: Bytes::from(body) };
+        drop(self.rings.platform.push(offer));
+        Some(revision)
+    }
+
+    fn fetch_revision(self: &Rc<Self>, peer: SocketAddr) {
+        if self.fetching.replace(true) {
+            return;
+        }
+        let duty = Rc::clone(self);
+        spawn_local(async move {
+            if let Ok(Some(client)) = timeout(PEER_TIMEOUT, rpc::connect(peer)).await {
+                Rc::clone(&duty).take_revision(&client).await;
+            }
+            *duty.fetching.borrow_mut() = false;
+        });
+    }
+
+    /// Exchanges all differing records with a peer, both ways.
+    async fn exchange(self: Rc<Self>, peer: SocketAddr) {
+        let Ok(Some(client)) = timeout(PEER_TIMEOUT, rpc::connect(peer)).await else { return };
+        let digests = self.membership.borrow().bucket_digests();
+        let asked = client.exchange(tarpc::context::current(), digests);
+        let Ok(Ok(records)) = timeout(PEER_TIMEOUT, asked).await else { return };
+        self.step(MembershipEvent::Learn(records));
+        let theirs = client.digests(tarpc::context::current());
+        let Ok(Ok(theirs)) = timeout(PEER_TIMEOUT, theirs).await else { return };
+        let offer = self.membership.borrow().differing(&theirs);
+        if !offer.is_empty() {
+            self.metrics.sync_records.inc_by(offer.len() as u64);
+            drop(timeout(PEER_TIMEOUT, client.learn(tarpc::context::current(), offer)).await);
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let membership = self.membership.borrow();
+        json!({
+            "joined": *self.joined.borrow(),
+            "news": membership.news(),
+            "members": membership.view().members,
+        })
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,476 @@
+//! The duty that talks to the platform: bootstrap, revisions, claims.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+
+use crate::admin::AdminEvent;
+use crate::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
+use crate::entry::EntryEvent;
+use crate::membership::MemberRecord;
+use crate::metrics::DaemonMetrics;
+use crate::outcome::ClaimRow;
+use crate::peers::PeersEvent;
+use crate::publish::{body_name, read_head};
+use crate::revision::{ActiveRevision, RevisionHead, RevisionState};
+use crate::ring::{RingInbox, RingSender};
+use crate::table::{PlatformClient, PlatformError, TableRow, TableWrite};
+
+/// Start of the keys of member rows.
+const MEMBER_PREFIX: &str = "member-";
+
+/// Wait between two tries of the bootstrap.
+const BOOTSTRAP_PAUSE: Duration = Duration::from_millis(500);
+
+/// Wait before a write is tried again in an outage.
+const WRITE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Writes kept for the end of an outage.
+const MAX_PENDING_WRITES: usize = 10_000;
+
+/// What others ask of this duty.
+#[derive(Debug)]
+pub(crate) enum PlatformEvent {
+    /// Claim a key, or take it over.
+    Claim(ClaimRequest),
+    /// Write a row in the background; conditional, so it may be repeated.
+    Write(TableWrite),
+    /// A peer handed out a revision.
+    Offer { head: RevisionHead, body: Bytes },
+    /// Look at the head now.
+    Hint,
+    /// The fleet has so many daemons.
+    FleetSize(usize),
+    /// Tell the state.
+    Dump(oneshot::Sender<Value>),
+    /// Withdraw the member row, then tell.
+    Leave(oneshot::Sender<()>),
+}
+
+/// A claim to be written.
+#[derive(Debug)]
+pub(crate) struct ClaimRequest {
+    /// Key of the row.
+    pub(crate) key: String,
+    /// The row.
+    pub(crate) row: ClaimRow,
+    /// Version to take over, zero for a new row.
+    pub(crate) expect: u64,
+    /// Where the answer goes.
+    pub(crate) reply: oneshot::Sender<ClaimReply>,
+}
+
+/// How a claim ended.
+#[derive(Debug)]
+pub(crate) enum ClaimReply {
+    /// The claim is held at this version.
+    Held(u64),
+    /// Another call holds it.
+    Found { row: Box<ClaimRow>, version: u64 },
+    /// The platform did not take it, as far as can be told.
+    Failed,
+}
+
+/// Where this duty's news go.
+#[derive(Debug)]
+pub(crate) struct PlatformRings {
+    pub(crate) entry: RingSender<EntryEvent>,
+    pub(crate) peers: RingSender<PeersEvent>,
+    pub(crate) admin: RingSender<AdminEvent>,
+}
+
+struct PlatformDuty {
+    client: PlatformClient,
+    revisions: RefCell<RevisionState>,
+    claims: RefCell<VecDeque<ClaimRequest>>,
+    claims_wake: Notify,
+    writes: RefCell<VecDeque<TableWrite>>,
+    writes_wake: Notify,
+    poll_wake: Notify,
+    fleet_size: RefCell<usize>,
+    rng: RefCell<Pcg64Mcg>,
+    metrics: Arc<DaemonMetrics>,
+    rings: PlatformRings,
+    logger: Logger,
+}
+
+/// Runs the duty until the thread's runtime ends.
+pub(crate) async fn run(
+    client: PlatformClient,
+    own: MemberRecord,
+    seed: u64,
+    mut inbox: RingInbox<PlatformEvent>,
+    rings: PlatformRings,
+    metrics: Arc<DaemonMetrics>,
+    logger: Logger,
+) {
+    let duty = Rc::new(PlatformDuty {
+        client,
+        revisions: RefCell::default(),
+        claims: RefCell::default(),
+        claims_wake: Notify::new(),
+        writes: RefCell::default(),
+        writes_wake: Notify::new(),
+        poll_wake: Notify::new(),
+        fleet_size: RefCell::new(1),
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+        metrics,
+        rings,
+        logger,
+    });
+    spawn_local(Rc::clone(&duty).bootstrap(own.clone()));
+    spawn_local(Rc::clone(&duty).poll_heads());
+    spawn_local(Rc::clone(&duty).commit_claims());
+    spawn_local(Rc::clone(&duty).commit_writes());
+    loop {
+        match inbox.next().await {
+            PlatformEvent::Claim(request) => {
+                duty.claims.borrow_mut().push_back(request);
+                duty.claims_wake.notify_one();
+            }
+            PlatformEvent::Write(write) => duty.keep_write(write),
+            PlatformEvent::Offer { head, body } => duty.adopt(&head, &body),
+            PlatformEvent::Hint => duty.poll_wake.notify_one(),
+            PlatformEvent::FleetSize(size) => *duty.fleet_size.borrow_mut() = size,
+            PlatformEvent::Dump(reply) => drop(reply.send(duty.dump())),
+            PlatformEvent::Leave(done) => {
+                spawn_local(Rc::clone(&duty).withdraw(own.clone(), done));
+            }
+        }
+    }
+}
+
+impl PlatformDuty {
+    /// Announces the daemon and reads who else is there, until both worked.
+    async fn bootstrap(self: Rc<Self>, own: MemberRecord) {
+        let mut told = false;
+        loop {
+            match self.read_members().await {
+                Ok(members) => {
+                    info!(self.logger, "members read"; "count" => members.len());
+                    drop(self.rings.peers.push(PeersEvent::Bootstrap(members)));
+                    break;
+                }
+                Err(error) => {
+                    if !told {
+                        warn!(self.logger, "platform down at start"; "error" => %error);
+                        told = true;
+                        drop(self.rings.peers.push(PeersEvent::Bootstrap(Vec::new())));
+                    }
+                    tokio::time::sleep(BOOTSTRAP_PAUSE).await;
+                }
+            }
+        }
+        self.keep_write(TableWrite {
+            key: member_key(&own),
+            expect: None,
+            value: serde_json::to_string(&own).ok(),
+        });
+    }
+
+    async fn read_members(&self) -> Result<Vec<MemberRecord>, PlatformError> {
+        let rows = self.client.rows(MEMBER_PREFIX).await?;
+        Ok(rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok()).collect())
+    }
+
+    async fn withdraw(self: Rc<Self>, own: MemberRecord, done: oneshot::Sender<()>) {
+        let key = member_key(&own);
+        if let Ok(Some(row)) = self.client.row(&key).await {
+            let mine = serde_json::from_str(&row.value)
+                .is_ok_and(|record: MemberRecord| record.incarnation == own.incarnation);
+            if mine {
+                let write = TableWrite { key, expect: Some(row.version), value: None };
+                self.count("withdraw", &self.client.commit(&[write]).await);
+            }
+        }
+        _ = done.send(());
+    }
+
+    /// Polls the head, more rarely the larger the fleet.
+    async fn poll_heads(self: Rc<Self>) {
+        loop {
+            let head = read_head(&self.client).await;
+            self.count("head", &head);
+            if let Ok(Some((head, _))) = head {
+                self.revisions.borrow_mut().hear(&head);
+            }
+            self.fetch_missing().await;
+            let pause = self.poll_pause();
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.poll_wake.notified() => {}
+            }
+        }
+    }
+
+    fn poll_pause(&self) -> Duration {
+        let (least, most) = HEAD_POLL_BOUNDS;
+        let even = *self.fleet_size.borrow() as f64 / HEAD_POLLS_PER_S;
+        let even = even.clamp(least.as_secs_f64(), most.as_secs_f64());
+        // A daemon without a configuration can't serve, so it asks at once.
+        let even = if self.revisions.borrow().active().is_none() { 0.3 } else { even };
+        Duration::from_secs_f64(even * self.rng.borrow_mut().random_range(0.5..1.5))
+    }
+
+    async fn fetch_missing(&self) {
+        let Some(head) = self.revisions.borrow().missing().cloned() else { return };
+        let object = self.client.object(&body_name(&head.hash)).await;
+        self.count("body", &object);
+        match object {
+            Ok(Some(body)) => self.adopt(&head, &body),
+            Ok(None) => warn!(self.logger, "body missing"; "revision" => head.revision),
+            Err(_down) => {}
+        }
+    }
+
+    /// Puts a body in force and tells the other duties.
+    fn adopt(&self, head: &RevisionHead, body: &[u8]) {
+        let mut revisions = self.revisions.borrow_mut();
+        match revisions.adopt(head, body) {
+            Ok(active) => {
+                info!(self.logger, "revision in force"; "revision" => head.revision);
+                self.broadcast(active);
+            }
+            Err(refusal) => {
+                drop(revisions);
+                if refusal != crate::revision::AdoptRefusal::Older {
+                    warn!(self.logger, "revision refused"; "revision" => head.revision, "why" => ?refusal);
+                }
+            }
+        }
+    }
+
+    fn broadcast(&self, active: &ActiveRevision) {
+        let rings = &self.rings;
+        let entry = rings.entry.push(EntryEvent::Config(active.clone())).is_ok();
+        let peers = rings.peers.push(PeersEvent::Config(active.clone())).is_ok();
+        let admin = rings.admin.push(AdminEvent::Config(active.head.clone())).is_ok();
+        if !(entry && peers && admin) {
+            self.metrics.shed.with_label_values(&["platform"]).inc();
+        }
+    }
+
+    /// Writes claims, as many in one transaction as came during the last one.
+    async fn commit_claims(self: Rc<Self>) {
+        loop {
+            let batch = self.next_claims();
+            if batch.is_empty() {
+                self.claims_wake.notified().await;
+                continue;
+            }
+            self.commit_batch(batch).await;
+        }
+    }
+
+    /// Takes claims on different keys; a second one on a key waits its turn.
+    fn next_claims(&self) -> Vec<ClaimRequest> {
+        let mut queue = self.claims.borrow_mut();
+        let mut batch: Vec<ClaimRequest> = Vec::new();
+        let mut later = VecDeque::new();
+        while let Some(request) = queue.pop_front() {
+            if request.reply.is_closed() {
+                continue;
+            }
+            let twin = batch.iter().any(|other| other.key == request.key);
+            if twin || batch.len() >= MAX_CLAIM_BATCH {
+                later.push_back(request);
+            } else {
+                batch.push(request);
+            }
+        }
+        *queue = later;
+        batch
+    }
+
+    async fn commit_batch(&self, mut batch: Vec<ClaimRequest>) {
+        while !batch.is_empty() {
+            let writes: Vec<TableWrite> = batch.iter().map(claim_write).collect();
+            let reply = self.client.commit(&writes).await;
+            self.count("claim", &reply);
+            self.metrics.claims.with_label_values(&["transactions"]).inc();
+            self.metrics.claims.with_label_values(&["claims"]).inc_by(batch.len() as u64);
+            batch = match reply {
+                Ok(reply) if reply.committed => {
+                    for (request, version) in batch.into_iter().zip(reply.versions) {
+                        self.hold(request, version);
+                    }
+                    return;
+                }
+                Ok(reply) => settle_conflicts(batch, &reply.conflicts, &reply.missing),
+                Err(PlatformError::Lost { .. }) => return self.read_back(batch).await,
+                Err(_down) => {
+                    for request in batch {
+                        drop(request.reply.send(ClaimReply::Failed));
+                    }
+                    return;
+                }
+            };
+        }
+    }
+
+    /// Settles claims whose commit's answer was lost.
+    async fn read_back(&self, batch: Vec<ClaimRequest>) {
+        for request in batch {
+            let row = self.client.row(&request.key).await;
+            self.count("read_back", &row);
+            match row {
+                Ok(Some(row)) => {
+                    let own = parse_claim(&row).is_some_and(|found| found.call == request.row.call);
+                    if own {
+                        self.hold(request, row.version);
+                    } else {
+                        found(request, &row);
+                    }
+                }
+                // The write may still come; the call must not run on it.
+                Ok(None) | Err(_) => drop(request.reply.send(ClaimReply::Failed)),
+            }
+        }
+    }
+
+    /// Hands out a claim, or releases it if nobody waits for it any more.
+    fn hold(&self, request: ClaimRequest, version: u64) {
+        let key = request.key;
+        if request.reply.send(ClaimReply::Held(version)).is_err() {
+            self.keep_write(TableWrite { key, expect: Some(version), value: None });
+        }
+    }
+
+    fn keep_write(&self, write: TableWrite) {
+        let mut writes = self.writes.borrow_mut();
+        if writes.len() >= MAX_PENDING_WRITES {
+            self.metrics.shed.with_label_values(&["platform_writes"]).inc();
+            return;
+        }
+        writes.push_back(write);
+        self.writes_wake.notify_one();
+    }
+
+    /// Writes what has to be written some time, each row by itself on conflict.
+    async fn commit_writes(self: Rc<Self>) {
+        loop {
+            let batch = self.next_writes();
+            if batch.is_empty() {
+                self.writes_wake.notified().await;
+                continue;
+            }
+            let reply = self.client.commit(&batch).await;
+            self.count("write", &reply);
+            match reply {
+                Ok(reply) if reply.committed => {}
+                Ok(reply) => self.retry_writes(batch, &reply.conflicts, &reply.missing),
+                Err(_down_or_lost) => {
+                    self.put_back(batch);
+                    tokio::time::sleep(WRITE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn next_writes(&self) -> Vec<TableWrite> {
+        let mut writes = self.writes.borrow_mut();
+        let mut batch: Vec<TableWrite> = Vec::new();
+        while let Some(write) = writes.front() {
+            let twin = batch.iter().any(|other| other.key == write.key);
+            if twin || batch.len() >= MAX_CLAIM_BATCH {
+                break;
+            }
+            batch.extend(writes.pop_front());
+        }
+        batch
+    }
+
+    fn put_back(&self, batch: Vec<TableWrite>) {
+        let mut writes = self.writes.borrow_mut();
+        for write in batch.into_iter().rev() {
+            writes.push_front(write);
+        }
+    }
+
+    /// Keeps the writes that did not conflict; a conflict means it is done, or void.
+    fn retry_writes(&self, batch: Vec<TableWrite>, conflicts: &[TableRow], missing: &[String]) {
+        for write in batch {
+            let void =
+                conflicts.iter().any(|row| row.key == write.key) || missing.contains(&write.key);
+            if !void {
+                self.keep_write(write);
+            }
+        }
+    }
+
+    fn count<T>(&self, kind: &str, result: &Result<T, PlatformError>) {
+        let end = match result {
+            Ok(_) => "ok",
+            Err(PlatformError::Down { .. }) => "down",
+            Err(PlatformError::Lost { .. }) => "lost",
+            Err(PlatformError::Bad { .. }) => "bad",
+        };
+        self.metrics.platform.with_label_values(&[&format!("{kind}_{end}")]).inc();
+    }
+
+    fn dump(&self) -> Value {
+        let revisions = self.revisions.borrow();
+        json!({
+            "revision": revisions.active().map(|active| &active.head),
+            "missing": revisions.missing(),
+            "claims_waiting": self.claims.borrow().len(),
+            "writes_waiting": self.writes.borrow().len(),
+            "fleet_size": *self.fleet_size.borrow(),
+        })
+    }
+}
+
+fn member_key(own: &MemberRecord) -> String {
+    format!("{MEMBER_PREFIX}{}", own.host)
+}
+
+fn claim_write(request: &ClaimRequest) -> TableWrite {
+    TableWrite {
+        key: request.key.clone(),
+        expect: Some(request.expect),
+        value: serde_json::to_string(&request.row).ok(),
+    }
+}
+
+/// Answers the claims that conflict and returns the rest, to be tried again.
+fn settle_conflicts(
+    batch: Vec<ClaimRequest>,
+    conflicts: &[TableRow],
+    missing: &[String],
+) -> Vec<ClaimRequest> {
+    let mut rest = Vec::new();
+    for mut request in batch {
+        if let Some(row) = conflicts.iter().find(|row| row.key == request.key) {
+            found(request, row);
+        } else if missing.contains(&request.key) {
+            // The row to take over was released meanwhile.
+            request.expect = 0;
+            rest.push(request);
+        } else {
+            rest.push(request);
+        }
+    }
+    rest
+}
+
+fn found(request: ClaimRequest, row: &TableRow) {
+    let reply = match parse_claim(row) {
+        Some(found) => ClaimReply::Found { row: Box::new(found), version: row.version },
+        None => ClaimReply::Failed,
+    };
+    drop(request.reply.send(reply));
+}
+
+fn parse_claim(row: &TableRow) -> Option<ClaimRow> {
+    serde_json::from_str(&row.value).ok()
+}
--- /dev/null
+++ b/src/revision.rs
@@ -0,0 +1,106 @@
+//! Which configuration is in force in a process.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::FleetConfig;
+
+/// The head row: which body is the newest revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionHead {
+    /// Grows by one with each publish.
+    pub revision: u64,
+    /// BLAKE3 of the body, in hexadecimal; the object's name.
+    pub hash: String,
+    /// The publish that made this head, to settle a lost answer.
+    pub publish: String,
+    /// Who published it.
+    pub operator: String,
+}
+
+/// One revision as it is in force.
+#[derive(Clone, Debug)]
+pub struct ActiveRevision {
+    /// Its head.
+    pub head: RevisionHead,
+    /// What it sets.
+    pub config: Arc<FleetConfig>,
+    /// The body as published, to hand to peers.
+    pub body: Arc<[u8]>,
+}
+
+/// Why a body was not adopted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdoptRefusal {
+    /// The same or a newer revision is in force.
+    Older,
+    /// The bytes are not those the head names.
+    WrongHash,
+    /// The body can't be read.
+    Unreadable,
+}
+
+/// The configuration of one process.
+///
+/// Invariant: the revision in force never falls; `wanted` is never below it.
+#[derive(Debug, Default)]
+pub struct RevisionState {
+    active: Option<ActiveRevision>,
+    /// The greatest head heard of.
+    wanted: Option<RevisionHead>,
+}
+
+impl RevisionState {
+    /// Returns the revision in force.
+    #[must_use]
+    pub const fn active(&self) -> Option<&ActiveRevision> {
+        self.active.as_ref()
+    }
+
+    /// Returns the number of the revision in force, or zero.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.active.as_ref().map_or(0, |active| active.head.revision)
+    }
+
+    /// Notes a head; `true` if it is newer than all heard before.
+    pub fn hear(&mut self, head: &RevisionHead) -> bool {
+        let known = self.wanted.as_ref().map_or(0, |wanted| wanted.revision);
+        let newer = head.revision > known;
+        if newer {
+            self.wanted = Some(head.clone());
+        }
+        newer
+    }
+
+    /// Returns the head whose body has to be fetched, if any.
+    #[must_use]
+    pub fn missing(&self) -> Option<&RevisionHead> {
+        self.wanted.as_ref().filter(|wanted| wanted.revision > self.number())
+    }
+
+    /// Puts a body in force if it is the one its head names, and newer.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the body was not adopted; nothing changes then.
+    pub fn adopt(
+        &mut self,
+        head: &RevisionHead,
+        body: &[u8],
+    ) -> Result<&ActiveRevision, AdoptRefusal> {
+        if head.revision <= self.number() {
+            return Err(AdoptRefusal::Older);
+        }
+        if blake3::hash(body).to_hex().as_str() != head.hash {
+            return Err(AdoptRefusal::WrongHash);
+        }
+        let config =
+            serde_json::from_slice(body).map_err(|_unreadable| AdoptRefusal::Unreadable)?;
+        self.hear(head);
+        let active =
+            ActiveRevision { head: head.clone(), config: Arc::new(config), body: Arc::from(body) };
+        Ok(self.active.insert(active))
+    }
+}
--- /dev/null
+++ b/src/rpc.rs
@@ -0,0 +1,134 @@
+//! What daemons ask each other outside calls: `tarpc` over `h2` streams.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use http::{Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio_serde::{Deserializer, Serializer};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::h2io::{self, ByteStream};
+use crate::membership::{MemberRecord, MembershipEvent};
+use crate::peers::PeersDuty;
+use crate::revision::RevisionHead;
+
+/// Largest message, in bytes: all members of a fleet many times the size.
+const MAX_MESSAGE: usize = 16 << 20;
+
+/// What a daemon asks of another.
+#[tarpc::service]
+pub(crate) trait PeerCalls {
+    /// Returns all records in buckets whose digests differ from these.
+    async fn exchange(digests: Vec<u64>) -> Vec<MemberRecord>;
+    /// Returns the digests of all buckets.
+    async fn digests() -> Vec<u64>;
+    /// Takes over records.
+    async fn learn(records: Vec<MemberRecord>);
+    /// Returns the revision in force, if it is newer than this one.
+    async fn revision(newer_than: u64) -> Option<(RevisionHead, Vec<u8>)>;
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    duty: Rc<PeersDuty>,
+}
+
+impl PeerCalls for PeerServer {
+    async fn exchange(self, _: tarpc::context::Context, digests: Vec<u64>) -> Vec<MemberRecord> {
+        let records = self.duty.membership.borrow().differing(&digests);
+        self.duty.metrics.sync_records.inc_by(records.len() as u64);
+        records
+    }
+
+    async fn digests(self, _: tarpc::context::Context) -> Vec<u64> {
+        self.duty.membership.borrow().bucket_digests()
+    }
+
+    async fn learn(self, _: tarpc::context::Context, records: Vec<MemberRecord>) {
+        self.duty.step(MembershipEvent::Learn(records));
+    }
+
+    async fn revision(
+        self,
+        _: tarpc::context::Context,
+        newer_than: u64,
+    ) -> Option<(RevisionHead, Vec<u8>)> {
+        let active = self.duty.active.borrow();
+        let active = active.as_ref().filter(|active| active.head.revision > newer_than)?;
+        Some((active.head.clone(), active.body.to_vec()))
+    }
+}
+
+/// Serves peers until the thread's runtime ends.
+pub(crate) async fn serve(duty: Rc<PeersDuty>, listener: TcpListener) {
+    loop {
+        let Ok((socket, _)) = listener.accept().await else { continue };
+        spawn_local(serve_connection(Rc::clone(&duty), socket));
+    }
+}
+
+async fn serve_connection(duty: Rc<PeersDuty>, socket: TcpStream) {
+    let Ok(mut connection) = h2io::server().handshake(socket).await else { return };
+    while let Some(Ok((request, mut respond))) = connection.accept().await {
+        let Ok(send) = respond.send_response(Response::new(()), false) else { continue };
+        let stream = ByteStream::open(send, request.into_body());
+        spawn_local(serve_stream(Rc::clone(&duty), stream));
+    }
+}
+
+async fn serve_stream(duty: Rc<PeersDuty>, stream: ByteStream) {
+    let transport = tarpc::serde_transport::new(framed(stream), PeerCodec);
+    let channel = BaseChannel::with_defaults(transport);
+    let server = PeerServer { duty };
+    channel.execute(server.serve()).for_each(|reply| reply).await;
+}
+
+/// Connects to a peer; nothing if it can't be reached.
+pub(crate) async fn connect(peer: SocketAddr) -> Option<PeerCallsClient> {
+    let socket = TcpStream::connect(peer).await.ok()?;
+    let (mut sender, connection) = h2io::client().handshake(socket).await.ok()?;
+    spawn_local(async move { drop(connection.await) });
+    let request = Request::post(format!("http://{peer}/rpc")).body(()).ok()?;
+    let (response, send) = sender.send_request(request, false).ok()?;
+    let recv = response.await.ok()?.into_body();
+    let transport = tarpc::serde_transport::new(framed(ByteStream::open(send, recv)), PeerCodec);
+    let client = PeerCallsClient::new(tarpc::client::Config::default(), transport);
+    spawn_local(async move { drop(client.dispatch.await) });
+    Some(client.client)
+}
+
+fn framed(stream: ByteStream) -> Framed<ByteStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_framed(stream)
+}
+
+/// `bincode` 2 for `tarpc`, whose own transport still brings the first one.
+#[derive(Debug)]
+struct PeerCodec;
+
+impl<T: Serialize> Serializer<T> for PeerCodec {
+    type Error = io::Error;
+
+    fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, io::Error> {
+        let bytes = bincode::serde::encode_to_vec(item, bincode::config::standard());
+        bytes.map(Bytes::from).map_err(io::Error::other)
+    }
+}
+
+impl<T: DeserializeOwned> Deserializer<T> for PeerCodec {
+    type Error = io::Error;
+
+    fn deserialize(self: Pin<&mut Self>, src: &BytesMut) -> Result<T, io::Error> {
+        let config = bincode::config::standard().with_limit::<MAX_MESSAGE>();
+        let read = bincode::serde::decode_from_slice(src, config);
+        read.map(|(item, _)| item).map_err(io::Error::other)
+    }
+}
--- /dev/null
+++ b/src/selection.rs
@@ -0,0 +1,359 @@
+//! Which target an entry sends a call to.
+//!
+//! Pure: policies see one service's candidates and choose an index. They are
+//! rows that register themselves; a template names the one it wants.
+
+use std::collections::HashMap;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::clock::MicroTime;
+use crate::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::membership::FleetView;
+use crate::wire::LoadWord;
+
+/// Name of the policy of a template that names none.
+pub const DEFAULT_POLICY: &str = "expected_completion";
+
+/// Weight of the newest latency in an entry's own smoothed one.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Age at which a load word has lost half its weight, in microseconds.
+const LOAD_HALF_LIFE_US: f64 = 50_000.0;
+
+/// Service time assumed of a target never heard of, in microseconds.
+const UNKNOWN_SERVICE_US: f64 = 5_000.0;
+
+/// Candidates that the expected-completion policy compares.
+const COMPARED: usize = 3;
+
+/// Time over which a target that joined gets its full part of the load.
+const SLOW_START_US: f64 = 5_000_000.0;
+
+/// How many times the service time a failed answer is taken to cost.
+const FAILURE_COST: f64 = 8.0;
+
+/// Failures in a row after which a target is left alone for a while.
+const EJECT_AFTER: u32 = 5;
+
+/// First time a target is left alone; doubles up to 32 times as long.
+const EJECT_FOR: MicroTime = MicroTime::from_millis(250);
+
+/// Where a target is, and whose.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TargetPlace {
+    /// Its host.
+    pub host: HostName,
+    /// The host's data centre.
+    pub data_centre: CentreName,
+    /// The life of its guard.
+    pub incarnation: DaemonIncarnation,
+    /// Where its guard listens.
+    pub guard: std::net::SocketAddr,
+}
+
+/// What an entry knows of one target.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetRecord {
+    /// The target's name.
+    pub name: TargetName,
+    /// Where it is; nothing in a bench.
+    pub place: Option<TargetPlace>,
+    /// Calls this entry has under way there. Exact.
+    pub outstanding: u32,
+    /// The newest load word.
+    #[serde(skip)]
+    pub load: LoadWord,
+    /// When that word came; zero if none came yet.
+    pub heard: MicroTime,
+    /// Own calls under way when that word came.
+    pub outstanding_then: u32,
+    /// Smoothed latency of this entry's calls, in microseconds.
+    pub latency_us: f64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not chosen before this time.
+    pub ejected_until: MicroTime,
+    /// When the target joined, for its slow start.
+    pub joined: MicroTime,
+}
+
+impl TargetRecord {
+    /// Makes the record of a target that joins now.
+    #[must_use]
+    pub fn new(
+        name: TargetName,
+        place: Option<TargetPlace>,
+        slots: u16,
+        joined: MicroTime,
+    ) -> Self {
+        Self {
+            name,
+            place,
+            outstanding: 0,
+            load: LoadWord { slots, ..LoadWord::default() },
+            heard: MicroTime(0),
+            outstanding_then: 0,
+            latency_us: 0.0,
+            failures: 0,
+            ejected_until: MicroTime(0),
+            joined,
+        }
+    }
+
+    /// Notes a load word, unless a newer one is known.
+    pub fn hear(&mut self, now: MicroTime, load: LoadWord) {
+        if load.sequence <= self.load.sequence {
+            return;
+        }
+        self.load = load;
+        self.heard = now;
+        self.outstanding_then = self.outstanding;
+    }
+
+    /// Notes how a call of this entry ended; `latency` only if it was answered.
+    pub fn finish(&mut self, now: MicroTime, latency: Option<MicroTime>, failed: bool) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if failed {
+            self.fail(now);
+            return;
+        }
+        if let Some(latency) = latency {
+            self.failures = 0;
+            let newest = latency.0 as f64;
+            let weight = if self.latency_us == 0.0 { 1.0 } else { LATENCY_WEIGHT };
+            self.latency_us += weight * (newest - self.latency_us);
+        }
+    }
+
+    fn fail(&mut self, now: MicroTime) {
+        self.failures += 1;
+        if self.failures >= EJECT_AFTER {
+            let doublings = (self.failures - EJECT_AFTER).min(5);
+            self.ejected_until = now + MicroTime(EJECT_FOR.0 << doublings);
+        }
+    }
+
+    /// Estimates when a call sent now would be answered, in microseconds.
+    fn expected_us(&self, now: MicroTime) -> f64 {
+        let slots = f64::from(self.load.slots.max(1));
+        let service = match self.load.service_us {
+            0 => UNKNOWN_SERVICE_US,
+            known => f64::from(known),
+        };
+        let age = now.since(self.heard).0 as f64;
+        let weight = (-age / LOAD_HALF_LIFE_US * std::f64::consts::LN_2).exp();
+        let told = f64::from(self.load.in_flight + self.load.queued);
+        let others = (told - f64::from(self.outstanding_then)).max(0.0) * weight;
+        let ahead = others + f64::from(self.outstanding);
+        let wait = (ahead + 1.0 - slots).max(0.0) / slots;
+        let crowding = ahead / slots;
+        let failing = f64::from(self.load.failing) / 1_000.0;
+        let cost = service * (1.0 + wait + 0.5 * crowding) * (1.0 + FAILURE_COST * failing);
+        let ramp = now.since(self.joined).0 as f64 / SLOW_START_US;
+        cost / ramp.clamp(0.1, 1.0)
+    }
+}
+
+/// The input of one choice.
+#[derive(Debug)]
+pub struct SelectionInput<'a> {
+    /// The time.
+    pub now: MicroTime,
+    /// All targets of the service.
+    pub targets: &'a [TargetRecord],
+    /// Indices that may be chosen; never empty.
+    pub eligible: &'a [usize],
+    /// Calls chosen so far, for policies that take turns.
+    pub turn: usize,
+}
+
+/// One way to choose, as plug-ins register it.
+#[derive(Debug)]
+pub struct SelectionPolicy {
+    /// The name that templates use.
+    pub name: &'static str,
+    /// Chooses one of `eligible`.
+    pub choose: fn(&SelectionInput<'_>, &mut Pcg64Mcg) -> usize,
+}
+
+inventory::collect!(SelectionPolicy);
+
+/// Returns a registered policy by name.
+#[must_use]
+pub fn policy(name: &str) -> Option<&'static SelectionPolicy> {
+    inventory::iter::<SelectionPolicy>.into_iter().find(|policy| policy.name == name)
+}
+
+/// Returns the policy of a template that names none.
+#[must_use]
+pub fn default_policy() -> &'static SelectionPolicy {
+    &EXPECTED_COMPLETION
+}
+
+/// Returns the names of all registered policies, sorted.
+#[must_use]
+pub fn policy_names() -> Vec<&'static str> {
+    let mut names: Vec<_> =
+        inventory::iter::<SelectionPolicy>.into_iter().map(|policy| policy.name).collect();
+    names.sort_unstable();
+    names
+}
+
+inventory::submit! { SelectionPolicy { name: "random", choose: choose_random } }
+inventory::submit! { SelectionPolicy { name: "round_robin", choose: choose_in_turn } }
+inventory::submit! { SelectionPolicy { name: "least_outstanding", choose: choose_idlest } }
+inventory::submit! { SelectionPolicy { name: "two_choices", choose: choose_of_two } }
+inventory::submit! { SelectionPolicy { name: "latency", choose: choose_fastest } }
+inventory::submit! { EXPECTED_COMPLETION }
+
+const EXPECTED_COMPLETION: SelectionPolicy =
+    SelectionPolicy { name: DEFAULT_POLICY, choose: choose_soonest };
+
+fn choose_random(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    input.eligible[rng.random_range(0..input.eligible.len())]
+}
+
+fn choose_in_turn(input: &SelectionInput<'_>, _: &mut Pcg64Mcg) -> usize {
+    input.eligible[input.turn % input.eligible.len()]
+}
+
+fn choose_idlest(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    least(input.eligible, rng, |index| f64::from(input.targets[index].outstanding))
+}
+
+fn choose_of_two(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    let pair = sample(input.eligible, 2, rng);
+    least(&pair, rng, |index| f64::from(input.targets[index].outstanding))
+}
+
+fn choose_fastest(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    let pair = sample(input.eligible, 2, rng);
+    least(&pair, rng, |index| input.targets[index].latency_us)
+}
+
+fn choose_soonest(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    let some = sample(input.eligible, COMPARED, rng);
+    least(&some, rng, |index| input.targets[index].expected_us(input.now))
+}
+
+/// Draws up to `count` different indices.
+fn sample(eligible: &[usize], count: usize, rng: &mut Pcg64Mcg) -> Vec<usize> {
+    let mut drawn: Vec<usize> = Vec::with_capacity(count);
+    if eligible.len() <= count {
+        return eligible.to_vec();
+    }
+    while drawn.len() < count {
+        let index = eligible[rng.random_range(0..eligible.len())];
+        if !drawn.contains(&index) {
+            drawn.push(index);
+        }
+    }
+    drawn
+}
+
+/// Returns the index of least cost; ties are drawn.
+fn least(indices: &[usize], rng: &mut Pcg64Mcg, cost: impl Fn(usize) -> f64) -> usize {
+    let mut best = indices[0];
+    let mut best_cost = cost(best);
+    let mut ties = 1;
+    for &index in &indices[1..] {
+        let cost = cost(index);
+        if cost < best_cost {
+            (best, best_cost, ties) = (index, cost, 1);
+        } else if cost <= best_cost {
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = index;
+            }
+        }
+    }
+    best
+}
+
+/// The targets of one service as an entry sees them.
+#[derive(Debug, Default, Serialize)]
+pub struct ServiceTargets {
+    /// The targets, in no particular order.
+    pub targets: Vec<TargetRecord>,
+    turn: usize,
+}
+
+impl ServiceTargets {
+    /// Chooses a target that is not in `tried`, or any untried if all are ejected.
+    pub fn choose(
+        &mut self,
+        now: MicroTime,
+        policy: &SelectionPolicy,
+        tried: &[TargetName],
+        rng: &mut Pcg64Mcg,
+    ) -> Option<usize> {
+        let untried = |&index: &usize| !tried.contains(&self.targets[index].name);
+        let mut eligible: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        let calm: Vec<usize> =
+            eligible.iter().copied().filter(|&i| self.targets[i].ejected_until <= now).collect();
+        if !calm.is_empty() {
+            eligible = calm;
+        }
+        if eligible.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let input =
+            SelectionInput { now, targets: &self.targets, eligible: &eligible, turn: self.turn };
+        let index = (policy.choose)(&input, rng);
+        self.targets[index].outstanding += 1;
+        Some(index)
+    }
+
+    /// Finds a target by name.
+    pub fn find(&mut self, name: &TargetName) -> Option<&mut TargetRecord> {
+        self.targets.iter_mut().find(|target| target.name == *name)
+    }
+}
+
+/// Everything an entry knows of targets, by service.
+#[derive(Debug, Default, Serialize)]
+pub struct TargetRegistry {
+    /// Services by name.
+    pub services: HashMap<ServiceName, ServiceTargets>,
+}
+
+impl TargetRegistry {
+    /// Takes over who is there, keeping what is known of those that stay.
+    pub fn adopt(&mut self, now: MicroTime, view: &FleetView) {
+        let mut fresh: HashMap<ServiceName, ServiceTargets> = HashMap::new();
+        for member in view.serving() {
+            let place = TargetPlace {
+                host: member.host.clone(),
+                data_centre: member.data_centre.clone(),
+                incarnation: member.incarnation,
+                guard: member.guard,
+            };
+            for target in member.targets.iter().filter(|target| target.ready) {
+                let known = self.take(&target.service, &target.name, &place);
+                let joins = || {
+                    TargetRecord::new(target.name.clone(), Some(place.clone()), target.slots, now)
+                };
+                let record = known.unwrap_or_else(joins);
+                fresh.entry(target.service.clone()).or_default().targets.push(record);
+            }
+        }
+        self.services = fresh;
+    }
+
+    fn take(
+        &mut self,
+        service: &ServiceName,
+        name: &TargetName,
+        place: &TargetPlace,
+    ) -> Option<TargetRecord> {
+        let targets = &mut self.services.get_mut(service)?.targets;
+        let same =
+            |target: &TargetRecord| target.name == *name && target.place.as_ref() == Some(place);
+        let index = targets.iter().position(same)?;
+        Some(targets.swap_remove(index))
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,107 @@
+//! The settings of one daemon.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::findings::FindingList;
+use crate::ids::{CentreName, HostName};
+use crate::schema::{CheckedText, FieldKind, FieldRule};
+
+/// What a daemon learns from its settings file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct DaemonSettings {
+    /// The host's name; unique in the fleet.
+    pub host: HostName,
+    /// The host's data centre.
+    pub data_centre: CentreName,
+    /// Where callers connect, by HTTP.
+    pub caller_address: SocketAddr,
+    /// Where other daemons' entries connect, by h2.
+    pub guard_address: SocketAddr,
+    /// Where other daemons gossip, by UDP, and fetch, by h2 over TCP.
+    pub peer_address: SocketAddr,
+    /// Where operators and the host's own targets connect, by HTTP.
+    pub admin_address: SocketAddr,
+    /// The platform's table service and object store.
+    pub platform_address: SocketAddr,
+    /// Peers to try when the platform is down at start.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Longest time a planned stop may take, in milliseconds.
+    #[serde(default = "default_stop")]
+    pub stop_bound_ms: u64,
+    /// What measuring the targets may cost.
+    #[serde(default)]
+    pub probe_budget: BudgetSettings,
+    /// Seed of the random numbers, or none to draw one.
+    #[serde(default)]
+    pub seed: Option<u64>,
+}
+
+/// The set budget of measuring messages.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct BudgetSettings {
+    /// Messages in a second, at most.
+    pub messages_per_s: u32,
+    /// Bytes in a second, at most.
+    pub bytes_per_s: u32,
+}
+
+impl Default for BudgetSettings {
+    fn default() -> Self {
+        Self { messages_per_s: 50, bytes_per_s: 8_000 }
+    }
+}
+
+const fn default_stop() -> u64 {
+    20_000
+}
+
+const BUDGET_RULES: &[FieldRule] = &[
+    FieldRule { name: "messages_per_s", kind: FieldKind::Whole(0, 100_000), required: true },
+    FieldRule { name: "bytes_per_s", kind: FieldKind::Whole(0, 100_000_000), required: true },
+];
+
+const RULES: &[FieldRule] = &[
+    FieldRule { name: "host", kind: FieldKind::Name, required: true },
+    FieldRule { name: "data_centre", kind: FieldKind::Name, required: true },
+    FieldRule { name: "caller_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "guard_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "peer_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "admin_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "platform_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "seeds", kind: FieldKind::Addresses, required: false },
+    FieldRule { name: "stop_bound_ms", kind: FieldKind::Whole(0, 600_000), required: false },
+    FieldRule { name: "probe_budget", kind: FieldKind::Object(BUDGET_RULES), required: false },
+    FieldRule { name: "seed", kind: FieldKind::Whole(0, u64::MAX), required: false },
+];
+
+impl DaemonSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding, each with its place.
+    pub fn parse(file: &str, text: &str) -> Result<Self, FindingList> {
+        let mut checked = CheckedText::open(file, text, RULES);
+        let options = jsonc_parser::ParseOptions::default();
+        let read = jsonc_parser::parse_to_serde_value::<Self>(text, &options);
+        match read {
+            Ok(settings) if checked.findings.is_empty() => Ok(settings),
+            Err(error) if checked.findings.is_empty() => {
+                checked.add_at("", &error.to_string());
+                Err(FindingList(checked.findings))
+            }
+            _ => Err(FindingList(checked.findings)),
+        }
+    }
+}
+
+/// Tells whether a file holds settings rather than templates.
+#[must_use]
+pub fn is_settings(text: &str) -> bool {
+    let keys = crate::schema::top_keys(text);
+    let template_key = |key: &String| key == "services" || key == "accounts";
+    !keys.iter().any(template_key)
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,258 @@
+//! Messages between daemons and their encoding.
+
+use bincode::config::{Configuration, LittleEndian, Varint};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::consts::MAX_HEAD;
+use crate::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::outcome::{CallFate, ClaimRow};
+
+/// A message that could not be encoded or decoded.
+#[derive(Debug, Snafu)]
+pub enum WireError {
+    /// The bytes are not a message of the expected kind.
+    #[snafu(display("malformed message: {reason}"))]
+    Malformed {
+        /// What the codec said.
+        reason: String,
+    },
+    /// The message is longer than its limit.
+    #[snafu(display("message of {length} bytes is over the limit of {limit}"))]
+    TooLong {
+        /// Length found, in bytes.
+        length: usize,
+        /// Length allowed, in bytes.
+        limit: usize,
+    },
+}
+
+type WireFormat = Configuration<LittleEndian, Varint, bincode::config::Limit<MAX_HEAD>>;
+
+const FORMAT: WireFormat = bincode::config::standard().with_limit::<MAX_HEAD>();
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// Fails when the message is over [`MAX_HEAD`].
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, WireError> {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map_err(|error| WireError::Malformed { reason: error.to_string() })?;
+    if bytes.len() > MAX_HEAD {
+        return Err(WireError::TooLong { length: bytes.len(), limit: MAX_HEAD });
+    }
+    Ok(bytes)
+}
+
+/// Decodes a message that fills `bytes` whole.
+///
+/// # Errors
+///
+/// Fails on malformed bytes, on bytes left over, and over [`MAX_HEAD`].
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    if bytes.len() > MAX_HEAD {
+        return Err(WireError::TooLong { length: bytes.len(), limit: MAX_HEAD });
+    }
+    let (message, used) = bincode::serde::decode_from_slice(bytes, FORMAT)
+        .map_err(|error| WireError::Malformed { reason: error.to_string() })?;
+    if used != bytes.len() {
+        return Err(WireError::Malformed { reason: "bytes left over".to_owned() });
+    }
+    Ok(message)
+}
+
+/// The load of a target as its guard knows it when it speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadWord {
+    /// Calls running in the target now. Exact: the guard is its only client.
+    pub in_flight: u16,
+    /// Calls waiting at the guard.
+    pub queued: u16,
+    /// Calls the target runs at once.
+    pub slots: u16,
+    /// Smoothed time the target takes for a call, in microseconds.
+    pub service_us: u32,
+    /// Smoothed share of failed answers, in thousandths.
+    pub failing: u16,
+    /// Grows with every word of one guard incarnation.
+    pub sequence: u64,
+}
+
+/// How a call competes for a slot: urgent ones first, then by worth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallPriority {
+    /// Whether the call goes ahead of all that are not urgent.
+    pub urgent: bool,
+    /// Stated worth, 1 to 100.
+    pub worth: u8,
+}
+
+/// A claim that must be in the table before the call may be dispatched.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyClaim {
+    /// The row's key in the table: a hash over account, service and key.
+    pub row: String,
+    /// Hash of the request, to tell a repeat from another request.
+    pub print: String,
+    /// Version of a row whose call is known not to have run, to take it over.
+    pub takeover: Option<u64>,
+}
+
+/// What an entry sends ahead of a request body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallHead {
+    /// The call; each attempt has an id of its own.
+    pub call: CallId,
+    /// The guard life this attempt is for; any other must refuse it.
+    pub incarnation: DaemonIncarnation,
+    /// The service called.
+    pub service: ServiceName,
+    /// The target chosen.
+    pub target: TargetName,
+    /// The client account that calls.
+    pub account: AccountName,
+    /// The account's share of a target, relative to the others'.
+    pub share: u16,
+    /// How the call competes for a slot.
+    pub priority: CallPriority,
+    /// Time left to the caller's deadline, in milliseconds.
+    pub remaining_ms: u32,
+    /// Whether a call that was dropped may be cancelled at the target.
+    pub repeatable: bool,
+    /// The claim to be made, for a call that carries an idempotency key.
+    pub claim: Option<KeyClaim>,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query at the target.
+    pub path: String,
+    /// Request headers that travel on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Length of the body that follows, in bytes.
+    pub body_len: u32,
+}
+
+/// Why a guard did not run a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// The target's slots and its queue are full.
+    Full,
+    /// The deadline would pass before a slot is free.
+    TooLate,
+    /// A call of greater worth took the place in the queue.
+    Outranked,
+    /// The target is leaving, or not ready yet.
+    Leaving,
+    /// No such target here, or another life of this daemon.
+    Absent,
+    /// The call was revoked before it was dispatched.
+    Revoked,
+    /// The target can't be reached.
+    Unreachable,
+    /// The table did not accept the claim.
+    PlatformDown,
+    /// The request breaks a rule of this protocol.
+    Malformed,
+}
+
+impl RefusalReason {
+    /// Returns the reason as a metric label.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::TooLate => "too_late",
+            Self::Outranked => "outranked",
+            Self::Leaving => "leaving",
+            Self::Absent => "absent",
+            Self::Revoked => "revoked",
+            Self::Unreachable => "unreachable",
+            Self::PlatformDown => "platform_down",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// What a guard sends ahead of an answer body.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum AnswerHead {
+    /// The target answered; its body follows.
+    Answered {
+        /// The call answered.
+        call: CallId,
+        /// HTTP status of the target.
+        status: u16,
+        /// Answer headers that travel on.
+        headers: Vec<(String, Vec<u8>)>,
+        /// Length of the body in bytes, where the target said it.
+        length: Option<u64>,
+        /// Load after this call.
+        load: LoadWord,
+    },
+    /// The call did not run and never will.
+    Refused {
+        /// The call refused.
+        call: CallId,
+        /// Why.
+        reason: RefusalReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+        /// Load at the refusal.
+        load: LoadWord,
+    },
+    /// The call may have run; no answer can be had.
+    Lost {
+        /// The call lost.
+        call: CallId,
+        /// Load at the loss.
+        load: LoadWord,
+    },
+    /// The idempotency key is claimed by an earlier call.
+    Claimed {
+        /// The call that found the claim; it did not run.
+        call: CallId,
+        /// The row found.
+        row: Box<ClaimRow>,
+        /// The row's version.
+        version: u64,
+    },
+}
+
+/// An entry asks a guard to stop a call it has not dispatched yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevokeHead {
+    /// The call to stop.
+    pub call: CallId,
+    /// The guard life the call was sent to.
+    pub incarnation: DaemonIncarnation,
+}
+
+/// A guard's answer to a revocation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RevokeReply {
+    /// What became of the call; final unless running.
+    pub fate: CallFate,
+}
+
+/// A measuring message to a guard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeRequest {
+    /// The guard life asked.
+    pub incarnation: DaemonIncarnation,
+    /// The service.
+    pub service: ServiceName,
+    /// The target measured.
+    pub target: TargetName,
+}
+
+/// A guard's answer to a measuring message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeReply {
+    /// The service.
+    pub service: ServiceName,
+    /// The target measured.
+    pub target: TargetName,
+    /// Its load.
+    pub load: LoadWord,
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins for the platform, a target and a caller.
+
+mod caller;
+mod http;
+mod platform;
+mod process;
+mod target;
+
+pub use caller::{CallReport, CallRequest, CallerClient, Verdict, fetch, fetch_runs};
+pub use platform::{PlatformFaults, PlatformLimits, PlatformStandin};
+pub use process::{DaemonPlace, DaemonProcess, DaemonSpec};
+pub use target::{TargetBehaviour, TargetOptions, TargetRun, TargetStandin, expected_body};
--- /dev/null
+++ b/standins/src/process.rs
@@ -0,0 +1,174 @@
+//! Daemons as separate processes on loopback, for tests and the quickstart.
+
+use std::ffi::OsString;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use serde_json::json;
+use tempfile::NamedTempFile;
+
+/// Set to let daemons' logs through to standard error.
+const LOGS_VARIABLE: &str = "RAILSPAN_LOGS";
+
+/// What a daemon is started with.
+#[derive(Clone, Debug)]
+pub struct DaemonSpec {
+    /// The program and the arguments before the settings file.
+    pub command: Vec<OsString>,
+    /// The host's name.
+    pub host: String,
+    /// The data centre's name.
+    pub data_centre: String,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// Peers to ask when the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// Longest planned stop, in milliseconds.
+    pub stop_bound_ms: u64,
+    /// Seed of the daemon's random numbers.
+    pub seed: u64,
+}
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct DaemonPlace {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other daemons' entries.
+    pub guard: SocketAddr,
+    /// For gossip.
+    pub peer: SocketAddr,
+    /// For operators and targets.
+    pub admin: SocketAddr,
+}
+
+/// A daemon as a process of its own; killed when dropped.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    child: Child,
+    place: DaemonPlace,
+    _settings: NamedTempFile,
+}
+
+impl DaemonProcess {
+    /// Starts a daemon on loopback ports of the system's choice.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process can't be started or does not say where it is.
+    pub fn spawn(spec: &DaemonSpec) -> io::Result<Self> {
+        let mut settings = NamedTempFile::new()?;
+        let any = "127.0.0.1:0";
+        let text = json!({
+            "host": spec.host,
+            "data_centre": spec.data_centre,
+            "caller_address": any,
+            "guard_address": any,
+            "peer_address": any,
+            "admin_address": any,
+            "platform_address": spec.platform,
+            "seeds": spec.seeds,
+            "stop_bound_ms": spec.stop_bound_ms,
+            "seed": spec.seed,
+        });
+        settings.write_all(text.to_string().as_bytes())?;
+        let (program, arguments) =
+            spec.command.split_first().ok_or_else(|| io::Error::other("no program"))?;
+        let logs = std::env::var_os(LOGS_VARIABLE).is_some();
+        let mut child = Command::new(program)
+            .args(arguments)
+            .arg(settings.path())
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(if logs { Stdio::inherit() } else { Stdio::null() })
+            .spawn()?;
+        let mut line = String::new();
+        if let Some(stdout) = child.stdout.take() {
+            BufReader::new(stdout).read_line(&mut line)?;
+        }
+        let place = serde_json::from_str(&line).map_err(io::Error::other)?;
+        Ok(Self { child, place, _settings: settings })
+    }
+
+    /// Returns where the daemon listens.
+    #[must_use]
+    pub const fn place(&self) -> &DaemonPlace {
+        &self.place
+    }
+
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Stops the process where it stands, without its knowing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn freeze(&self) -> io::Result<()> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn thaw(&self) -> io::Result<()> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks for a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Kills the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process can't be waited for.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
+    /// Waits for the process to end by itself; nothing if it does not in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process can't be waited for.
+    pub fn wait(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        let until = Instant::now() + limit;
+        loop {
+            let status = self.child.try_wait()?;
+            if status.is_some() || Instant::now() >= until {
+                return Ok(status);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = i32::try_from(self.child.id()).map_err(io::Error::other)?;
+        kill(Pid::from_raw(id), signal).map_err(io::Error::from)
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        // A process that ended already can't be killed, and need not be.
+        drop(self.kill());
+    }
+}
