Write the member row before reading the others'

Each daemon read the table before it wrote its own row, so two that start together could both read too early and never hear of each other.

Ruled out: gossip (the daemons had no peer to gossip with), the announcement of targets (each daemon knew its own).

Change: write, then read; of two writers the later one reads the other's row. Seeds are tried again while the platform stays down, and only a table that answered counts as up.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -218,7 +218,8 @@
             .map(|member| member.peer)
             .chain(self.seeds.iter().copied())
             .collect();
-        let platform_up = !members.is_empty() || peers.is_empty();
+        // A table that is up names at least this daemon.
+        let platform_up = !members.is_empty();
         self.step(MembershipEvent::Learn(members));
         peers.shuffle(&mut *self.rng.borrow_mut());
         let mut asked = 0;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -32,6 +32,9 @@
 /// Wait between two tries of the bootstrap.
 const BOOTSTRAP_PAUSE: Duration = Duration::from_millis(500);
 
+/// Tries of the bootstrap between two tries of the seeds.
+const SEED_ROUNDS: u32 = 4;
+
 /// Wait before a write is tried again in an outage.
 const WRITE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -151,35 +154,43 @@
 }
 
 impl PlatformDuty {
-    /// Announces the daemon and reads who else is there, until both worked.
+    /// Announces the daemon, then reads who else is there, until both worked.
+    ///
+    /// In this order: of two daemons that start together, the later writer
+    /// reads the other's row.
     async fn bootstrap(self: Rc<Self>, own: MemberRecord) {
-        let mut told = false;
-        loop {
-            match self.read_members().await {
+        for round in 0_u32.. {
+            match self.announce(&own).await {
                 Ok(members) => {
                     info!(self.logger, "members read"; "count" => members.len());
                     drop(self.rings.peers.push(PeersEvent::Bootstrap(members)));
-                    break;
+                    return;
                 }
                 Err(error) => {
-                    if !told {
+                    if round == 0 {
                         warn!(self.logger, "platform down at start"; "error" => %error);
-                        told = true;
+                    }
+                    if round.is_multiple_of(SEED_ROUNDS) {
                         drop(self.rings.peers.push(PeersEvent::Bootstrap(Vec::new())));
                     }
                     tokio::time::sleep(BOOTSTRAP_PAUSE).await;
                 }
             }
         }
-        self.keep_write(TableWrite {
-            key: member_key(&own),
-            expect: None,
-            value: serde_json::to_string(&own).ok(),
-        });
     }
 
-    async fn read_members(&self) -> Result<Vec<MemberRecord>, PlatformError> {
-        let rows = self.client.rows(MEMBER_PREFIX).await?;
+    async fn announce(&self, own: &MemberRecord) -> Result<Vec<MemberRecord>, PlatformError> {
+        let write = TableWrite {
+            key: member_key(own),
+            expect: None,
+            value: serde_json::to_string(own).ok(),
+        };
+        let written = self.client.commit(&[write]).await;
+        self.count("announce", &written);
+        written?;
+        let rows = self.client.rows(MEMBER_PREFIX).await;
+        self.count("members", &rows);
+        let rows = rows?;
         Ok(rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok()).collect())
     }
 
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,104 @@
+//! The commands of an operator against a running fleet.
+
+mod common;
+
+use std::process::{Command, Output};
+
+use common::{FleetPlan, TestFleet, eventually};
+use test_case::test_case;
+
+fn railspan(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_railspan")).args(arguments).output().expect("run")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("code")
+}
+
+#[test]
+fn every_finding_is_told_with_its_place() {
+    let output = railspan(&["check", "tests/cases/four_faults.jsonc"]);
+    assert_eq!(code(&output), 2);
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    let expected = [
+        ":5:7: unknown key `deadline`; did you mean `deadline_ms`?",
+        ":6:74: expected a whole number from 1 to 100",
+        ":10:38: expected 64 hexadecimal digits",
+        ":11:38: no template for `grilas`; did you mean `grillas`?",
+    ];
+    assert_eq!(text.lines().count(), expected.len(), "{text}");
+    for place in expected {
+        assert!(text.contains(place), "no `{place}` in:\n{text}");
+    }
+    let json = railspan(&["check", "--json", "tests/cases/four_faults.jsonc"]);
+    let findings: serde_json::Value = serde_json::from_slice(&json.stderr).expect("json");
+    assert_eq!(findings[0]["place"]["line"], 5);
+}
+
+#[test_case(&["check", "examples/settings.jsonc", "examples/fundacion.jsonc", "examples/consortium.jsonc"], 0; "samples are good")]
+#[test_case(&["check", "tests/cases/no_such_file.jsonc"], 2; "a missing file is a finding")]
+#[test_case(&["check", "tests/cases/not_json.jsonc"], 2; "no json")]
+#[test_case(&["check", "tests/cases/bad_settings.jsonc"], 2; "bad settings")]
+#[test_case(&["check"], 2; "no file")]
+#[test_case(&["publish", "tests/cases/not_json.jsonc"], 2; "no platform")]
+#[test_case(&["publish", "--platform", "127.0.0.1:1", "tests/cases/four_faults.jsonc"], 2; "bad template")]
+#[test_case(&["publish", "--platform", "127.0.0.1:1", "examples/fundacion.jsonc"], 3; "no platform there")]
+#[test_case(&["status", "--daemon", "127.0.0.1:1"], 3; "no daemon there")]
+#[test_case(&["publsh"], 2; "no such command")]
+#[test_case(&["--help"], 0; "help")]
+fn exit_codes_are_as_documented(arguments: &[&str], expected: i32) {
+    assert_eq!(code(&railspan(arguments)), expected);
+}
+
+#[test]
+fn a_daemon_with_bad_settings_does_not_start() {
+    let output = Command::new(env!("CARGO_BIN_EXE_railspand"))
+        .arg("tests/cases/bad_settings.jsonc")
+        .output()
+        .expect("run");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("unknown key `hots`; did you mean `host`?"), "{text}");
+    assert!(text.contains("key `data_centre` is missing"), "{text}");
+    assert!(text.contains("expected an address"), "{text}");
+    assert!(output.stdout.is_empty());
+}
+
+#[test]
+fn operators_see_and_change_a_running_fleet() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 2, ..FleetPlan::default() });
+    let admin = fleet.place(0).admin.to_string();
+    let platform = fleet.platform.address().to_string();
+    let publish = ["publish", "--platform", &platform, "--daemon", &admin, "--base"];
+
+    let published = railspan(&[&publish[..], &["1", "examples/fundacion.jsonc"]].concat());
+    assert_eq!(code(&published), 0, "{published:?}");
+    let conflict = railspan(&[&publish[..], &["1", "examples/fundacion.jsonc"]].concat());
+    assert_eq!(code(&conflict), 1, "{conflict:?}");
+    eventually("status shows revision 2 everywhere", || {
+        let status = railspan(&["status", "--daemon", &admin, "--json"]);
+        let status: serde_json::Value = serde_json::from_slice(&status.stdout).expect("json");
+        let hosts = status["hosts"].as_array().expect("hosts").clone();
+        hosts.len() == 2 && hosts.iter().all(|host| host["revision"] == 2)
+    });
+
+    let ready = |expected: bool| {
+        let targets = railspan(&["targets", "--daemon", &admin, "--json"]);
+        let targets: serde_json::Value = serde_json::from_slice(&targets.stdout).expect("json");
+        targets.as_array().is_some_and(|lines| {
+            lines.iter().any(|line| line["target"] == "target-1" && line["ready"] == expected)
+        })
+    };
+    assert!(ready(true));
+    assert_eq!(code(&railspan(&["drain", "--daemon", &admin, "target-1"])), 0);
+    eventually("targets shows the drain", || ready(false));
+    assert_eq!(code(&railspan(&["drain", "--daemon", &admin, "--undo", "target-1"])), 0);
+    eventually("targets shows it back", || ready(true));
+    assert_eq!(code(&railspan(&["drain", "--daemon", &admin, "target-x"])), 1);
+
+    let dump = railspan(&["dump", "--daemon", &admin]);
+    let dump: serde_json::Value = serde_json::from_slice(&dump.stdout).expect("json");
+    for part in ["entry", "guard", "peers", "platform"] {
+        assert!(dump[part].is_object(), "{part} is missing");
+    }
+}
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,126 @@
+//! Promises: a leaving target gets no new work; a planned stop cuts nothing off.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{FleetPlan, LIMIT, TestFleet, eventually};
+use railspan_standins::{Verdict, fetch};
+
+/// Bound on new work after a target began to leave: its lease of 3 s, the
+/// guard's tick, and the heartbeat interval of the stand-in.
+const BOUND: Duration = Duration::from_secs(4);
+
+/// Makes calls through all entries and tells whether a target got any.
+fn gets_work(fleet: &TestFleet, target: usize) -> bool {
+    let before = fleet.targets[target].runs().len();
+    let calls: Vec<_> = (0..60)
+        .map(|number| fleet.start(number % fleet.daemons.len(), fleet.read("/w?size=10&us=5000")))
+        .collect();
+    for call in calls {
+        fleet.join(call);
+    }
+    fleet.targets[target].runs().len() > before
+}
+
+#[test]
+fn a_target_drained_by_an_operator_gets_no_new_work() {
+    let fleet = TestFleet::spawn(FleetPlan::default());
+    assert!(gets_work(&fleet, 1));
+    let running = fleet.start(0, fleet.read("/long?size=1000&us=800000"));
+    let admin = fleet.place(1).admin;
+    let drain = |on| {
+        fleet.runtime.block_on(fetch("POST", admin, &format!("/drain?target=target-1&on={on}")))
+    };
+    assert_eq!(drain(true).expect("drain").0, 200);
+    // The guard refuses from that moment, whatever the entries have heard.
+    assert!(!gets_work(&fleet, 1));
+    assert_eq!(fleet.join(running).verdict, Verdict::Complete);
+    assert_eq!(drain(false).expect("undo").0, 200);
+    eventually("the target gets work again", || gets_work(&fleet, 1));
+}
+
+#[test]
+fn a_target_that_says_it_drains_gets_no_new_work() {
+    let fleet = TestFleet::spawn(FleetPlan::default());
+    let long: Vec<_> =
+        (0..3).map(|_| fleet.start(0, fleet.read("/long?size=1000&us=3000000"))).collect();
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.targets[2].behave(|behaviour| "draining".clone_into(&mut behaviour.condition));
+    std::thread::sleep(BOUND);
+    assert!(!gets_work(&fleet, 2));
+    for call in long {
+        assert_eq!(fleet.join(call).verdict, Verdict::Complete);
+    }
+}
+
+#[test]
+fn a_target_out_of_contact_gets_no_new_work() {
+    let fleet = TestFleet::spawn(FleetPlan::default());
+    fleet.targets[0].behave(|behaviour| behaviour.heartbeat = false);
+    std::thread::sleep(BOUND);
+    assert!(!gets_work(&fleet, 0));
+    fleet.targets[0].behave(|behaviour| behaviour.heartbeat = true);
+    eventually("the target gets work again", || gets_work(&fleet, 0));
+}
+
+#[test]
+fn a_warming_target_gets_no_work_before_it_is_ready() {
+    let mut fleet = TestFleet::spawn(FleetPlan { hosts: 2, ..FleetPlan::default() });
+    fleet.add_host(2);
+    fleet.targets[2].behave(|behaviour| "warming".clone_into(&mut behaviour.condition));
+    std::thread::sleep(BOUND);
+    assert!(!gets_work(&fleet, 2));
+    fleet.targets[2].behave(|behaviour| "ready".clone_into(&mut behaviour.condition));
+    fleet.wait_ready();
+}
+
+#[test]
+fn planned_stops_one_after_another_cut_nothing_off() {
+    let mut fleet = TestFleet::spawn(FleetPlan { slots: 8, ..FleetPlan::default() });
+    for stopped in 0..2 {
+        // Calls under way through the daemon that stops, and to its target.
+        let calls: Vec<_> = (0..24)
+            .map(|number| {
+                let path = format!("/stop/{stopped}/{number}?size=300000&us=300000");
+                fleet.start(stopped + number % (3 - stopped), fleet.read(&path))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(150));
+        fleet.daemons[stopped].terminate().expect("terminate");
+        for call in calls {
+            let report = fleet.join(call);
+            assert!(matches!(report.verdict, Verdict::Complete | Verdict::NotRun), "{report:?}");
+        }
+        let status = fleet.daemons[stopped].wait(LIMIT).expect("wait");
+        assert!(status.is_some_and(|status| status.success()), "{status:?}");
+        let report = fleet.call(2, &fleet.read("/after?size=100"));
+        assert_eq!(report.verdict, Verdict::Complete, "{report:?}");
+    }
+}
+
+#[test]
+fn a_stopped_guard_finishes_and_records_what_must_not_repeat() {
+    let mut fleet = TestFleet::spawn(FleetPlan::default());
+    let call = fleet.post("k", "/bulletin?size=100&us=500000");
+    let first = fleet.start(0, call.clone());
+    eventually("the call runs", || fleet.ran_on("k").is_some());
+    let guard = fleet.ran_on("k").expect("ran");
+    fleet.daemons[guard].terminate().expect("terminate");
+    assert_eq!(fleet.join(first).verdict, Verdict::Complete);
+    fleet.daemons[guard].wait(LIMIT).expect("wait").expect("stopped");
+    let repeat = fleet.call((guard + 1) % 3, &call);
+    assert_eq!((repeat.verdict, repeat.recorded), (Verdict::Complete, true), "{repeat:?}");
+}
+
+#[test]
+fn a_stop_has_the_bound_that_the_operator_set() {
+    let mut fleet =
+        TestFleet::spawn(FleetPlan { hosts: 1, stop_bound_ms: 300, ..FleetPlan::default() });
+    let call = fleet.start(0, fleet.read("/endless?size=10&us=30000000"));
+    std::thread::sleep(Duration::from_millis(100));
+    fleet.daemons[0].terminate().expect("terminate");
+    let status = fleet.daemons[0].wait(LIMIT).expect("wait");
+    assert!(status.is_some(), "the stop waited for an endless call");
+    assert_ne!(fleet.join(call).verdict, Verdict::NotRun);
+}
