Add a bench of selection policies in virtual time

Cause: no choice between policies can be made without figures.

Ruled out: real processes for this (noise over the differences sought); a simulator of the fleet (the bench runs one service's kernels only).

--- /dev/null
+++ b/benches/policies/model.rs
@@ -0,0 +1,561 @@
+//! Entries, guards and targets in virtual time, around the real kernels.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use hdrhistogram::Histogram;
+use railspan::{
+    AdmissionAction, AdmissionEvent, AdmissionQueue, CallCourse, CallId, CallPriority, LoadWord,
+    MicroTime, NextStep, ProbeBudget, RetryBudget, SelectionPolicy, ServiceTargets, TargetName,
+    TargetRecord, TryEnd, WaitingCall,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::scenarios::{Scenario, Trouble};
+
+/// Interval at which a guard looks at its deadlines, in microseconds.
+const GUARD_TICK_US: u64 = 20_000;
+
+/// Bytes of a measuring message and its reply together.
+const PROBE_BYTES: u32 = 120;
+
+/// Share of calls that are urgent, in hundredths, and the worths.
+const URGENT_SHARE: u32 = 20;
+const URGENT_WORTH: u8 = 10;
+const ORDINARY_WORTH: u8 = 3;
+
+/// What measuring may cost an entry in a second.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelBudget {
+    pub messages_per_s: u32,
+    pub bytes_per_s: u32,
+}
+
+/// One line of the table.
+#[derive(Debug)]
+pub struct ModelResult {
+    /// Latency of each call in microseconds; an unserved one counts its deadline.
+    pub latencies: Histogram<u64>,
+    /// Worth served in time, and worth offered, of urgent calls.
+    pub urgent: (u64, u64),
+    /// The same of ordinary calls.
+    pub ordinary: (u64, u64),
+    /// Calls in all, refused for good, and attempts after the first.
+    pub calls: u64,
+    pub refused: u64,
+    pub retried: u64,
+    /// Measuring messages and their bytes.
+    pub probe_messages: u64,
+    pub probe_bytes: u64,
+    /// Calls served in time in each third of the run, and offered.
+    pub thirds: [(u64, u64); 3],
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ModelEvent {
+    Call,
+    AtGuard { attempt: u64 },
+    Done { attempt: u64 },
+    AtEntry { attempt: u64, end: AttemptEnd },
+    Probe { entry: usize, target: usize },
+    ProbeReply { entry: usize, target: usize, load: OrderedLoad },
+    GuardTick { target: usize },
+    BurstStart { target: usize },
+    BurstEnd { target: usize },
+    TroubleStart,
+    TroubleEnd,
+}
+
+/// A load word as part of an event; its order has no meaning.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct OrderedLoad(LoadWord);
+
+impl PartialOrd for OrderedLoad {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for OrderedLoad {
+    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
+        std::cmp::Ordering::Equal
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum AttemptEnd {
+    Answered { failed: bool, load: OrderedLoad },
+    Refused { load: OrderedLoad, leaving: bool },
+}
+
+struct ModelCall {
+    entry: usize,
+    course: CallCourse,
+    tried: Vec<TargetName>,
+    priority: CallPriority,
+    began: MicroTime,
+    deadline: MicroTime,
+    account: u8,
+}
+
+struct ModelAttempt {
+    call: u64,
+    target: usize,
+    sent: MicroTime,
+    started: MicroTime,
+}
+
+struct ModelEntry {
+    service: ServiceTargets,
+    retry_budget: RetryBudget,
+    probe_budget: ProbeBudget,
+}
+
+struct ModelTarget {
+    door: AdmissionQueue,
+    slots: u16,
+    factor: f64,
+    burst: f64,
+    failing: bool,
+    running: u16,
+    /// Started calls that wait for a true slot.
+    backlog: Vec<u64>,
+}
+
+/// The model of one service.
+pub struct FleetModel {
+    scenario: Scenario,
+    policy: &'static SelectionPolicy,
+    probing: bool,
+    rng: Pcg64Mcg,
+    now: MicroTime,
+    end: MicroTime,
+    queue: BinaryHeap<Reverse<(MicroTime, u64, ModelEvent)>>,
+    sequence: u64,
+    entries: Vec<ModelEntry>,
+    targets: Vec<ModelTarget>,
+    calls: HashMap<u64, ModelCall>,
+    attempts: HashMap<u64, ModelAttempt>,
+    result: ModelResult,
+}
+
+impl FleetModel {
+    /// Runs a scenario under a policy for so many calls.
+    pub fn run(
+        scenario: Scenario,
+        policy: &'static SelectionPolicy,
+        budget: Option<ModelBudget>,
+        calls: u64,
+        seed: u64,
+    ) -> ModelResult {
+        let mut model = Self::open(scenario, policy, budget, calls, seed);
+        model.schedule(MicroTime(0), ModelEvent::Call);
+        for target in 0..model.targets.len() {
+            model.schedule(MicroTime(GUARD_TICK_US), ModelEvent::GuardTick { target });
+            if let Trouble::Bursts { .. } = scenario.trouble {
+                model.schedule_burst(target);
+            }
+        }
+        let third = MicroTime(model.end.0 / 3);
+        model.schedule(third, ModelEvent::TroubleStart);
+        model.schedule(third + third, ModelEvent::TroubleEnd);
+        if scenario.trouble == Trouble::ColdStart {
+            model.targets[0].door.leave(&mut Vec::new());
+            model.forget(0);
+        }
+        while let Some(Reverse((at, _, event))) = model.queue.pop() {
+            model.now = at;
+            if at > model.end && model.calls.is_empty() {
+                break;
+            }
+            model.handle(event);
+        }
+        model.finish()
+    }
+
+    fn open(
+        scenario: Scenario,
+        policy: &'static SelectionPolicy,
+        budget: Option<ModelBudget>,
+        calls: u64,
+        seed: u64,
+    ) -> Self {
+        let targets: Vec<ModelTarget> = (0..scenario.targets)
+            .map(|index| {
+                let wrong = scenario.trouble == Trouble::WrongSlots && index == 0;
+                ModelTarget {
+                    door: AdmissionQueue::open(scenario.slots),
+                    slots: if wrong { scenario.slots / 2 } else { scenario.slots },
+                    factor: if index % 2 == 0 { 1.0 } else { scenario.old_factor },
+                    burst: 1.0,
+                    failing: false,
+                    running: 0,
+                    backlog: Vec::new(),
+                }
+            })
+            .collect();
+        let rate = rate_per_us(&scenario);
+        let limits = budget.unwrap_or(ModelBudget { messages_per_s: 0, bytes_per_s: 0 });
+        let entries = (0..scenario.entries).map(|_| ModelEntry {
+            service: ServiceTargets::new(
+                (0..scenario.targets).map(|index| record(&scenario, index, 0)).collect(),
+            ),
+            retry_budget: RetryBudget::open(),
+            probe_budget: ProbeBudget::open(limits.messages_per_s, limits.bytes_per_s),
+        });
+        Self {
+            scenario,
+            policy,
+            probing: budget.is_some(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: MicroTime(0),
+            end: MicroTime((calls as f64 / rate) as u64),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            entries: entries.collect(),
+            targets,
+            calls: HashMap::new(),
+            attempts: HashMap::new(),
+            result: ModelResult {
+                latencies: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds"),
+                urgent: (0, 0),
+                ordinary: (0, 0),
+                calls: 0,
+                refused: 0,
+                retried: 0,
+                probe_messages: 0,
+                probe_bytes: 0,
+                thirds: [(0, 0); 3],
+            },
+        }
+    }
+
+    fn schedule(&mut self, at: MicroTime, event: ModelEvent) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn hop(&mut self) -> MicroTime {
+        let mean = self.scenario.hop_us as f64;
+        MicroTime((mean * self.rng.random_range(0.5..1.5)) as u64)
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(1e-9..1.0);
+        -uniform.ln() * mean
+    }
+
+    fn handle(&mut self, event: ModelEvent) {
+        match event {
+            ModelEvent::Call => self.new_call(),
+            ModelEvent::AtGuard { attempt } => self.at_guard(attempt),
+            ModelEvent::Done { attempt } => self.done(attempt),
+            ModelEvent::AtEntry { attempt, end } => self.at_entry(attempt, &end),
+            ModelEvent::Probe { entry, target } => {
+                let load = OrderedLoad(self.targets[target].door.load());
+                let at = self.now + self.hop();
+                self.schedule(at, ModelEvent::ProbeReply { entry, target, load });
+            }
+            ModelEvent::ProbeReply { entry, target, load } => self.hear(entry, target, load.0),
+            ModelEvent::GuardTick { target } => {
+                self.step_door(target, AdmissionEvent::Tick);
+                if self.now < self.end || !self.calls.is_empty() {
+                    let at = self.now + MicroTime(GUARD_TICK_US);
+                    self.schedule(at, ModelEvent::GuardTick { target });
+                }
+            }
+            ModelEvent::BurstStart { target } => {
+                self.targets[target].burst = self.rng.random_range(2.0..10.0);
+                let length = self.rng.random_range(5_000..200_000);
+                self.schedule(self.now + MicroTime(length), ModelEvent::BurstEnd { target });
+            }
+            ModelEvent::BurstEnd { target } => {
+                self.targets[target].burst = 1.0;
+                self.schedule_burst(target);
+            }
+            ModelEvent::TroubleStart => self.trouble(true),
+            ModelEvent::TroubleEnd => self.trouble(false),
+        }
+    }
+
+    fn schedule_burst(&mut self, target: usize) {
+        let Trouble::Bursts { gap_ms } = self.scenario.trouble else { return };
+        let gap = self.exponential(gap_ms as f64 * 1_000.0);
+        self.schedule(self.now + MicroTime(gap as u64), ModelEvent::BurstStart { target });
+    }
+
+    fn trouble(&mut self, on: bool) {
+        let mut out = Vec::new();
+        match self.scenario.trouble {
+            Trouble::FailFast => self.targets[0].failing = on,
+            Trouble::Drain if on => self.targets[0].door.leave(&mut out),
+            Trouble::Drain => {
+                self.targets[0].door.rejoin();
+                self.rejoin(0);
+            }
+            Trouble::ColdStart if on => {
+                self.targets[0].door.rejoin();
+                self.targets[0].burst = 4.0;
+                self.rejoin(0);
+            }
+            Trouble::ColdStart => self.targets[0].burst = 1.0,
+            _ => {}
+        }
+        self.carry_out(0, out);
+    }
+
+    /// Gossip brings a target back to all entries.
+    fn rejoin(&mut self, target: usize) {
+        for entry in &mut self.entries {
+            let mut fresh = record(&self.scenario, target, self.now.0);
+            fresh.load = LoadWord { slots: self.scenario.slots, ..LoadWord::default() };
+            match entry.service.targets.iter_mut().find(|known| known.name == fresh.name) {
+                Some(known) => *known = fresh,
+                None => entry.service.targets.push(fresh),
+            }
+        }
+    }
+
+    fn forget(&mut self, target: usize) {
+        let name = target_name(target);
+        for entry in &mut self.entries {
+            entry.service.targets.retain(|known| known.name != name);
+        }
+    }
+
+    fn new_call(&mut self) {
+        if self.now >= self.end {
+            return;
+        }
+        let mut gap = 1.0 / rate_per_us(&self.scenario);
+        if let Trouble::Overload(load) = self.scenario.trouble
+            && self.third() == 1
+        {
+            gap *= f64::from(self.scenario.load) / f64::from(load);
+        }
+        let gap = self.exponential(gap) as u64;
+        self.schedule(self.now + MicroTime(gap), ModelEvent::Call);
+
+        let urgent = self.rng.random_range(0..100) < URGENT_SHARE;
+        let worth = if urgent { URGENT_WORTH } else { ORDINARY_WORTH };
+        let id = self.result.calls;
+        self.result.calls += 1;
+        let third = self.third();
+        self.result.thirds[third].1 += 1;
+        self.offered(urgent).1 += u64::from(worth);
+        let call = ModelCall {
+            entry: self.rng.random_range(0..self.entries.len()),
+            course: CallCourse::open(true),
+            tried: Vec::new(),
+            priority: CallPriority { urgent, worth },
+            began: self.now,
+            deadline: self.now + MicroTime::from_millis(self.scenario.deadline_ms),
+            account: self.rng.random_range(0..2),
+        };
+        self.calls.insert(id, call);
+        self.try_call(id);
+    }
+
+    fn third(&self) -> usize {
+        ((self.now.0 * 3 / self.end.0.max(1)) as usize).min(2)
+    }
+
+    const fn offered(&mut self, urgent: bool) -> &mut (u64, u64) {
+        if urgent { &mut self.result.urgent } else { &mut self.result.ordinary }
+    }
+
+    fn try_call(&mut self, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let entry = call.entry;
+        let service = &mut self.entries[entry].service;
+        let Some(index) = service.choose(self.now, self.policy, &call.tried, &mut self.rng) else {
+            self.end_call(id, false);
+            return;
+        };
+        let name = service.targets[index].name.clone();
+        let target = target_index(&name);
+        call.tried.push(name);
+        if self.probing {
+            self.probe(entry);
+        }
+        self.sequence += 1;
+        let attempt = self.sequence;
+        let sent = self.now;
+        self.attempts.insert(attempt, ModelAttempt { call: id, target, sent, started: sent });
+        let at = self.now + self.hop();
+        self.schedule(at, ModelEvent::AtGuard { attempt });
+    }
+
+    fn probe(&mut self, entry: usize) {
+        let targets = &self.entries[entry].service.targets;
+        let target = target_index(&targets[self.rng.random_range(0..targets.len())].name);
+        if self.entries[entry].probe_budget.take(self.now, 2, PROBE_BYTES) {
+            self.result.probe_messages += 2;
+            self.result.probe_bytes += u64::from(PROBE_BYTES);
+            let at = self.now + self.hop();
+            self.schedule(at, ModelEvent::Probe { entry, target });
+        }
+    }
+
+    fn at_guard(&mut self, attempt: u64) {
+        let ModelAttempt { call, target, .. } = self.attempts[&attempt];
+        let call = &self.calls[&call];
+        let waiting = WaitingCall {
+            call: CallId(u128::from(attempt)),
+            account: format!("account-{}", call.account).as_str().into(),
+            share: 1,
+            priority: call.priority,
+            deadline: call.deadline,
+        };
+        self.step_door(target, AdmissionEvent::Arrive(waiting));
+    }
+
+    fn step_door(&mut self, target: usize, event: AdmissionEvent) {
+        let mut out = Vec::new();
+        self.targets[target].door.step(self.now, event, &mut out);
+        self.carry_out(target, out);
+    }
+
+    fn carry_out(&mut self, target: usize, actions: Vec<AdmissionAction>) {
+        for action in actions {
+            match action {
+                AdmissionAction::Start(call) => self.start(target, call.0 as u64),
+                AdmissionAction::Refuse { call, .. } => {
+                    let load = OrderedLoad(self.targets[target].door.load());
+                    let leaving = self.targets[target].door.is_leaving();
+                    self.reply(call.0 as u64, AttemptEnd::Refused { load, leaving });
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, target: usize, attempt: u64) {
+        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+            attempt.started = self.now;
+        }
+        let state = &mut self.targets[target];
+        if state.running >= state.slots {
+            state.backlog.push(attempt);
+            return;
+        }
+        state.running += 1;
+        self.serve(target, attempt);
+    }
+
+    fn serve(&mut self, target: usize, attempt: u64) {
+        let state = &self.targets[target];
+        let mean = self.scenario.service_us * state.factor * state.burst;
+        let took = if state.failing { 500.0 } else { 0.4 * mean + self.exponential(0.6 * mean) };
+        self.schedule(self.now + MicroTime(took as u64), ModelEvent::Done { attempt });
+    }
+
+    fn done(&mut self, attempt: u64) {
+        let ModelAttempt { target, started, .. } = self.attempts[&attempt];
+        let failed = self.targets[target].failing;
+        let event = AdmissionEvent::Finish {
+            call: CallId(u128::from(attempt)),
+            took: Some(self.now.since(started)),
+            failed,
+        };
+        let next = self.targets[target].backlog.pop();
+        match next {
+            Some(next) => self.serve(target, next),
+            None => self.targets[target].running -= 1,
+        }
+        self.step_door(target, event);
+        let load = OrderedLoad(self.targets[target].door.load());
+        self.reply(attempt, AttemptEnd::Answered { failed, load });
+    }
+
+    fn reply(&mut self, attempt: u64, end: AttemptEnd) {
+        let at = self.now + self.hop();
+        self.schedule(at, ModelEvent::AtEntry { attempt, end });
+    }
+
+    fn hear(&mut self, entry: usize, target: usize, load: LoadWord) {
+        let now = self.now;
+        if let Some(record) = self.entries[entry].service.find(&target_name(target)) {
+            record.hear(now, load);
+        }
+    }
+
+    fn at_entry(&mut self, attempt: u64, end: &AttemptEnd) {
+        let Some(ModelAttempt { call: id, target, sent, .. }) = self.attempts.remove(&attempt)
+        else {
+            return;
+        };
+        let now = self.now;
+        let Some(call) = self.calls.get(&id) else { return };
+        let entry = &mut self.entries[call.entry];
+        let (load, latency, failed) = match end {
+            AttemptEnd::Answered { failed, load } => (load.0, Some(now.since(sent)), *failed),
+            AttemptEnd::Refused { load, leaving } => (load.0, None, *leaving),
+        };
+        if let Some(record) = entry.service.find(&target_name(target)) {
+            record.hear(now, load);
+            record.finish(now, latency, failed);
+        }
+        let try_end = match end {
+            AttemptEnd::Answered { .. } => TryEnd::Answered,
+            AttemptEnd::Refused { .. } => TryEnd::Refused,
+        };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let in_time = now < call.deadline;
+        match call.course.step(try_end, in_time, &mut entry.retry_budget) {
+            NextStep::Deliver => self.end_call(id, !failed),
+            NextStep::TryAgain => {
+                self.result.retried += 1;
+                self.try_call(id);
+            }
+            NextStep::TellNotRun | NextStep::TellUnknown => {
+                self.result.refused += 1;
+                self.end_call(id, false);
+            }
+        }
+    }
+
+    /// Books a call; one that was not served counts its whole deadline.
+    fn end_call(&mut self, id: u64, answered: bool) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        let deadline = call.deadline.since(call.began);
+        let took = self.now.since(call.began);
+        let served = answered && took <= deadline;
+        let counted = if served { took } else { deadline };
+        self.result.latencies.saturating_record(counted.0.max(1));
+        if served {
+            let worth = u64::from(call.priority.worth);
+            self.offered(call.priority.urgent).0 += worth;
+            let third = (call.began.0 * 3 / self.end.0.max(1)) as usize;
+            self.result.thirds[third.min(2)].0 += 1;
+        }
+    }
+
+    fn finish(mut self) -> ModelResult {
+        let left: Vec<u64> = self.calls.keys().copied().collect();
+        for id in left {
+            self.end_call(id, false);
+        }
+        self.result
+    }
+}
+
+/// Returns the calls in a microsecond that make the scenario's load.
+fn rate_per_us(scenario: &Scenario) -> f64 {
+    let speed = |index: usize| if index % 2 == 0 { 1.0 } else { 1.0 / scenario.old_factor };
+    let speeds: f64 = (0..scenario.targets).map(speed).sum();
+    let capacity = speeds * f64::from(scenario.slots) / scenario.service_us;
+    capacity * f64::from(scenario.load) / 100.0
+}
+
+fn record(scenario: &Scenario, index: usize, joined: u64) -> TargetRecord {
+    TargetRecord::new(target_name(index), None, scenario.slots, MicroTime(joined))
+}
+
+fn target_name(index: usize) -> TargetName {
+    format!("{index}").as_str().into()
+}
+
+fn target_index(name: &TargetName) -> usize {
+    name.as_str().parse().unwrap_or(0)
+}
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -282,6 +282,12 @@
 }
 
 impl ServiceTargets {
+    /// Makes the targets of one service.
+    #[must_use]
+    pub const fn new(targets: Vec<TargetRecord>) -> Self {
+        Self { targets, turn: 0 }
+    }
+
     /// Chooses a target that is not in `tried`, or any untried if all are ejected.
     pub fn choose(
         &mut self,
