Give each use of the bench its own random stream

Cause: a policy's own draws shifted the arrivals and the bursts of the rest of its run, so that two policies did not see the same neighbours.

--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -123,12 +123,35 @@
     backlog: Vec<u64>,
 }
 
+/// Random numbers, a stream for each use, so that a policy's draws change
+/// neither the calls that come nor the bursts that hit.
+struct ModelStreams {
+    calls: Pcg64Mcg,
+    bursts: Pcg64Mcg,
+    service: Pcg64Mcg,
+    network: Pcg64Mcg,
+    policy: Pcg64Mcg,
+}
+
+impl ModelStreams {
+    fn open(seed: u64) -> Self {
+        let stream = |number| Pcg64Mcg::seed_from_u64(seed * 10 + number);
+        Self {
+            calls: stream(0),
+            bursts: stream(1),
+            service: stream(2),
+            network: stream(3),
+            policy: stream(4),
+        }
+    }
+}
+
 /// The model of one service.
 pub struct FleetModel {
     scenario: Scenario,
     policy: &'static SelectionPolicy,
     probing: bool,
-    rng: Pcg64Mcg,
+    streams: ModelStreams,
     now: MicroTime,
     end: MicroTime,
     queue: BinaryHeap<Reverse<(MicroTime, u64, ModelEvent)>>,
@@ -208,7 +231,7 @@
             scenario,
             policy,
             probing: budget.is_some(),
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            streams: ModelStreams::open(seed),
             now: MicroTime(0),
             end: MicroTime((calls as f64 / rate) as u64),
             queue: BinaryHeap::new(),
@@ -238,12 +261,7 @@
 
     fn hop(&mut self) -> MicroTime {
         let mean = self.scenario.hop_us as f64;
-        MicroTime((mean * self.rng.random_range(0.5..1.5)) as u64)
-    }
-
-    fn exponential(&mut self, mean: f64) -> f64 {
-        let uniform: f64 = self.rng.random_range(1e-9..1.0);
-        -uniform.ln() * mean
+        MicroTime((mean * self.streams.network.random_range(0.5..1.5)) as u64)
     }
 
     fn handle(&mut self, event: ModelEvent) {
@@ -266,8 +284,8 @@
                 }
             }
             ModelEvent::BurstStart { target } => {
-                self.targets[target].burst = self.rng.random_range(2.0..10.0);
-                let length = self.rng.random_range(5_000..200_000);
+                self.targets[target].burst = self.streams.bursts.random_range(2.0..10.0);
+                let length = self.streams.bursts.random_range(5_000..200_000);
                 self.schedule(self.now + MicroTime(length), ModelEvent::BurstEnd { target });
             }
             ModelEvent::BurstEnd { target } => {
@@ -281,7 +299,7 @@
 
     fn schedule_burst(&mut self, target: usize) {
         let Trouble::Bursts { gap_ms } = self.scenario.trouble else { return };
-        let gap = self.exponential(gap_ms as f64 * 1_000.0);
+        let gap = exponential(&mut self.streams.bursts, gap_ms as f64 * 1_000.0);
         self.schedule(self.now + MicroTime(gap as u64), ModelEvent::BurstStart { target });
     }
 
@@ -334,10 +352,10 @@
         {
             gap *= f64::from(self.scenario.load) / f64::from(load);
         }
-        let gap = self.exponential(gap) as u64;
+        let gap = exponential(&mut self.streams.calls, gap) as u64;
         self.schedule(self.now + MicroTime(gap), ModelEvent::Call);
 
-        let urgent = self.rng.random_range(0..100) < URGENT_SHARE;
+        let urgent = self.streams.calls.random_range(0..100) < URGENT_SHARE;
         let worth = if urgent { URGENT_WORTH } else { ORDINARY_WORTH };
         let id = self.result.calls;
         self.result.calls += 1;
@@ -345,13 +363,13 @@
         self.result.thirds[third].1 += 1;
         self.offered(urgent).1 += u64::from(worth);
         let call = ModelCall {
-            entry: self.rng.random_range(0..self.entries.len()),
+            entry: self.streams.calls.random_range(0..self.entries.len()),
             course: CallCourse::open(true),
             tried: Vec::new(),
             priority: CallPriority { urgent, worth },
             began: self.now,
             deadline: self.now + MicroTime::from_millis(self.scenario.deadline_ms),
-            account: self.rng.random_range(0..2),
+            account: self.streams.calls.random_range(0..2),
         };
         self.calls.insert(id, call);
         self.try_call(id);
@@ -369,7 +387,9 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let entry = call.entry;
         let service = &mut self.entries[entry].service;
-        let Some(index) = service.choose(self.now, self.policy, &call.tried, &mut self.rng) else {
+        let Some(index) =
+            service.choose(self.now, self.policy, &call.tried, &mut self.streams.policy)
+        else {
             self.end_call(id, false);
             return;
         };
@@ -389,7 +409,8 @@
 
     fn probe(&mut self, entry: usize) {
         let targets = &self.entries[entry].service.targets;
-        let target = target_index(&targets[self.rng.random_range(0..targets.len())].name);
+        let target =
+            target_index(&targets[self.streams.policy.random_range(0..targets.len())].name);
         if self.entries[entry].probe_budget.take(self.now, 2, PROBE_BYTES) {
             self.result.probe_messages += 2;
             self.result.probe_bytes += u64::from(PROBE_BYTES);
@@ -446,7 +467,11 @@
     fn serve(&mut self, target: usize, attempt: u64) {
         let state = &self.targets[target];
         let mean = self.scenario.service_us * state.factor * state.burst;
-        let took = if state.failing { 500.0 } else { 0.4 * mean + self.exponential(0.6 * mean) };
+        let took = if state.failing {
+            500.0
+        } else {
+            0.4 * mean + exponential(&mut self.streams.service, 0.6 * mean)
+        };
         self.schedule(self.now + MicroTime(took as u64), ModelEvent::Done { attempt });
     }
 
@@ -540,9 +565,15 @@
     }
 }
 
+fn exponential(rng: &mut Pcg64Mcg, mean: f64) -> f64 {
+    let uniform: f64 = rng.random_range(1e-9..1.0);
+    -uniform.ln() * mean
+}
+
 /// Returns the calls in a microsecond that make the scenario's load.
 fn rate_per_us(scenario: &Scenario) -> f64 {
-    let speed = |index: usize| if index % 2 == 0 { 1.0 } else { 1.0 / scenario.old_factor };
+    let speed =
+        |index: usize| if index.is_multiple_of(2) { 1.0 } else { 1.0 / scenario.old_factor };
     let speeds: f64 = (0..scenario.targets).map(speed).sum();
     let capacity = speeds * f64::from(scenario.slots) / scenario.service_us;
     capacity * f64::from(scenario.load) / 100.0
