Bounce early, queue late: a short queue while other targets are left

Cause: under bursts p99 was the wait behind a slowed target's queue: two calls a slot wait there although another target is idle, and the guard's estimate of the wait is that of calls that ended before the burst.

Change: an entry says whether it has another target left; if so, the guard queues only a quarter of its slots and refuses at once. On the last try the entry may go back to a target that was only full. Crowding weighs 2.0 instead of 0.5.

--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -93,6 +93,8 @@
     entry: usize,
     course: CallCourse,
     tried: Vec<TargetName>,
+    /// Of those, the ones that are leaving.
+    gone: Vec<TargetName>,
     priority: CallPriority,
     began: MicroTime,
     deadline: MicroTime,
@@ -366,6 +368,7 @@
             entry: self.streams.calls.random_range(0..self.entries.len()),
             course: CallCourse::open(true),
             tried: Vec::new(),
+            gone: Vec::new(),
             priority: CallPriority { urgent, worth },
             began: self.now,
             deadline: self.now + MicroTime::from_millis(self.scenario.deadline_ms),
@@ -386,6 +389,10 @@
     fn try_call(&mut self, id: u64) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let entry = call.entry;
+        if call.course.is_last_try() {
+            // Where it was full there may be the shortest queue all the same.
+            call.tried.retain(|name| call.gone.contains(name));
+        }
         let service = &mut self.entries[entry].service;
         let Some(index) =
             service.choose(self.now, self.policy, &call.tried, &mut self.streams.policy)
@@ -428,6 +435,7 @@
             share: 1,
             priority: call.priority,
             deadline: call.deadline,
+            last: call.course.is_last_try(),
         };
         self.step_door(target, AdmissionEvent::Arrive(waiting));
     }
@@ -526,6 +534,9 @@
             AttemptEnd::Refused { .. } => TryEnd::Refused,
         };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        if matches!(end, AttemptEnd::Refused { leaving: true, .. }) {
+            call.gone.push(target_name(target));
+        }
         let in_time = now < call.deadline;
         match call.course.step(try_end, in_time, &mut entry.retry_budget) {
             NextStep::Deliver => self.end_call(id, !failed),
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -14,6 +14,10 @@
 /// Waiting calls for each slot of the target.
 const QUEUE_PER_SLOT: usize = 2;
 
+/// A call that may still try another target queues only behind the slots'
+/// number divided by this.
+const SHORT_QUEUE_PART: usize = 4;
+
 /// Weight of the newest service time in the smoothed one.
 const SERVICE_WEIGHT: f64 = 0.2;
 
@@ -39,6 +43,8 @@
     pub priority: CallPriority,
     /// When its caller stops waiting.
     pub deadline: MicroTime,
+    /// Whether its entry has no other target left to try.
+    pub last: bool,
 }
 
 /// What happens at a guard.
@@ -183,12 +189,20 @@
             out.push(self.refuse(call.call, RefusalReason::TooLate));
             return;
         }
+        if !call.last && self.waiting.len() >= self.short_queue() {
+            out.push(self.refuse(call.call, RefusalReason::Full));
+            return;
+        }
         self.waiting.push(call);
         if self.waiting.len() > self.slots * QUEUE_PER_SLOT {
             self.evict(out);
         }
     }
 
+    const fn short_queue(&self) -> usize {
+        self.slots / SHORT_QUEUE_PART
+    }
+
     /// Refuses the last in the queue, which may be the newcomer.
     fn evict(&mut self, out: &mut Vec<AdmissionAction>) {
         let newcomer = self.waiting.len() - 1;
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -81,6 +81,7 @@
     call: &CallerCall,
     target: &TargetName,
     place: &TargetPlace,
+    last: bool,
 ) -> AttemptEnd {
     let now = duty.clock.now();
     let mut outstanding = OutstandingCall {
@@ -93,7 +94,7 @@
     };
     let left = call.deadline.since(now).duration();
     let deadline = Instant::now() + left;
-    let head = make_head(call, target, place, left);
+    let head = make_head(call, target, place, left, last);
     let Some(sender) = connect(duty, place, deadline).await else {
         outstanding.failed = true;
         return AttemptEnd::unreachable();
@@ -138,6 +139,7 @@
     target: &TargetName,
     place: &TargetPlace,
     left: Duration,
+    last: bool,
 ) -> CallHead {
     CallHead {
         call: CallId::random(),
@@ -149,6 +151,7 @@
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
         repeatable: call.terms.repeatable,
+        last,
         claim: call.claim.clone(),
         method: call.method.clone(),
         path: call.path.clone(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -262,24 +262,37 @@
     async fn route(self: &Rc<Self>, mut call: CallerCall) -> Response<EntryBody> {
         let policy = self.policy(&call.service);
         let mut tried: Vec<TargetName> = Vec::new();
+        // Of those, the ones that will not be free again soon.
+        let mut gone: Vec<TargetName> = Vec::new();
         let mut course = CallCourse::open(call.terms.repeatable);
         let mut refusal = ("no_target", NOT_READY_RETRY_MS);
         loop {
-            let Some((target, place)) = self.choose(&call, policy, &tried) else {
+            if course.is_last_try() {
+                // Where it was full there may be the shortest queue all the same.
+                tried.retain(|name| gone.contains(name));
+            }
+            let Some((target, place, others)) = self.choose(&call, policy, &tried) else {
                 return give_up(course.give_up(), refusal);
             };
             crate::measure::probe_some(self, &call.service);
             tried.push(target.clone());
-            let (end, cause) = match attempt::run(self, &call, &target, &place).await {
+            let last = course.is_last_try() || others == 0;
+            let (end, cause) = match attempt::run(self, &call, &target, &place, last).await {
                 AttemptEnd::Answered(response) => {
                     course.step(TryEnd::Answered, true, &mut self.retry_budget.borrow_mut());
                     return response;
                 }
                 AttemptEnd::Refused { reason, retry_after_ms } => {
                     refusal = (reason.label(), retry_after_ms);
+                    if !reason.is_load() {
+                        gone.push(target);
+                    }
                     (TryEnd::Refused, reason.label())
                 }
-                AttemptEnd::Lost => (TryEnd::Lost, "lost"),
+                AttemptEnd::Lost => {
+                    gone.push(target);
+                    (TryEnd::Lost, "lost")
+                }
                 AttemptEnd::Claimed { row, version } => {
                     if let Some(response) = self.settle(&call, &row).await {
                         return response;
@@ -305,18 +318,20 @@
         name.and_then(selection::policy).unwrap_or_else(selection::default_policy)
     }
 
+    /// Chooses a target; returns it, its place, and how many stay untried.
     fn choose(
         &self,
         call: &CallerCall,
         policy: &selection::SelectionPolicy,
         tried: &[TargetName],
-    ) -> Option<(TargetName, TargetPlace)> {
+    ) -> Option<(TargetName, TargetPlace, usize)> {
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
         let index = targets.choose(now, policy, tried, &mut self.rng.borrow_mut())?;
         let record = &targets.targets[index];
-        Some((record.name.clone(), record.place.clone()?))
+        let others = targets.targets.len().saturating_sub(tried.len() + 1);
+        Some((record.name.clone(), record.place.clone()?, others))
     }
 
     /// Finds out about an earlier call with the same key.
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -467,6 +467,7 @@
             share: head.share,
             priority: head.priority,
             deadline: call.deadline,
+            last: head.last,
         };
         self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
         signal
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 //!     share: 1,
 //!     priority: CallPriority { urgent: true, worth: 9 },
 //!     deadline: MicroTime::from_millis(100),
+//!     last: true,
 //! };
 //! queue.step(MicroTime(0), AdmissionEvent::Arrive(call), &mut actions);
 //! assert_eq!(actions, [AdmissionAction::Start(CallId(7))]);
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -109,6 +109,12 @@
         self.give_up()
     }
 
+    /// Tells whether no try may follow the next one.
+    #[must_use]
+    pub const fn is_last_try(&self) -> bool {
+        self.tries + 1 >= MAX_ATTEMPTS
+    }
+
     /// Returns what to tell when no target is left to try.
     #[must_use]
     pub const fn give_up(&self) -> NextStep {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -29,6 +29,12 @@
 /// Candidates that the expected-completion policy compares.
 const COMPARED: usize = 3;
 
+/// Weight of the part of a target's slots in use, before any call waits.
+///
+/// Greater spreads calls wider and survives bursts better, smaller keeps them
+/// on the fast hosts; docs/design/policy.md has the table.
+const CROWDING: f64 = 2.0;
+
 /// Time over which a target that joined gets its full part of the load.
 const SLOW_START_US: f64 = 5_000_000.0;
 
@@ -151,7 +157,7 @@
         let wait = (ahead + 1.0 - slots).max(0.0) / slots;
         let crowding = ahead / slots;
         let failing = f64::from(self.load.failing) / 1_000.0;
-        let cost = service * (1.0 + wait + 0.5 * crowding) * (1.0 + FAILURE_COST * failing);
+        let cost = service * (1.0 + wait + CROWDING * crowding) * (1.0 + FAILURE_COST * failing);
         let ramp = now.since(self.joined).0 as f64 / SLOW_START_US;
         cost / ramp.clamp(0.1, 1.0)
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -121,6 +121,8 @@
     pub remaining_ms: u32,
     /// Whether a call that was dropped may be cancelled at the target.
     pub repeatable: bool,
+    /// Whether the entry has no other target left to try.
+    pub last: bool,
     /// The claim to be made, for a call that carries an idempotency key.
     pub claim: Option<KeyClaim>,
     /// HTTP method.
@@ -157,6 +159,12 @@
 }
 
 impl RefusalReason {
+    /// Tells whether the target would take the call when it is less busy.
+    #[must_use]
+    pub const fn is_load(self) -> bool {
+        matches!(self, Self::Full | Self::TooLate | Self::Outranked)
+    }
+
     /// Returns the reason as a metric label.
     #[must_use]
     pub const fn label(self) -> &'static str {
