Hedge slow leaf reads; send no probes unless told to

Cause: after the short queue, p99 under bursts was the calls that a slowed target had already begun; no choice made earlier can help those.

Change: a kind whose template says `hedge` gets a second try after three times the expected service time, from a budget of 5 percent of answered calls; the first answer holds and the other try is cancelled at its target. Crowding weighs 1.5. The probe budget is zero by default.

--- a/benches/policies/main.rs
+++ b/benches/policies/main.rs
@@ -41,22 +41,35 @@
     label: &'static str,
     policy: &'static str,
     budget: Option<ModelBudget>,
+    hedging: bool,
 }
 
 /// The budget that a daemon has by default.
 const DEFAULT_BUDGET: ModelBudget = ModelBudget { messages_per_s: 50, bytes_per_s: 8_000 };
 
 const CONTENDERS: &[Contender] = &[
-    Contender { label: "random", policy: "random", budget: None },
-    Contender { label: "round_robin", policy: "round_robin", budget: None },
-    Contender { label: "least_outstanding", policy: "least_outstanding", budget: None },
-    Contender { label: "two_choices", policy: "two_choices", budget: None },
-    Contender { label: "latency", policy: "latency", budget: None },
-    Contender { label: "expected", policy: "expected_completion", budget: None },
+    Contender { label: "random", policy: "random", budget: None, hedging: false },
+    Contender { label: "round_robin", policy: "round_robin", budget: None, hedging: false },
+    Contender {
+        label: "least_outstanding",
+        policy: "least_outstanding",
+        budget: None,
+        hedging: false,
+    },
+    Contender { label: "two_choices", policy: "two_choices", budget: None, hedging: false },
+    Contender { label: "latency", policy: "latency", budget: None, hedging: false },
+    Contender { label: "expected", policy: "expected_completion", budget: None, hedging: false },
+    Contender {
+        label: "expected+hedges",
+        policy: "expected_completion",
+        budget: None,
+        hedging: true,
+    },
     Contender {
         label: "expected+probes",
         policy: "expected_completion",
         budget: Some(DEFAULT_BUDGET),
+        hedging: false,
     },
 ];
 
@@ -72,7 +85,7 @@
         .filter(|(_, contender)| holds(&options.policy, contender.label))
         .collect();
     println!(
-        "{:<15} {:<18} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}  thirds",
+        "{:<15} {:<18} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}  thirds",
         "scenario",
         "policy",
         "p50_ms",
@@ -82,6 +95,7 @@
         "ord_%",
         "ref_%",
         "retr_%",
+        "hedg_%",
         "msg/c",
         "B/c"
     );
@@ -108,7 +122,14 @@
                     let Some((scenario, contender)) = jobs.get(index) else { return };
                     let policy = railspan::policy(contender.policy).expect("registered");
                     let runs = (1..=options.seeds).map(|seed| {
-                        FleetModel::run(*scenario, policy, contender.budget, options.calls, seed)
+                        FleetModel::run(
+                            *scenario,
+                            policy,
+                            contender.budget,
+                            contender.hedging,
+                            options.calls,
+                            seed,
+                        )
                     });
                     *results[index].lock().expect("worker") = runs.collect();
                 }
@@ -134,7 +155,7 @@
         })
         .collect();
     println!(
-        "{:<15} {:<18} {:>7.1} {:>7.1} {:>7.1} {:>7.2} {:>7.2} {:>7.2} {:>7.2} {:>7.3} {:>7.1}  {}",
+        "{:<15} {:<18} {:>7.1} {:>7.1} {:>7.1} {:>7.2} {:>7.2} {:>7.2} {:>7.2} {:>7.2} {:>7.3} {:>7.1}  {}",
         scenario.name,
         contender.label,
         ms(0.5),
@@ -144,6 +165,7 @@
         100.0 * sum(|run| run.ordinary.0) / sum(|run| run.ordinary.1),
         100.0 * sum(|run| run.refused) / calls,
         100.0 * sum(|run| run.retried) / calls,
+        100.0 * sum(|run| run.hedged) / calls,
         sum(|run| run.probe_messages) / calls,
         sum(|run| run.probe_bytes) / calls,
         thirds.join("/"),
--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -7,7 +7,7 @@
 use railspan::{
     AdmissionAction, AdmissionEvent, AdmissionQueue, CallCourse, CallId, CallPriority, LoadWord,
     MicroTime, NextStep, ProbeBudget, RetryBudget, SelectionPolicy, ServiceTargets, TargetName,
-    TargetRecord, TryEnd, WaitingCall,
+    TargetRecord, TryEnd, WaitingCall, hedge_after,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -45,6 +45,7 @@
     pub calls: u64,
     pub refused: u64,
     pub retried: u64,
+    pub hedged: u64,
     /// Measuring messages and their bytes.
     pub probe_messages: u64,
     pub probe_bytes: u64,
@@ -58,6 +59,8 @@
     AtGuard { attempt: u64 },
     Done { attempt: u64 },
     AtEntry { attempt: u64, end: AttemptEnd },
+    Hedge { call: u64, attempt: u64 },
+    Cancel { attempt: u64 },
     Probe { entry: usize, target: usize },
     ProbeReply { entry: usize, target: usize, load: OrderedLoad },
     GuardTick { target: usize },
@@ -99,19 +102,25 @@
     began: MicroTime,
     deadline: MicroTime,
     account: u8,
+    /// Attempts under way.
+    open: Vec<u64>,
 }
 
 struct ModelAttempt {
     call: u64,
     target: usize,
     sent: MicroTime,
-    started: MicroTime,
+    /// When the target began it, if it did.
+    started: Option<MicroTime>,
+    /// Whether the guard has answered; the answer may still be on its way.
+    answered: bool,
 }
 
 struct ModelEntry {
     service: ServiceTargets,
     retry_budget: RetryBudget,
     probe_budget: ProbeBudget,
+    hedge_budget: RetryBudget,
 }
 
 struct ModelTarget {
@@ -153,6 +162,7 @@
     scenario: Scenario,
     policy: &'static SelectionPolicy,
     probing: bool,
+    hedging: bool,
     streams: ModelStreams,
     now: MicroTime,
     end: MicroTime,
@@ -171,10 +181,11 @@
         scenario: Scenario,
         policy: &'static SelectionPolicy,
         budget: Option<ModelBudget>,
+        hedging: bool,
         calls: u64,
         seed: u64,
     ) -> ModelResult {
-        let mut model = Self::open(scenario, policy, budget, calls, seed);
+        let mut model = Self::open(scenario, policy, budget, hedging, calls, seed);
         model.schedule(MicroTime(0), ModelEvent::Call);
         for target in 0..model.targets.len() {
             model.schedule(MicroTime(GUARD_TICK_US), ModelEvent::GuardTick { target });
@@ -203,6 +214,7 @@
         scenario: Scenario,
         policy: &'static SelectionPolicy,
         budget: Option<ModelBudget>,
+        hedging: bool,
         calls: u64,
         seed: u64,
     ) -> Self {
@@ -228,11 +240,13 @@
             ),
             retry_budget: RetryBudget::open(),
             probe_budget: ProbeBudget::open(limits.messages_per_s, limits.bytes_per_s),
+            hedge_budget: RetryBudget::open_hedges(),
         });
         Self {
             scenario,
             policy,
             probing: budget.is_some(),
+            hedging,
             streams: ModelStreams::open(seed),
             now: MicroTime(0),
             end: MicroTime((calls as f64 / rate) as u64),
@@ -249,6 +263,7 @@
                 calls: 0,
                 refused: 0,
                 retried: 0,
+                hedged: 0,
                 probe_messages: 0,
                 probe_bytes: 0,
                 thirds: [(0, 0); 3],
@@ -272,6 +287,8 @@
             ModelEvent::AtGuard { attempt } => self.at_guard(attempt),
             ModelEvent::Done { attempt } => self.done(attempt),
             ModelEvent::AtEntry { attempt, end } => self.at_entry(attempt, &end),
+            ModelEvent::Hedge { call, attempt } => self.hedge(call, attempt),
+            ModelEvent::Cancel { attempt } => self.cancel(attempt),
             ModelEvent::Probe { entry, target } => {
                 let load = OrderedLoad(self.targets[target].door.load());
                 let at = self.now + self.hop();
@@ -373,6 +390,7 @@
             began: self.now,
             deadline: self.now + MicroTime::from_millis(self.scenario.deadline_ms),
             account: self.streams.calls.random_range(0..2),
+            open: Vec::new(),
         };
         self.calls.insert(id, call);
         self.try_call(id);
@@ -397,19 +415,29 @@
         let Some(index) =
             service.choose(self.now, self.policy, &call.tried, &mut self.streams.policy)
         else {
-            self.end_call(id, false);
+            if call.open.is_empty() {
+                self.end_call(id, false);
+            }
             return;
         };
         let name = service.targets[index].name.clone();
+        let patience = hedge_after(service.targets[index].service_us());
         let target = target_index(&name);
         call.tried.push(name);
-        if self.probing {
-            self.probe(entry);
-        }
         self.sequence += 1;
         let attempt = self.sequence;
         let sent = self.now;
-        self.attempts.insert(attempt, ModelAttempt { call: id, target, sent, started: sent });
+        call.open.push(attempt);
+        if self.probing {
+            self.probe(entry);
+        }
+        self.attempts.insert(
+            attempt,
+            ModelAttempt { call: id, target, sent, started: None, answered: false },
+        );
+        if self.hedging && self.calls[&id].open.len() == 1 {
+            self.schedule(sent + patience, ModelEvent::Hedge { call: id, attempt });
+        }
         let at = self.now + self.hop();
         self.schedule(at, ModelEvent::AtGuard { attempt });
     }
@@ -427,8 +455,8 @@
     }
 
     fn at_guard(&mut self, attempt: u64) {
-        let ModelAttempt { call, target, .. } = self.attempts[&attempt];
-        let call = &self.calls[&call];
+        let Some(&ModelAttempt { call, target, .. }) = self.attempts.get(&attempt) else { return };
+        let Some(call) = self.calls.get(&call) else { return };
         let waiting = WaitingCall {
             call: CallId(u128::from(attempt)),
             account: format!("account-{}", call.account).as_str().into(),
@@ -461,7 +489,7 @@
 
     fn start(&mut self, target: usize, attempt: u64) {
         if let Some(attempt) = self.attempts.get_mut(&attempt) {
-            attempt.started = self.now;
+            attempt.started = Some(self.now);
         }
         let state = &mut self.targets[target];
         if state.running >= state.slots {
@@ -483,25 +511,71 @@
         self.schedule(self.now + MicroTime(took as u64), ModelEvent::Done { attempt });
     }
 
+    /// Starts a second attempt if the first one is still under way.
+    fn hedge(&mut self, call: u64, attempt: u64) {
+        let Some(state) = self.calls.get(&call) else { return };
+        if state.open != [attempt] || state.course.is_last_try() {
+            return;
+        }
+        if self.entries[state.entry].hedge_budget.take() {
+            self.result.hedged += 1;
+            self.try_call(call);
+        }
+    }
+
+    /// The guard hears that nobody waits for an attempt any more.
+    fn cancel(&mut self, attempt: u64) {
+        let Some(ModelAttempt { target, started, answered, .. }) = self.attempts.remove(&attempt)
+        else {
+            return;
+        };
+        if answered {
+            return;
+        }
+        let call = CallId(u128::from(attempt));
+        if started.is_none() {
+            self.step_door(target, AdmissionEvent::Cancel(call));
+            return;
+        }
+        let state = &mut self.targets[target];
+        if let Some(index) = state.backlog.iter().position(|waiting| *waiting == attempt) {
+            state.backlog.swap_remove(index);
+        } else {
+            self.free_slot(target);
+        }
+        let event = AdmissionEvent::Finish { call, took: None, failed: false };
+        self.step_door(target, event);
+    }
+
+    fn free_slot(&mut self, target: usize) {
+        match self.targets[target].backlog.pop() {
+            Some(next) => self.serve(target, next),
+            None => self.targets[target].running -= 1,
+        }
+    }
+
     fn done(&mut self, attempt: u64) {
-        let ModelAttempt { target, started, .. } = self.attempts[&attempt];
+        let Some(&ModelAttempt { target, started: Some(started), .. }) =
+            self.attempts.get(&attempt)
+        else {
+            return;
+        };
         let failed = self.targets[target].failing;
         let event = AdmissionEvent::Finish {
             call: CallId(u128::from(attempt)),
             took: Some(self.now.since(started)),
             failed,
         };
-        let next = self.targets[target].backlog.pop();
-        match next {
-            Some(next) => self.serve(target, next),
-            None => self.targets[target].running -= 1,
-        }
+        self.free_slot(target);
         self.step_door(target, event);
         let load = OrderedLoad(self.targets[target].door.load());
         self.reply(attempt, AttemptEnd::Answered { failed, load });
     }
 
     fn reply(&mut self, attempt: u64, end: AttemptEnd) {
+        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+            attempt.answered = true;
+        }
         let at = self.now + self.hop();
         self.schedule(at, ModelEvent::AtEntry { attempt, end });
     }
@@ -534,12 +608,18 @@
             AttemptEnd::Refused { .. } => TryEnd::Refused,
         };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        call.open.retain(|open| *open != attempt);
         if matches!(end, AttemptEnd::Refused { leaving: true, .. }) {
             call.gone.push(target_name(target));
         }
         let in_time = now < call.deadline;
         match call.course.step(try_end, in_time, &mut entry.retry_budget) {
-            NextStep::Deliver => self.end_call(id, !failed),
+            NextStep::Deliver => {
+                entry.hedge_budget.succeed();
+                self.end_call(id, !failed);
+            }
+            // The other attempt may still bring an answer.
+            _ if !call.open.is_empty() => {}
             NextStep::TryAgain => {
                 self.result.retried += 1;
                 self.try_call(id);
@@ -554,6 +634,16 @@
     /// Books a call; one that was not served counts its whole deadline.
     fn end_call(&mut self, id: u64, answered: bool) {
         let Some(call) = self.calls.remove(&id) else { return };
+        for &attempt in &call.open {
+            let target = self.attempts.get(&attempt).map(|attempt| attempt.target);
+            let record = target
+                .and_then(|target| self.entries[call.entry].service.find(&target_name(target)));
+            if let Some(record) = record {
+                record.finish(self.now, None, false);
+            }
+            let at = self.now + self.hop();
+            self.schedule(at, ModelEvent::Cancel { attempt });
+        }
         let deadline = call.deadline.since(call.began);
         let took = self.now.since(call.began);
         let served = answered && took <= deadline;
--- a/src/config.rs
+++ b/src/config.rs
@@ -71,6 +71,10 @@
     /// Time a call has, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline_ms: Option<u32>,
+    /// Whether a slow call gets a second try beside the first; only for
+    /// repeatable calls that make no calls of their own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hedge: Option<bool>,
 }
 
 /// The parameters of one client account.
@@ -111,6 +115,8 @@
     pub repeatable: bool,
     /// Time the call has, in milliseconds.
     pub deadline_ms: u32,
+    /// Whether a slow call gets a second try beside the first.
+    pub hedge: bool,
 }
 
 const fn default_deadline() -> u32 {
@@ -121,7 +127,7 @@
     1
 }
 
-const TERMS: [FieldRule; 4] = [
+const TERMS: [FieldRule; 5] = [
     FieldRule { name: "urgent", kind: FieldKind::Flag, required: false },
     FieldRule { name: "worth", kind: FieldKind::Whole(1, 100), required: false },
     FieldRule { name: "repeatable", kind: FieldKind::Flag, required: false },
@@ -130,6 +136,7 @@
         kind: FieldKind::Whole(1, MAX_DEADLINE_MS as u64),
         required: false,
     },
+    FieldRule { name: "hedge", kind: FieldKind::Flag, required: false },
 ];
 
 const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
@@ -142,6 +149,7 @@
     TERMS[1].copy(),
     TERMS[2].copy(),
     TERMS[3].copy(),
+    TERMS[4].copy(),
 ];
 
 const SERVICE_RULES: &[FieldRule] = &[
@@ -158,6 +166,7 @@
     TERMS[1].copy(),
     TERMS[2].copy(),
     TERMS[3].copy(),
+    TERMS[4].copy(),
 ];
 
 const ACCOUNT_RULES: &[FieldRule] = &[
@@ -247,6 +256,7 @@
             },
             repeatable: pick(own, base, |terms| terms.repeatable).unwrap_or(safe),
             deadline_ms: pick(own, base, |terms| terms.deadline_ms).unwrap_or(service.deadline_ms),
+            hedge: pick(own, base, |terms| terms.hedge).unwrap_or(false),
         }
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -26,6 +26,7 @@
 use crate::config::{CallTerms, FleetConfig};
 use crate::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
 use crate::headers;
+use crate::hedge;
 use crate::ids::{AccountName, ServiceName, TargetName};
 use crate::membership::FleetView;
 use crate::metrics::DaemonMetrics;
@@ -70,6 +71,7 @@
     pub(crate) probe_budget: RefCell<ProbeBudget>,
     pub(crate) probe_socket: UdpSocket,
     pub(crate) rng: RefCell<Pcg64Mcg>,
+    pub(crate) hedge_budget: RefCell<RetryBudget>,
     retry_budget: RefCell<RetryBudget>,
     active: RefCell<Option<ActiveRevision>>,
     least_revision: RefCell<Option<u64>>,
@@ -103,6 +105,17 @@
     pub(crate) claim: Option<KeyClaim>,
 }
 
+/// A target as it was chosen for a try.
+#[derive(Debug)]
+pub(crate) struct ChosenTarget {
+    pub(crate) name: TargetName,
+    pub(crate) place: TargetPlace,
+    /// Time it takes for a call, as far as known, in microseconds.
+    pub(crate) service_us: f64,
+    /// Targets that stay untried.
+    pub(crate) others: usize,
+}
+
 /// Runs the duty until the thread's runtime ends.
 pub(crate) async fn run(
     parts: EntryParts,
@@ -122,6 +135,7 @@
         probe_budget: RefCell::new(ProbeBudget::open(budget.messages_per_s, budget.bytes_per_s)),
         probe_socket,
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
+        hedge_budget: RefCell::new(RetryBudget::open_hedges()),
         retry_budget: RefCell::new(RetryBudget::open()),
         active: RefCell::default(),
         least_revision: RefCell::default(),
@@ -260,7 +274,6 @@
 
     /// Tries targets until one answers, or until no further try is allowed.
     async fn route(self: &Rc<Self>, mut call: CallerCall) -> Response<EntryBody> {
-        let policy = self.policy(&call.service);
         let mut tried: Vec<TargetName> = Vec::new();
         // Of those, the ones that will not be free again soon.
         let mut gone: Vec<TargetName> = Vec::new();
@@ -271,26 +284,27 @@
                 // Where it was full there may be the shortest queue all the same.
                 tried.retain(|name| gone.contains(name));
             }
-            let Some((target, place, others)) = self.choose(&call, policy, &tried) else {
+            let Some(chosen) = self.choose(&call, &tried) else {
                 return give_up(course.give_up(), refusal);
             };
             crate::measure::probe_some(self, &call.service);
-            tried.push(target.clone());
-            let last = course.is_last_try() || others == 0;
-            let (end, cause) = match attempt::run(self, &call, &target, &place, last).await {
+            tried.push(chosen.name.clone());
+            let last = course.is_last_try() || chosen.others == 0;
+            let (end, cause) = match hedge::run(self, &call, &chosen, last, &mut tried).await {
                 AttemptEnd::Answered(response) => {
                     course.step(TryEnd::Answered, true, &mut self.retry_budget.borrow_mut());
+                    self.hedge_budget.borrow_mut().succeed();
                     return response;
                 }
                 AttemptEnd::Refused { reason, retry_after_ms } => {
                     refusal = (reason.label(), retry_after_ms);
                     if !reason.is_load() {
-                        gone.push(target);
+                        gone.push(chosen.name);
                     }
                     (TryEnd::Refused, reason.label())
                 }
                 AttemptEnd::Lost => {
-                    gone.push(target);
+                    gone.push(chosen.name);
                     (TryEnd::Lost, "lost")
                 }
                 AttemptEnd::Claimed { row, version } => {
@@ -318,20 +332,21 @@
         name.and_then(selection::policy).unwrap_or_else(selection::default_policy)
     }
 
-    /// Chooses a target; returns it, its place, and how many stay untried.
-    fn choose(
-        &self,
-        call: &CallerCall,
-        policy: &selection::SelectionPolicy,
-        tried: &[TargetName],
-    ) -> Option<(TargetName, TargetPlace, usize)> {
+    /// Chooses a target that is not in `tried`.
+    pub(crate) fn choose(&self, call: &CallerCall, tried: &[TargetName]) -> Option<ChosenTarget> {
+        let policy = self.policy(&call.service);
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
         let index = targets.choose(now, policy, tried, &mut self.rng.borrow_mut())?;
         let record = &targets.targets[index];
         let others = targets.targets.len().saturating_sub(tried.len() + 1);
-        Some((record.name.clone(), record.place.clone()?, others))
+        Some(ChosenTarget {
+            name: record.name.clone(),
+            place: record.place.clone()?,
+            service_us: record.service_us(),
+            others,
+        })
     }
 
     /// Finds out about an earlier call with the same key.
@@ -380,6 +395,7 @@
             "least_revision": *self.least_revision.borrow(),
             "services": self.registry.borrow().services,
             "retry_budget": *self.retry_budget.borrow(),
+            "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
             "caller_connections": *self.open.borrow(),
             "guard_connections": self.pool.len(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 mod guard;
 mod h2io;
 mod headers;
+mod hedge;
 mod ids;
 mod lease;
 mod log;
@@ -88,7 +89,7 @@
 pub use probe::ProbeBudget;
 pub use publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use reply::CallOutcome;
-pub use retry::{CallCourse, NextStep, RetryBudget, TryEnd};
+pub use retry::{CallCourse, NextStep, RetryBudget, TryEnd, hedge_after};
 pub use revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
 pub use selection::{
     DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -6,44 +6,69 @@
 
 use serde::Serialize;
 
+use crate::clock::MicroTime;
 use crate::consts::MAX_ATTEMPTS;
 
-/// Retries earned by one success.
-const EARNED: f64 = 0.1;
+/// Retries earned by one answered call, and retries that can be saved up.
+const RETRIES: (f64, f64) = (0.1, 10.0);
 
-/// Retries that can be saved up.
-const SAVED: f64 = 10.0;
+/// Hedges earned by one answered call, and hedges that can be saved up.
+const HEDGES: (f64, f64) = (0.05, 5.0);
 
-/// A budget of retries as a share of successes.
+/// How much longer than expected a try may take before it is hedged.
+const HEDGE_FACTOR: f64 = 3.0;
+
+/// A budget of further tries, as a share of the calls that were answered.
 ///
-/// Invariant: over any run, retries granted ≤ 10 + 0.1 × successes.
+/// Invariant: over any run, tries granted ≤ `saved` + `earned` × answered.
 #[derive(Clone, Debug, Serialize)]
 pub struct RetryBudget {
+    earned: f64,
+    saved: f64,
     tokens: f64,
+    /// Tries granted so far.
+    pub granted: u64,
 }
 
 impl RetryBudget {
-    /// Opens a budget with its savings full.
+    /// Opens the budget of retries, with its savings full.
     #[must_use]
     pub const fn open() -> Self {
-        Self { tokens: SAVED }
+        Self::with_rates(RETRIES)
+    }
+
+    /// Opens the budget of hedges: second tries beside a slow first one.
+    #[must_use]
+    pub const fn open_hedges() -> Self {
+        Self::with_rates(HEDGES)
+    }
+
+    const fn with_rates((earned, saved): (f64, f64)) -> Self {
+        Self { earned, saved, tokens: saved, granted: 0 }
     }
 
     /// Notes a call that was answered.
     pub fn succeed(&mut self) {
-        self.tokens = (self.tokens + EARNED).min(SAVED);
+        self.tokens = (self.tokens + self.earned).min(self.saved);
     }
 
-    /// Takes one retry, if the budget has one.
+    /// Takes one try, if the budget has one.
     pub fn take(&mut self) -> bool {
         let granted = self.tokens >= 1.0;
         if granted {
             self.tokens -= 1.0;
+            self.granted += 1;
         }
         granted
     }
 }
 
+/// Returns how long to wait for a try that was expected to take `service_us`.
+#[must_use]
+pub fn hedge_after(service_us: f64) -> MicroTime {
+    MicroTime((service_us * HEDGE_FACTOR) as u64)
+}
+
 /// How one try of a call ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TryEnd {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -33,7 +33,7 @@
 ///
 /// Greater spreads calls wider and survives bursts better, smaller keeps them
 /// on the fast hosts; docs/design/policy.md has the table.
-const CROWDING: f64 = 2.0;
+const CROWDING: f64 = 1.5;
 
 /// Time over which a target that joined gets its full part of the load.
 const SLOW_START_US: f64 = 5_000_000.0;
@@ -142,13 +142,19 @@
         }
     }
 
+    /// Returns the time the target takes for a call, in microseconds.
+    #[must_use]
+    pub fn service_us(&self) -> f64 {
+        match self.load.service_us {
+            0 => UNKNOWN_SERVICE_US,
+            known => f64::from(known),
+        }
+    }
+
     /// Estimates when a call sent now would be answered, in microseconds.
     fn expected_us(&self, now: MicroTime) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
-        let service = match self.load.service_us {
-            0 => UNKNOWN_SERVICE_US,
-            known => f64::from(known),
-        };
+        let service = self.service_us();
         let age = now.since(self.heard).0 as f64;
         let weight = (-age / LOAD_HALF_LIFE_US * std::f64::consts::LN_2).exp();
         let told = f64::from(self.load.in_flight + self.load.queued);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -39,8 +39,10 @@
     pub seed: Option<u64>,
 }
 
-/// The set budget of measuring messages.
-#[derive(Clone, Copy, Debug, Deserialize)]
+/// The set budget of measuring messages; none by default.
+///
+/// Loads travel on every answer anyway; docs/design/policy.md has the figures.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
 pub struct BudgetSettings {
     /// Messages in a second, at most.
     pub messages_per_s: u32,
@@ -48,12 +50,6 @@
     pub bytes_per_s: u32,
 }
 
-impl Default for BudgetSettings {
-    fn default() -> Self {
-        Self { messages_per_s: 50, bytes_per_s: 8_000 }
-    }
-}
-
 const fn default_stop() -> u64 {
     20_000
 }
