Pace writes to the table, and make an exchange no news

Cause: two slopes were bad. (1) 16 callers of keyed calls against a table of 300 writes a second: 909 of 960 not run, since each daemon committed as fast as it could, was refused and gave every claim up. (2) a daemon that learned 1,100 members from an exchange spread all of them as news: 137 us a gossip period and full datagrams for the next hour.

Ruled out: failing claims less eagerly alone (the refusals stayed); a larger batch (batches held 1.5 claims because the loop never waited).

Change: claims and outcomes share one queue and one transaction; CommitPace doubles the wait at a refusal and shortens it slowly; refused claims wait their turn until their caller's time is up; after a second of refusals the table counts as down and only one claim at a time tries it. Records first heard of in an exchange are no news.

Claims gathered at a few daemons would carry more; not built.

--- /dev/null
+++ b/benches/capacity/members.rs
@@ -0,0 +1,127 @@
+//! Membership by the thousand, in one process and without I/O.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use railspan::{
+    DaemonIncarnation, GossipKind, GossipMessage, MemberRecord, MemberState, MembershipAction,
+    MembershipEvent, MembershipState, MicroTime, TargetNotice, encode,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+/// Sizes measured; the last but one is the size to design for.
+const SIZES: &[usize] = &[275, 550, 1_100, 2_200];
+
+/// Periods driven.
+const PERIODS: u64 = 400;
+
+/// Services of the fleet.
+const SERVICES: usize = 79;
+
+pub fn measure() {
+    println!("members  us/period  us/message  B/period  exchange_B  state_KiB");
+    for &size in SIZES {
+        measure_size(size);
+    }
+}
+
+fn measure_size(size: usize) {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let before = super::usage::read(std::process::id()).memory_mib;
+    let mut state = MembershipState::open(record(0));
+    let mut out = Vec::new();
+    let others: Vec<MemberRecord> = (1..size).map(record).collect();
+    let exchange: usize =
+        others.iter().filter_map(|record| encode(record).ok()).map(|b| b.len()).sum();
+    state.step(MicroTime(0), MembershipEvent::Learn(others), &mut rng, &mut out);
+    let memory = (super::usage::read(std::process::id()).memory_mib - before) * 1_024.0;
+
+    // The first periods spread the news of everybody; then it is calm.
+    let mut now = 0;
+    drive(&mut state, &mut now, 2_000, &mut rng);
+    let began = Instant::now();
+    let bytes = drive(&mut state, &mut now, PERIODS, &mut rng);
+    let period = began.elapsed().as_secs_f64() * 1e6 / PERIODS as f64;
+
+    let began = Instant::now();
+    for number in 0..PERIODS {
+        let message = ping(number);
+        out.clear();
+        let event = MembershipEvent::Message { from: address(1), message };
+        state.step(MicroTime::from_millis(now), event, &mut rng, &mut out);
+    }
+    let message = began.elapsed().as_secs_f64() * 1e6 / PERIODS as f64;
+    println!(
+        "{size:>7} {period:>10.1} {message:>11.1} {:>9.0} {exchange:>11} {memory:>10.0}",
+        bytes as f64 / PERIODS as f64
+    );
+}
+
+/// Drives so many periods of five ticks, each probe answered; returns bytes sent.
+fn drive(state: &mut MembershipState, now: &mut u64, periods: u64, rng: &mut Pcg64Mcg) -> usize {
+    let mut bytes = 0;
+    for _ in 0..periods * 5 {
+        *now += 100;
+        let mut out = Vec::new();
+        state.step(MicroTime::from_millis(*now), MembershipEvent::Tick, rng, &mut out);
+        let answers: Vec<MembershipEvent> = out
+            .iter()
+            .filter_map(|action| {
+                let MembershipAction::Send { to, message } = action else { return None };
+                bytes += encode(message).map_or(0, |encoded| encoded.len());
+                let index = usize::from(to.port()) - 10_000;
+                Some(MembershipEvent::Message { from: *to, message: ack(index, message.number) })
+            })
+            .collect();
+        for answer in answers {
+            state.step(MicroTime::from_millis(*now), answer, rng, &mut Vec::new());
+        }
+    }
+    bytes
+}
+
+fn ping(number: u64) -> GossipMessage {
+    GossipMessage {
+        from: host(1).as_str().into(),
+        kind: GossipKind::Ping,
+        number,
+        revision: 1,
+        digest: 0,
+        updates: Vec::new(),
+    }
+}
+
+fn ack(index: usize, number: u64) -> GossipMessage {
+    GossipMessage { from: host(index).as_str().into(), kind: GossipKind::Ack, ..ping(number) }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16))
+}
+
+fn host(index: usize) -> String {
+    format!("host-plata-{index:04}")
+}
+
+fn record(index: usize) -> MemberRecord {
+    let service = format!("service-{:02}", index % SERVICES);
+    MemberRecord {
+        host: host(index).as_str().into(),
+        data_centre: format!("ba-norte-{}", index % 6).as_str().into(),
+        incarnation: DaemonIncarnation(u64::MAX - index as u64),
+        version: 3,
+        state: MemberState::Alive,
+        guard: address(index),
+        peer: address(index),
+        caller: address(index),
+        admin: address(index),
+        targets: vec![TargetNotice {
+            service: service.as_str().into(),
+            name: format!("{service}-target-{index:04}").as_str().into(),
+            slots: 12,
+            ready: true,
+        }],
+        revision: 560,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 mod metrics;
 mod operator;
 mod outcome;
+mod pace;
 mod peers;
 mod platform;
 mod pool;
@@ -86,6 +87,7 @@
     MembershipEvent, MembershipState, SYNC_BUCKETS, TargetNotice,
 };
 pub use outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer, RowVerdict};
+pub use pace::CommitPace;
 pub use probe::ProbeBudget;
 pub use publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use reply::CallOutcome;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -295,7 +295,7 @@
             MembershipEvent::Tick => self.tick(now, rng, out),
             MembershipEvent::Message { from, message } => self.receive(now, from, message, out),
             MembershipEvent::Local { targets, revision } => self.change_own(targets, revision, out),
-            MembershipEvent::Learn(records) => self.learn(now, records, out),
+            MembershipEvent::Learn(records) => self.learn_whole(now, records, out),
             MembershipEvent::Leave => self.leave(rng, out),
         }
     }
@@ -524,6 +524,26 @@
         }
     }
 
+    /// Learns from the table or an exchange.
+    ///
+    /// Who was not known before is no news: the others know it already, or
+    /// hear of it from itself.
+    fn learn_whole(
+        &mut self,
+        now: MicroTime,
+        records: Vec<MemberRecord>,
+        out: &mut Vec<MembershipAction>,
+    ) {
+        for record in records {
+            let host = record.host.clone();
+            let known = host == self.own.host || self.members.contains_key(&host);
+            self.learn(now, vec![record], out);
+            if !known {
+                self.news.remove(&host);
+            }
+        }
+    }
+
     fn learn(
         &mut self,
         now: MicroTime,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,16 +15,18 @@
 use tokio::task::spawn_local;
 
 use crate::admin::AdminEvent;
+use crate::clock::ProcessClock;
 use crate::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
 use crate::entry::EntryEvent;
 use crate::membership::MemberRecord;
 use crate::metrics::DaemonMetrics;
 use crate::outcome::ClaimRow;
+use crate::pace::CommitPace;
 use crate::peers::PeersEvent;
 use crate::publish::{body_name, read_head};
 use crate::revision::{ActiveRevision, RevisionHead, RevisionState};
 use crate::ring::{RingInbox, RingSender};
-use crate::table::{PlatformClient, PlatformError, TableRow, TableWrite};
+use crate::table::{CommitReply, PlatformClient, PlatformError, TableRow, TableWrite};
 
 /// Start of the keys of member rows.
 const MEMBER_PREFIX: &str = "member-";
@@ -35,9 +37,6 @@
 /// Tries of the bootstrap between two tries of the seeds.
 const SEED_ROUNDS: u32 = 4;
 
-/// Wait before a write is tried again in an outage.
-const WRITE_PAUSE: Duration = Duration::from_millis(300);
-
 /// Writes kept for the end of an outage.
 const MAX_PENDING_WRITES: usize = 10_000;
 
@@ -73,6 +72,57 @@
     pub(crate) reply: oneshot::Sender<ClaimReply>,
 }
 
+/// A write that waits for its transaction.
+#[derive(Debug)]
+enum PendingWrite {
+    /// A claim that a call waits for.
+    Claim(ClaimRequest),
+    /// An outcome, a release, or another write that nobody waits for.
+    Outcome(TableWrite),
+}
+
+impl PendingWrite {
+    fn key(&self) -> &str {
+        match self {
+            Self::Claim(request) => &request.key,
+            Self::Outcome(write) => &write.key,
+        }
+    }
+
+    fn write(&self) -> TableWrite {
+        match self {
+            Self::Claim(request) => TableWrite {
+                key: request.key.clone(),
+                expect: Some(request.expect),
+                value: serde_json::to_string(&request.row).ok(),
+            },
+            Self::Outcome(write) => write.clone(),
+        }
+    }
+
+    /// Drops a claim that was given up; refuses one while the table is down.
+    fn still_wanted(self, hopeless: bool) -> Option<Self> {
+        match self {
+            Self::Claim(request) if request.reply.is_closed() => None,
+            Self::Claim(request) if hopeless => {
+                drop(request.reply.send(ClaimReply::Failed));
+                None
+            }
+            pending => Some(pending),
+        }
+    }
+
+    /// Ends a claim whose key another call holds.
+    fn found(self, row: &TableRow) {
+        let Self::Claim(request) = self else { return };
+        let reply = match parse_claim(row) {
+            Some(found) => ClaimReply::Found { row: Box::new(found), version: row.version },
+            None => ClaimReply::Failed,
+        };
+        drop(request.reply.send(reply));
+    }
+}
+
 /// How a claim ended.
 #[derive(Debug)]
 pub(crate) enum ClaimReply {
@@ -95,10 +145,10 @@
 struct PlatformDuty {
     client: PlatformClient,
     revisions: RefCell<RevisionState>,
-    claims: RefCell<VecDeque<ClaimRequest>>,
-    claims_wake: Notify,
-    writes: RefCell<VecDeque<TableWrite>>,
-    writes_wake: Notify,
+    pending: RefCell<VecDeque<PendingWrite>>,
+    pending_wake: Notify,
+    pace: RefCell<CommitPace>,
+    clock: ProcessClock,
     poll_wake: Notify,
     fleet_size: RefCell<usize>,
     rng: RefCell<Pcg64Mcg>,
@@ -120,10 +170,10 @@
     let duty = Rc::new(PlatformDuty {
         client,
         revisions: RefCell::default(),
-        claims: RefCell::default(),
-        claims_wake: Notify::new(),
-        writes: RefCell::default(),
-        writes_wake: Notify::new(),
+        pending: RefCell::default(),
+        pending_wake: Notify::new(),
+        pace: RefCell::new(CommitPace::open()),
+        clock: ProcessClock::open(),
         poll_wake: Notify::new(),
         fleet_size: RefCell::new(1),
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -133,14 +183,10 @@
     });
     spawn_local(Rc::clone(&duty).bootstrap(own.clone()));
     spawn_local(Rc::clone(&duty).poll_heads());
-    spawn_local(Rc::clone(&duty).commit_claims());
-    spawn_local(Rc::clone(&duty).commit_writes());
+    spawn_local(Rc::clone(&duty).commit_all());
     loop {
         match inbox.next().await {
-            PlatformEvent::Claim(request) => {
-                duty.claims.borrow_mut().push_back(request);
-                duty.claims_wake.notify_one();
-            }
+            PlatformEvent::Claim(request) => duty.keep(PendingWrite::Claim(request)),
             PlatformEvent::Write(write) => duty.keep_write(write),
             PlatformEvent::Offer { head, body } => duty.adopt(&head, &body),
             PlatformEvent::Hint => duty.poll_wake.notify_one(),
@@ -271,67 +317,113 @@
         }
     }
 
-    /// Writes claims, as many in one transaction as came during the last one.
-    async fn commit_claims(self: Rc<Self>) {
+    /// Writes claims and outcomes, as many in one transaction as came meanwhile.
+    async fn commit_all(self: Rc<Self>) {
         loop {
-            let batch = self.next_claims();
+            let batch = self.next_batch();
             if batch.is_empty() {
-                self.claims_wake.notified().await;
+                self.pending_wake.notified().await;
                 continue;
             }
             self.commit_batch(batch).await;
+            let pause = self.pace.borrow().pause();
+            tokio::time::sleep(pause.duration()).await;
         }
     }
 
-    /// Takes claims on different keys; a second one on a key waits its turn.
-    fn next_claims(&self) -> Vec<ClaimRequest> {
-        let mut queue = self.claims.borrow_mut();
-        let mut batch: Vec<ClaimRequest> = Vec::new();
+    fn keep(&self, pending: PendingWrite) {
+        let mut queue = self.pending.borrow_mut();
+        if queue.len() >= MAX_PENDING_WRITES {
+            self.metrics.shed.with_label_values(&["platform_writes"]).inc();
+            return;
+        }
+        queue.push_back(pending);
+        self.pending_wake.notify_one();
+    }
+
+    fn keep_write(&self, write: TableWrite) {
+        self.keep(PendingWrite::Outcome(write));
+    }
+
+    /// Takes writes of different rows; a second one of a row waits its turn.
+    fn next_batch(&self) -> Vec<PendingWrite> {
+        let down = self.pace.borrow().is_down(self.clock.now());
+        let mut queue = self.pending.borrow_mut();
+        let mut batch: Vec<PendingWrite> = Vec::new();
         let mut later = VecDeque::new();
-        while let Some(request) = queue.pop_front() {
-            if request.reply.is_closed() {
-                continue;
-            }
-            let twin = batch.iter().any(|other| other.key == request.key);
+        while let Some(pending) = queue.pop_front() {
+            // While the table is down one claim at a time tries whether it is back.
+            let hopeless = down && !batch.is_empty();
+            let Some(pending) = pending.still_wanted(hopeless) else { continue };
+            let twin = batch.iter().chain(&later).any(|other| other.key() == pending.key());
             if twin || batch.len() >= MAX_CLAIM_BATCH {
-                later.push_back(request);
+                later.push_back(pending);
             } else {
-                batch.push(request);
+                batch.push(pending);
             }
         }
         *queue = later;
         batch
     }
 
-    async fn commit_batch(&self, mut batch: Vec<ClaimRequest>) {
+    async fn commit_batch(&self, mut batch: Vec<PendingWrite>) {
         while !batch.is_empty() {
-            let writes: Vec<TableWrite> = batch.iter().map(claim_write).collect();
+            let writes: Vec<TableWrite> = batch.iter().map(PendingWrite::write).collect();
             let reply = self.client.commit(&writes).await;
-            self.count("claim", &reply);
+            self.count("commit", &reply);
             self.metrics.claims.with_label_values(&["transactions"]).inc();
-            self.metrics.claims.with_label_values(&["claims"]).inc_by(batch.len() as u64);
+            self.metrics.claims.with_label_values(&["writes"]).inc_by(batch.len() as u64);
             batch = match reply {
-                Ok(reply) if reply.committed => {
-                    for (request, version) in batch.into_iter().zip(reply.versions) {
-                        self.hold(request, version);
-                    }
-                    return;
+                Ok(reply) => {
+                    self.pace.borrow_mut().accept();
+                    self.sort_out(batch, &reply)
                 }
-                Ok(reply) => settle_conflicts(batch, &reply.conflicts, &reply.missing),
                 Err(PlatformError::Lost { .. }) => return self.read_back(batch).await,
                 Err(_down) => {
-                    for request in batch {
-                        drop(request.reply.send(ClaimReply::Failed));
-                    }
-                    return;
+                    self.pace.borrow_mut().refuse(self.clock.now());
+                    return self.put_back(batch);
                 }
             };
         }
     }
 
-    /// Settles claims whose commit's answer was lost.
-    async fn read_back(&self, batch: Vec<ClaimRequest>) {
-        for request in batch {
+    /// Ends the writes that a transaction decided; returns those to try again.
+    fn sort_out(&self, batch: Vec<PendingWrite>, reply: &CommitReply) -> Vec<PendingWrite> {
+        if reply.committed {
+            for (pending, version) in batch.into_iter().zip(&reply.versions) {
+                if let PendingWrite::Claim(request) = pending {
+                    self.hold(request, *version);
+                }
+            }
+            return Vec::new();
+        }
+        let mut rest = Vec::new();
+        for mut pending in batch {
+            let conflict = reply.conflicts.iter().find(|row| row.key == pending.key());
+            let missing = reply.missing.iter().any(|key| key == pending.key());
+            match (&mut pending, conflict) {
+                (PendingWrite::Claim(_), Some(row)) => pending.found(row),
+                (PendingWrite::Claim(request), None) if missing => {
+                    // The row to take over was released meanwhile.
+                    request.expect = 0;
+                    rest.push(pending);
+                }
+                // An outcome that conflicts was written before, or is void.
+                (PendingWrite::Outcome(_), Some(_)) => {}
+                (PendingWrite::Outcome(_), None) if missing => {}
+                _ => rest.push(pending),
+            }
+        }
+        rest
+    }
+
+    /// Settles writes whose commit's answer was lost.
+    async fn read_back(&self, batch: Vec<PendingWrite>) {
+        for pending in batch {
+            let PendingWrite::Claim(request) = pending else {
+                self.keep(pending);
+                continue;
+            };
             let row = self.client.row(&request.key).await;
             self.count("read_back", &row);
             match row {
@@ -340,7 +432,7 @@
                     if own {
                         self.hold(request, row.version);
                     } else {
-                        found(request, &row);
+                        PendingWrite::Claim(request).found(&row);
                     }
                 }
                 // The write may still come; the call must not run on it.
@@ -357,65 +449,10 @@
         }
     }
 
-    fn keep_write(&self, write: TableWrite) {
-        let mut writes = self.writes.borrow_mut();
-        if writes.len() >= MAX_PENDING_WRITES {
-            self.metrics.shed.with_label_values(&["platform_writes"]).inc();
-            return;
-        }
-        writes.push_back(write);
-        self.writes_wake.notify_one();
-    }
-
-    /// Writes what has to be written some time, each row by itself on conflict.
-    async fn commit_writes(self: Rc<Self>) {
-        loop {
-            let batch = self.next_writes();
-            if batch.is_empty() {
-                self.writes_wake.notified().await;
-                continue;
-            }
-            let reply = self.client.commit(&batch).await;
-            self.count("write", &reply);
-            match reply {
-                Ok(reply) if reply.committed => {}
-                Ok(reply) => self.retry_writes(batch, &reply.conflicts, &reply.missing),
-                Err(_down_or_lost) => {
-                    self.put_back(batch);
-                    tokio::time::sleep(WRITE_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    fn next_writes(&self) -> Vec<TableWrite> {
-        let mut writes = self.writes.borrow_mut();
-        let mut batch: Vec<TableWrite> = Vec::new();
-        while let Some(write) = writes.front() {
-            let twin = batch.iter().any(|other| other.key == write.key);
-            if twin || batch.len() >= MAX_CLAIM_BATCH {
-                break;
-            }
-            batch.extend(writes.pop_front());
-        }
-        batch
-    }
-
-    fn put_back(&self, batch: Vec<TableWrite>) {
-        let mut writes = self.writes.borrow_mut();
-        for write in batch.into_iter().rev() {
-            writes.push_front(write);
-        }
-    }
-
-    /// Keeps the writes that did not conflict; a conflict means it is done, or void.
-    fn retry_writes(&self, batch: Vec<TableWrite>, conflicts: &[TableRow], missing: &[String]) {
-        for write in batch {
-            let void =
-                conflicts.iter().any(|row| row.key == write.key) || missing.contains(&write.key);
-            if !void {
-                self.keep_write(write);
-            }
+    fn put_back(&self, batch: Vec<PendingWrite>) {
+        let mut queue = self.pending.borrow_mut();
+        for pending in batch.into_iter().rev() {
+            queue.push_front(pending);
         }
     }
 
@@ -434,8 +471,9 @@
         json!({
             "revision": revisions.active().map(|active| &active.head),
             "missing": revisions.missing(),
-            "claims_waiting": self.claims.borrow().len(),
-            "writes_waiting": self.writes.borrow().len(),
+            "writes_waiting": self.pending.borrow().len(),
+            "write_pause_ms": self.pace.borrow().pause().0 as f64 / 1_000.0,
+            "platform_down": self.pace.borrow().is_down(self.clock.now()),
             "fleet_size": *self.fleet_size.borrow(),
         })
     }
@@ -445,43 +483,6 @@
     format!("{MEMBER_PREFIX}{}", own.host)
 }
 
-fn claim_write(request: &ClaimRequest) -> TableWrite {
-    TableWrite {
-        key: request.key.clone(),
-        expect: Some(request.expect),
-        value: serde_json::to_string(&request.row).ok(),
-    }
-}
-
-/// Answers the claims that conflict and returns the rest, to be tried again.
-fn settle_conflicts(
-    batch: Vec<ClaimRequest>,
-    conflicts: &[TableRow],
-    missing: &[String],
-) -> Vec<ClaimRequest> {
-    let mut rest = Vec::new();
-    for mut request in batch {
-        if let Some(row) = conflicts.iter().find(|row| row.key == request.key) {
-            found(request, row);
-        } else if missing.contains(&request.key) {
-            // The row to take over was released meanwhile.
-            request.expect = 0;
-            rest.push(request);
-        } else {
-            rest.push(request);
-        }
-    }
-    rest
-}
-
-fn found(request: ClaimRequest, row: &TableRow) {
-    let reply = match parse_claim(row) {
-        Some(found) => ClaimReply::Found { row: Box::new(found), version: row.version },
-        None => ClaimReply::Failed,
-    };
-    drop(request.reply.send(reply));
-}
-
 fn parse_claim(row: &TableRow) -> Option<ClaimRow> {
     serde_json::from_str(&row.value).ok()
 }
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -93,6 +93,19 @@
         Self { client }
     }
 
+    /// Reads a page of a target directly, as a baseline.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the page can't be had.
+    pub async fn get(&self, target: SocketAddr, path: &str) -> io::Result<Bytes> {
+        let request = Request::get(format!("http://{target}{path}")).body(Full::default());
+        let request = request.map_err(io::Error::other)?;
+        let response = self.client.request(request).await.map_err(io::Error::other)?;
+        let body = response.into_body().collect().await.map_err(io::Error::other)?;
+        Ok(body.to_bytes())
+    }
+
     /// Makes one call through a daemon and checks its answer.
     pub async fn call(&self, daemon: SocketAddr, call: &CallRequest) -> CallReport {
         let since = Instant::now();
