Keep no fate of calls that may run twice; bound pauses in bodies

Also, a caller that reads slowly, or a target that stalls in a body, held a slot for ever; and a revoked call was told to come back after 0 ms.

Ruled out: a larger memory alone (at 336 a second and 300 seconds it would be 100,000 finished calls besides the denied ones).

Change: a call that may run twice is forgotten when it ended, since nobody asks for its fate; denied calls and keyed outcomes are kept 150 seconds, over the longest deadline of 120; 200,000 entries of 16 bytes and a key. A pause of 30 seconds in a body breaks it.

The pause limits have no test of their own.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -118,7 +118,10 @@
         Err(_elapsed) => {
             let fate = revoke(duty, place.guard, place.incarnation, head.call, call.deadline).await;
             if fate == Some(CallFate::NotRun) {
-                return AttemptEnd::Refused { reason: RefusalReason::Revoked, retry_after_ms: 0 };
+                return AttemptEnd::Refused {
+                    reason: RefusalReason::Revoked,
+                    retry_after_ms: UNREACHABLE_RETRY_MS,
+                };
             }
             let Ok(answered) = timeout_at(deadline, &mut answer).await else {
                 outstanding.failed = fate.is_none();
--- a/src/consts.rs
+++ b/src/consts.rs
@@ -34,10 +34,16 @@
 /// How long the fate of a finished or revoked call is remembered.
 ///
 /// Longer than [`MAX_DEADLINE_MS`], so that no late copy outlives the memory.
-pub const LEDGER_RETENTION: Duration = Duration::from_secs(300);
+pub const LEDGER_RETENTION: Duration = Duration::from_secs(150);
 
 /// How many calls one guard remembers at most.
-pub const LEDGER_CAPACITY: usize = 60_000;
+///
+/// Room for 1,300 denied calls a second, four times the mean rate of a target
+/// at the size to design for.
+pub const LEDGER_CAPACITY: usize = 200_000;
+
+/// Longest pause in a body, from a target or towards a caller.
+pub const BODY_STALL: Duration = Duration::from_secs(30);
 
 /// Time a target's announcement stays valid without a heartbeat.
 pub const TARGET_LEASE: Duration = Duration::from_secs(3);
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -100,7 +100,7 @@
     /// Revoked or refused: must never be dispatched.
     Dead,
     Running,
-    Done(CallFate),
+    Done(Box<CallFate>),
 }
 
 /// A guard's memory of the calls it received in this life.
@@ -146,7 +146,7 @@
         self.forget(now);
         match self.entries.get(&call) {
             Some(LedgerEntry::Running) => CallFate::Running,
-            Some(LedgerEntry::Done(fate)) => fate.clone(),
+            Some(LedgerEntry::Done(fate)) => CallFate::clone(fate),
             Some(LedgerEntry::Dead) => CallFate::NotRun,
             Some(LedgerEntry::Waiting) => self.bury(now, call),
             None if self.entries.len() < LEDGER_CAPACITY => self.bury(now, call),
@@ -154,9 +154,16 @@
         }
     }
 
-    /// Notes the end of a call that was dispatched.
+    /// Forgets a call that was dispatched, ended, and may run twice.
+    ///
+    /// Nobody asks for its fate, and to keep each one would fill the memory.
+    pub fn release(&mut self, call: CallId) {
+        self.entries.remove(&call);
+    }
+
+    /// Notes the end of a call that was dispatched, for repeats that ask.
     pub fn finish(&mut self, now: MicroTime, call: CallId, fate: CallFate) {
-        self.entries.insert(call, LedgerEntry::Done(fate));
+        self.entries.insert(call, LedgerEntry::Done(Box::new(fate)));
         self.ended.push_back((now + LEDGER_RETENTION.into(), call));
     }
 
--- a/src/served.rs
+++ b/src/served.rs
@@ -16,7 +16,7 @@
 
 use crate::admission::AdmissionEvent;
 use crate::clock::MicroTime;
-use crate::consts::{MAX_DEADLINE_MS, MAX_RECORDED_BODY};
+use crate::consts::{BODY_STALL, MAX_DEADLINE_MS, MAX_RECORDED_BODY};
 use crate::guard::{GuardDuty, LEAVING_RETRY_MS};
 use crate::h2io;
 use crate::headers;
@@ -149,7 +149,12 @@
             self.failed.set(true);
         }
         self.record(claim, &fate);
-        duty.ledger.borrow_mut().finish(duty.clock.now(), self.call, fate);
+        let mut ledger = duty.ledger.borrow_mut();
+        if head.repeatable {
+            ledger.release(self.call);
+        } else {
+            ledger.finish(duty.clock.now(), self.call, fate);
+        }
     }
 
     async fn ask_target(
@@ -246,7 +251,12 @@
             load: self.call.duty.load(&self.call.key),
         };
         self.send_head(&answer, false).await;
-        while let Some(frame) = body.frame().await {
+        loop {
+            let Ok(next) = timeout(BODY_STALL, body.frame()).await else {
+                self.reset();
+                return CallFate::Unknown;
+            };
+            let Some(frame) = next else { break };
             let Ok(frame) = frame else {
                 self.reset();
                 return CallFate::Unknown;
@@ -278,9 +288,10 @@
     /// Sends a part of the body; `false` once the entry has gone.
     async fn send_data(&mut self, data: Bytes) -> bool {
         let Some(stream) = &mut self.stream else { return false };
-        let sent = h2io::send_all(stream, data, false).await.is_ok();
+        let sent = timeout(BODY_STALL, h2io::send_all(stream, data, false)).await;
+        let sent = sent.is_ok_and(|sent| sent.is_ok());
         if !sent {
-            self.stream = None;
+            self.reset();
         }
         sent
     }
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -81,6 +81,24 @@
     }
 }
 
+/// The memory bears the rate of the size to design for, and its refusals.
+#[test]
+fn a_ledger_is_never_full_at_the_rate_of_a_busy_target() {
+    let mut ledger = CallLedger::default();
+    // 336 calls a second for ten minutes, and twice as many that are denied.
+    for number in 0..336_u64 * 600 {
+        let now = MicroTime(number * 1_000_000 / 336);
+        let call = u128::from(number) * 3;
+        assert!(ledger.arrive(now, CallId(call)), "full after {} s", now.0 / 1_000_000);
+        assert!(ledger.dispatch(CallId(call)));
+        ledger.release(CallId(call));
+        for denied in 1..3 {
+            assert!(ledger.arrive(now, CallId(call + denied)));
+            assert_eq!(ledger.revoke(now, CallId(call + denied)), CallFate::NotRun);
+        }
+    }
+}
+
 /// One guard's life as far as the key is concerned.
 struct FakeGuard {
     incarnation: DaemonIncarnation,
