Try again what was slow long ago; prove late copies against a real guard

Cause: read as a newcomer, selection never went back to a target whose last service time was high while the others were idle: only its own answers could lower it.

Change: a service time fades towards 0.9 of the best one known, half in 4 s. tests/late_copies.rs speaks to a guard as an entry does; the stand-in sends the first part of a body before it cuts it.

--- a/src/selection.rs
+++ b/src/selection.rs
@@ -23,6 +23,12 @@
 /// Age at which a load word has lost half its weight, in microseconds.
 const LOAD_HALF_LIFE_US: f64 = 50_000.0;
 
+/// Age at which a service time is half forgotten, in microseconds.
+const SERVICE_HALF_LIFE_US: f64 = 4_000_000.0;
+
+/// What a target not heard of for long is hoped to take, as a part of the best.
+const HOPE: f64 = 0.9;
+
 /// Service time assumed of a target never heard of, in microseconds.
 const UNKNOWN_SERVICE_US: f64 = 5_000.0;
 
@@ -152,11 +158,16 @@
     }
 
     /// Estimates when a call sent now would be answered, in microseconds.
-    fn expected_us(&self, now: MicroTime) -> f64 {
+    ///
+    /// `best_us` is the least service time of all candidates: what was slow long
+    /// ago is hoped to beat the best by now, or it would never be tried again.
+    fn expected_us(&self, now: MicroTime, best_us: f64) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
-        let service = self.service_us();
         let age = now.since(self.heard).0 as f64;
-        let weight = (-age / LOAD_HALF_LIFE_US * std::f64::consts::LN_2).exp();
+        let known = half_life(age, SERVICE_HALF_LIFE_US);
+        let hoped = HOPE * best_us;
+        let service = hoped + (self.service_us() - hoped) * known;
+        let weight = half_life(age, LOAD_HALF_LIFE_US);
         let told = f64::from(self.load.in_flight + self.load.queued);
         let others = (told - f64::from(self.outstanding_then)).max(0.0) * weight;
         let ahead = others + f64::from(self.outstanding);
@@ -248,7 +259,14 @@
 
 fn choose_soonest(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
     let some = sample(input.eligible, COMPARED, rng);
-    least(&some, rng, |index| input.targets[index].expected_us(input.now))
+    let services = input.eligible.iter().map(|&index| input.targets[index].service_us());
+    let best_us = services.fold(f64::INFINITY, f64::min);
+    least(&some, rng, |index| input.targets[index].expected_us(input.now, best_us))
+}
+
+/// Returns what is left after `age` of something that halves in `half_life`.
+fn half_life(age: f64, half_life: f64) -> f64 {
+    (-age / half_life * std::f64::consts::LN_2).exp()
 }
 
 /// Draws up to `count` different indices.
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -273,15 +273,19 @@
 /// A body that may be cut off, or go on too long.
 struct TargetBody {
     parts: std::vec::IntoIter<Bytes>,
-    broken: bool,
+    /// Ends before a body is cut off, so that its first part has left by then.
+    cut: Option<Pin<Box<tokio::time::Sleep>>>,
 }
 
 impl TargetBody {
     /// Bytes of one frame.
     const FRAME: usize = 16 << 10;
 
+    /// Time between the last part of a body and its cut.
+    const PAUSE: Duration = Duration::from_millis(50);
+
     fn whole(bytes: Vec<u8>) -> Self {
-        Self { parts: vec![Bytes::from(bytes)].into_iter(), broken: false }
+        Self { parts: vec![Bytes::from(bytes)].into_iter(), cut: None }
     }
 
     fn faulty(mut bytes: Vec<u8>, behaviour: &TargetBehaviour) -> Self {
@@ -291,7 +295,8 @@
         }
         bytes.extend(vec![b'!'; behaviour.extra]);
         let parts: Vec<Bytes> = bytes.chunks(Self::FRAME).map(Bytes::copy_from_slice).collect();
-        Self { parts: parts.into_iter(), broken }
+        let cut = broken.then(|| Box::pin(tokio::time::sleep(Self::PAUSE)));
+        Self { parts: parts.into_iter(), cut }
     }
 }
 
@@ -301,13 +306,14 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let body = self.get_mut();
-        match body.parts.next() {
-            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
-            None if body.broken => Poll::Ready(Some(Err(io::Error::other("cut off on purpose")))),
-            None => Poll::Ready(None),
+        if let Some(part) = body.parts.next() {
+            return Poll::Ready(Some(Ok(Frame::data(part))));
         }
+        let Some(cut) = &mut body.cut else { return Poll::Ready(None) };
+        ready!(cut.as_mut().poll(cx));
+        Poll::Ready(Some(Err(io::Error::other("cut off on purpose"))))
     }
 }
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -116,3 +116,28 @@
         }
     }
 }
+
+/// A target that was slow once is tried again, also where nothing else is busy.
+#[test]
+fn what_was_slow_long_ago_is_tried_again() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let record = |name: &str| TargetRecord::new(name.into(), None, 4, MicroTime(0));
+    let mut service = ServiceTargets::new(vec![record("slow"), record("fast")]);
+    let word = |service_us, sequence| railspan::LoadWord {
+        slots: 4,
+        service_us,
+        sequence,
+        ..railspan::LoadWord::default()
+    };
+    service.targets[0].hear(MicroTime(1), word(80_000, 1));
+    let mut chosen = [0, 0];
+    for number in 1..600_u64 {
+        let now = MicroTime::from_millis(number * 100);
+        let policy = railspan::default_policy();
+        let index = service.choose(now, policy, &[], &mut rng).expect("a target");
+        chosen[index] += 1;
+        service.targets[index].finish(now, Some(MicroTime(8_000)), false);
+        service.targets[index].hear(now, word(8_000, number + 1));
+    }
+    assert!(chosen[0] > 100, "chosen {chosen:?}");
+}
--- a/tests/hedging.rs
+++ b/tests/hedging.rs
@@ -20,9 +20,15 @@
         assert_eq!(report.verdict, Verdict::Complete, "{report:?}");
     }
     fleet.targets[0].behave(|behaviour| behaviour.slowdown = 100.0);
-    for number in 0..60 {
-        let report = fleet.call(0, &fleet.read(&format!("/slow/{number}?size=100")));
-        assert_eq!(report.verdict, Verdict::Complete, "{report:?}");
+    // Several at once, so that every target gets some.
+    for round in 0..10 {
+        let calls: Vec<_> = (0..8)
+            .map(|number| fleet.start(0, fleet.read(&format!("/slow/{round}/{number}?size=100"))))
+            .collect();
+        for call in calls {
+            let report = fleet.join(call);
+            assert_eq!(report.verdict, Verdict::Complete, "{report:?}");
+        }
     }
     fleet
 }
--- /dev/null
+++ b/tests/late_copies.rs
@@ -0,0 +1,106 @@
+//! Promise: a late copy of a call never runs, whatever it meets.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use bytes::{Buf, Bytes, BytesMut};
+use common::{FleetPlan, TestFleet};
+use railspan::{
+    AnswerHead, CallFate, CallHead, CallId, CallPriority, DaemonIncarnation, RefusalReason,
+    RevokeHead, RevokeReply, decode, encode,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Sends a head to a guard as an entry would, and reads the head of its answer.
+async fn ask<Q: Serialize, A: DeserializeOwned>(guard: SocketAddr, path: &str, head: &Q) -> A {
+    let socket = tokio::net::TcpStream::connect(guard).await.expect("connect");
+    let (mut sender, connection) = h2::client::handshake(socket).await.expect("handshake");
+    tokio::spawn(async move { drop(connection.await) });
+    let request = http::Request::post(format!("http://guard{path}")).body(()).expect("request");
+    let (response, mut stream) = sender.send_request(request, false).expect("send");
+    let encoded = encode(head).expect("encode");
+    let mut framed = (encoded.len() as u32).to_be_bytes().to_vec();
+    framed.extend(encoded);
+    stream.send_data(Bytes::from(framed), true).expect("data");
+    let mut body = response.await.expect("answer").into_body();
+    let mut bytes = BytesMut::new();
+    while let Some(Ok(part)) = body.data().await {
+        bytes.extend_from_slice(&part);
+    }
+    let length = bytes.get_u32() as usize;
+    decode(&bytes[..length]).expect("decode")
+}
+
+fn incarnation(fleet: &TestFleet) -> DaemonIncarnation {
+    let state = fleet.state(fleet.place(0).admin);
+    DaemonIncarnation(state["peers"]["members"][0]["incarnation"].as_u64().expect("incarnation"))
+}
+
+fn head(fleet: &TestFleet, call: u128, incarnation: DaemonIncarnation) -> CallHead {
+    CallHead {
+        call: CallId(call),
+        incarnation,
+        service: fleet.plan.service.into(),
+        target: "target-0".into(),
+        account: "cooperativas".into(),
+        share: 1,
+        priority: CallPriority { urgent: false, worth: 1 },
+        remaining_ms: 5_000,
+        repeatable: true,
+        last: true,
+        claim: None,
+        method: "GET".to_owned(),
+        path: format!("/late/{call}?size=10"),
+        headers: Vec::new(),
+        body_len: 0,
+    }
+}
+
+fn send(fleet: &TestFleet, head: &CallHead) -> AnswerHead {
+    fleet.runtime.block_on(ask(fleet.place(0).guard, "/call", head))
+}
+
+fn runs(fleet: &TestFleet, call: u128) -> usize {
+    let path = format!("/late/{call}?size=10");
+    fleet.targets[0].runs().iter().filter(|run| run.path == path).count()
+}
+
+#[test]
+fn a_copy_for_another_life_of_the_guard_does_not_run() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let life = incarnation(&fleet);
+    let answer = send(&fleet, &head(&fleet, 1, DaemonIncarnation(life.0 ^ 1)));
+    let refused = matches!(answer, AnswerHead::Refused { reason: RefusalReason::Absent, .. });
+    assert!(refused, "{answer:?}");
+    assert_eq!(runs(&fleet, 1), 0);
+    // The same call for this life runs, so it was the life that mattered.
+    let answer = send(&fleet, &head(&fleet, 1, life));
+    assert!(matches!(answer, AnswerHead::Answered { status: 200, .. }), "{answer:?}");
+    assert_eq!(runs(&fleet, 1), 1);
+}
+
+#[test]
+fn a_copy_that_comes_after_its_revocation_does_not_run() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let life = incarnation(&fleet);
+    let revoke = RevokeHead { call: CallId(2), incarnation: life };
+    let guard = fleet.place(0).guard;
+    let reply: RevokeReply = fleet.runtime.block_on(ask(guard, "/revoke", &revoke));
+    assert_eq!(reply.fate, CallFate::NotRun);
+    let answer = send(&fleet, &head(&fleet, 2, life));
+    let refused = matches!(answer, AnswerHead::Refused { reason: RefusalReason::Revoked, .. });
+    assert!(refused, "{answer:?}");
+    assert_eq!(runs(&fleet, 2), 0);
+}
+
+#[test]
+fn another_life_can_not_say_what_became_of_a_call() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let former = DaemonIncarnation(incarnation(&fleet).0 ^ 1);
+    let revoke = RevokeHead { call: CallId(3), incarnation: former };
+    let guard = fleet.place(0).guard;
+    let reply: RevokeReply = fleet.runtime.block_on(ask(guard, "/revoke", &revoke));
+    assert_eq!(reply.fate, CallFate::Unknown);
+}
