--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -1,7 +1,7 @@
 //! A whole fleet on loopback, as separate processes, under mixed calls.
 //!
 //! The example starts itself again for each part: the platform, the daemons
-//! and the targets. `--kill` kills one daemon half-way through the calls.
+//! and the targets. `--kill N` kills a daemon half-way through the calls.
 
 use std::collections::HashMap;
 use std::error::Error;
@@ -52,8 +52,8 @@
     #[options(help = "calls under way at once", default = "48")]
     at_once: usize,
 
-    #[options(no_short, help = "kill one daemon half-way")]
-    kill: bool,
+    #[options(no_short, help = "kill the daemon of this number, from 0, half-way")]
+    kill: Option<usize>,
 
     #[options(no_short, help = "seed of the calls", default = "1")]
     seed: u64,
@@ -324,8 +324,11 @@
     let mut tasks = JoinSet::new();
     for (number, call) in calls.into_iter().enumerate() {
         let permit = Arc::clone(&gate).acquire_owned().await?;
-        if options.kill && number == options.calls as usize / 2 {
-            fleet.daemons[0].kill()?;
+        if number == options.calls as usize / 2
+            && let Some(killed) = options.kill
+        {
+            let daemon = fleet.daemons.get_mut(killed).ok_or("no such daemon to kill")?;
+            daemon.kill()?;
         }
         let (client, bar, places) = (client.clone(), bar.clone(), Arc::clone(&places));
         tasks.spawn(async move {
