Finish the target stand-in; answer bad calls truthfully

Cause: the stand-in lacked what the issue lists (200 connections, 1 ms to open one, shedding, deadlines, a load endpoint that lags or lies), and bad calls had no test over processes. The first such test found two faults: a body over the limit left its connection open, so the caller's next call broke on it; a call without time left was told `unknown` although it was never sent.

Ruled out: draining what is left of a large body (endless ones would hold the entry).

Change: such answers close their connection; a try without time left is refused as too late. The stand-in has the missing parts; the system reads no load endpoint, since the load word on each answer is exact.

The figures of docs/CAPACITY.md are from before the 1 ms that a target's connection now takes; pooled connections pay it once.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -93,6 +93,10 @@
         failed: false,
     };
     let left = call.deadline.since(now).duration();
+    if left.is_zero() {
+        let reason = RefusalReason::TooLate;
+        return AttemptEnd::Refused { reason, retry_after_ms: UNREACHABLE_RETRY_MS };
+    }
     let deadline = Instant::now() + left;
     let head = make_head(call, target, place, left, last);
     let Some(sender) = connect(duty, place, deadline).await else {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -446,17 +446,25 @@
 }
 
 async fn read_body(body: Incoming, headers: &HeaderMap) -> Result<Bytes, Response<EntryBody>> {
-    let too_large = || reply::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", 0);
+    let refuse = |status, reason| {
+        let mut response = reply::not_run(status, reason, 0);
+        // The rest of the body stays unread: nothing may follow it.
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+    };
     let length = headers.get(http::header::CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if length.is_some_and(|length| length > MAX_REQUEST_BODY) {
-        return Err(too_large());
+        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
     match timeout(SLOW_SENDER, Limited::new(body, MAX_REQUEST_BODY).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(_broken)) => Err(reply::not_run(StatusCode::BAD_REQUEST, "body_broken", 0)),
-        Err(_elapsed) => Err(reply::not_run(StatusCode::REQUEST_TIMEOUT, "body_too_slow", 0)),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+        }
+        Ok(Err(_broken)) => Err(refuse(StatusCode::BAD_REQUEST, "body_broken")),
+        Err(_elapsed) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
     }
 }
 
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -15,6 +15,9 @@
 
 use crate::http;
 
+const CONNECTIONS: http::ConnectionLimits =
+    http::ConnectionLimits { at_once: 10_000, open: Duration::ZERO };
+
 /// What the platform carries in a second.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct PlatformLimits {
@@ -131,7 +134,9 @@
         }));
         let runtime = http::runtime()?;
         let shared = Arc::clone(&state);
-        runtime.spawn(http::serve(listener, move |request| answer(Arc::clone(&shared), request)));
+        runtime.spawn(http::serve(listener, CONNECTIONS, move |request| {
+            answer(Arc::clone(&shared), request)
+        }));
         Ok(Self { address, state, _runtime: runtime })
     }
 
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use rand::{RngExt, SeedableRng};
@@ -25,6 +25,10 @@
 /// Interval of the heartbeats to the daemon.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
+/// Connections of a target, and the time to open one.
+const CONNECTIONS: http::ConnectionLimits =
+    http::ConnectionLimits { at_once: 200, open: Duration::from_millis(1) };
+
 /// What a target is.
 #[derive(Clone, Debug)]
 pub struct TargetOptions {
@@ -62,6 +66,12 @@
     pub extra: usize,
     /// Slots it says it has, if not the true number.
     pub said_slots: Option<u16>,
+    /// Calls waiting for a slot above which it answers 503 at once.
+    pub shed_above: Option<usize>,
+    /// Load it reports whatever the true one is.
+    pub said_load: Option<usize>,
+    /// Age of the load it reports, in milliseconds.
+    pub load_lag_ms: u64,
 }
 
 impl Default for TargetBehaviour {
@@ -74,6 +84,9 @@
             cut_after: None,
             extra: 0,
             said_slots: None,
+            shed_above: None,
+            said_load: None,
+            load_lag_ms: 0,
         }
     }
 }
@@ -95,6 +108,7 @@
     behaviour: Mutex<TargetBehaviour>,
     runs: Mutex<Vec<TargetRun>>,
     slots: Semaphore,
+    waiting: AtomicUsize,
     busy: AtomicUsize,
     most_busy: AtomicUsize,
     rng: Mutex<Pcg64Mcg>,
@@ -120,6 +134,7 @@
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             slots: Semaphore::new(usize::from(options.slots)),
+            waiting: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
             most_busy: AtomicUsize::new(0),
             rng: Mutex::new(Pcg64Mcg::seed_from_u64(options.seed)),
@@ -128,7 +143,9 @@
         let runtime = http::runtime()?;
         runtime.spawn(heartbeat(Arc::clone(&shared), address));
         let serving = Arc::clone(&shared);
-        runtime.spawn(http::serve(listener, move |request| answer(Arc::clone(&serving), request)));
+        runtime.spawn(http::serve(listener, CONNECTIONS, move |request| {
+            answer(Arc::clone(&serving), request)
+        }));
         Ok(Self { address, shared, _runtime: runtime })
     }
 
@@ -213,6 +230,14 @@
             let runs = serde_json::to_vec(&*lock(&shared.runs)).unwrap_or_default();
             return Some(Response::new(TargetBody::whole(runs)));
         }
+        "/load" => {
+            let behaviour = lock(&shared.behaviour).clone();
+            let busy = shared.busy.load(Ordering::Relaxed);
+            // What it tells is as old as the answer is late.
+            tokio::time::sleep(Duration::from_millis(behaviour.load_lag_ms)).await;
+            let load = behaviour.said_load.unwrap_or(busy);
+            return Some(Response::new(TargetBody::whole(load.to_string().into_bytes())));
+        }
         "/standin/behave" => {
             let body = body.collect().await.ok()?.to_bytes();
             let behaviour = serde_json::from_slice(&body).ok()?;
@@ -224,11 +249,14 @@
     let body = body.collect().await.ok()?.to_bytes();
     let behaviour = lock(&shared.behaviour).clone();
     if behaviour.fail_fast > 0 {
-        let mut response = Response::new(TargetBody::whole(b"failing fast".to_vec()));
-        *response.status_mut() = StatusCode::from_u16(behaviour.fail_fast).ok()?;
-        return Some(response);
+        return Some(refuse(StatusCode::from_u16(behaviour.fail_fast).ok()?, "failing fast"));
+    }
+    let waiting = WaitingCall::count(&shared);
+    if behaviour.shed_above.is_some_and(|limit| waiting.number > limit) {
+        return Some(refuse(StatusCode::SERVICE_UNAVAILABLE, "shed"));
     }
     let permit = shared.slots.acquire().await.ok()?;
+    drop(waiting);
     let _busy = BusySlot::take(&shared);
     let key = parts.headers.get("idempotency-key").and_then(|value| value.to_str().ok());
     let run = TargetRun { key: key.map(str::to_owned), path: path.clone(), done: false };
@@ -237,7 +265,10 @@
         runs.push(run);
         runs.len() - 1
     };
-    tokio::time::sleep(service_time(&shared, &path, &behaviour)).await;
+    let work = tokio::time::sleep(service_time(&shared, &path, &behaviour));
+    if tokio::time::timeout(time_left(&parts.headers), work).await.is_err() {
+        return Some(refuse(StatusCode::GATEWAY_TIMEOUT, "past its deadline"));
+    }
     lock(&shared.runs)[index].done = true;
     drop(permit);
     let whole = expected_body(&shared.options.service, &path, &body);
@@ -247,12 +278,44 @@
     Some(response)
 }
 
+fn refuse(status: StatusCode, text: &str) -> Response<TargetBody> {
+    let mut response = Response::new(TargetBody::whole(text.as_bytes().to_vec()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the time to the deadline that the call carries.
+fn time_left(headers: &HeaderMap) -> Duration {
+    let value = headers.get("railspan-deadline-ms").and_then(|value| value.to_str().ok());
+    let millis = value.and_then(|value| value.parse().ok());
+    millis.map_or(Duration::MAX, Duration::from_millis)
+}
+
 fn service_time(shared: &Shared, path: &str, behaviour: &TargetBehaviour) -> Duration {
     let mean = number(path, "us").unwrap_or(shared.options.service_us) as f64;
     let spread: f64 = lock(&shared.rng).random_range(0.5..1.5);
     Duration::from_micros((mean * spread * behaviour.slowdown) as u64)
 }
 
+/// A call that waits for a slot; counted out when dropped.
+struct WaitingCall<'a> {
+    shared: &'a Shared,
+    /// Calls that waited when this one came.
+    number: usize,
+}
+
+impl<'a> WaitingCall<'a> {
+    fn count(shared: &'a Shared) -> Self {
+        Self { shared, number: shared.waiting.fetch_add(1, Ordering::Relaxed) }
+    }
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        self.shared.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A slot in use; freed when dropped, also when the call is cancelled.
 struct BusySlot<'a>(&'a Shared);
 
--- /dev/null
+++ b/tests/bad_requests.rs
@@ -0,0 +1,58 @@
+//! Callers and targets that misbehave: a clear answer, nothing else disturbed.
+
+mod common;
+
+use common::{FleetPlan, TestFleet};
+use railspan_standins::{CallRequest, Verdict};
+
+#[test]
+fn bad_calls_are_told_so_and_do_not_run() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let good = fleet.post("k", "/bulletin?size=10");
+    let cases: [(&str, u16, CallRequest); 5] = [
+        ("unknown token", 401, CallRequest { token: "guess".to_owned(), ..good.clone() }),
+        ("unknown service", 404, CallRequest { service: "nowhere".to_owned(), ..good.clone() }),
+        ("no key", 400, CallRequest { key: None, ..good.clone() }),
+        ("body over 1 MiB", 413, CallRequest { body: vec![7; (1 << 20) + 1], ..good.clone() }),
+        ("no time left", 503, CallRequest { deadline_ms: 0, ..good.clone() }),
+    ];
+    for (name, status, call) in cases {
+        let report = fleet.call(0, &call);
+        assert_eq!(
+            (report.status, report.verdict),
+            (status, Verdict::NotRun),
+            "{name}: {report:?}"
+        );
+        assert!(report.retry_after_ms.is_some(), "{name}");
+    }
+    assert!(fleet.runs("k").is_empty());
+    assert_eq!(fleet.call(0, &good).verdict, Verdict::Complete);
+}
+
+#[test]
+fn a_body_of_the_full_size_arrives_whole() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let call = CallRequest { body: vec![7; 1 << 20], ..fleet.post("k", "/bulletin?size=10") };
+    assert_eq!(fleet.call(0, &call).verdict, Verdict::Complete);
+}
+
+#[test]
+fn what_a_target_sheds_is_its_answer_and_is_not_tried_again() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, slots: 1, ..FleetPlan::default() });
+    // It says that it takes more at once than it does, and sheds the rest.
+    fleet.targets[0].behave(|behaviour| {
+        behaviour.said_slots = Some(8);
+        behaviour.shed_above = Some(0);
+    });
+    common::eventually("the guard heard of the slots", || {
+        let state = fleet.state(fleet.place(0).admin);
+        state["guard"]["targets"][0]["announcement"]["slots"] == 8
+    });
+    let calls: Vec<_> = (0..8)
+        .map(|number| fleet.start(0, fleet.read(&format!("/shed/{number}?size=10&us=300000"))))
+        .collect();
+    let verdicts: Vec<Verdict> = calls.into_iter().map(|call| fleet.join(call).verdict).collect();
+    let answered = |verdict: &&Verdict| matches!(verdict, Verdict::Complete | Verdict::TargetError);
+    assert_eq!(verdicts.iter().filter(answered).count(), 8, "{verdicts:?}");
+    assert!(verdicts.contains(&Verdict::TargetError), "{verdicts:?}");
+}
