Move waiting writes out of the platform duty

Cause: src/platform.rs had grown to 488 lines and two jobs: talking to the platform, and what a waiting claim or outcome is.

Ruled out: splitting the duty itself, whose tasks share one state.

Change: src/claim.rs holds the request, its reply and the waiting write.

--- a/src/guard.rs
+++ b/src/guard.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 
 use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+use crate::claim::{ClaimReply, ClaimRequest};
 use crate::clock::ProcessClock;
 use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, MAX_REQUEST_BODY, SLOW_SENDER};
 use crate::h2io::{self, HeadReader, StreamError};
@@ -34,7 +35,7 @@
 use crate::metrics::DaemonMetrics;
 use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
 use crate::peers::PeersEvent;
-use crate::platform::{ClaimReply, ClaimRequest, PlatformEvent};
+use crate::platform::PlatformEvent;
 use crate::ring::{RingInbox, RingSender};
 use crate::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::table::TableWrite;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod admin;
 mod admission;
 mod attempt;
+mod claim;
 mod cli;
 mod clock;
 mod config;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,18 +15,18 @@
 use tokio::task::spawn_local;
 
 use crate::admin::AdminEvent;
+use crate::claim::{ClaimReply, ClaimRequest, PendingWrite, parse_claim};
 use crate::clock::ProcessClock;
 use crate::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
 use crate::entry::EntryEvent;
 use crate::member::MemberRecord;
 use crate::metrics::DaemonMetrics;
-use crate::outcome::ClaimRow;
 use crate::pace::CommitPace;
 use crate::peers::PeersEvent;
 use crate::publish::{body_name, read_head};
 use crate::revision::{ActiveRevision, RevisionHead, RevisionState};
 use crate::ring::{RingInbox, RingSender};
-use crate::table::{CommitReply, PlatformClient, PlatformError, TableRow, TableWrite};
+use crate::table::{CommitReply, PlatformClient, PlatformError, TableWrite};
 
 /// Start of the keys of member rows.
 const MEMBER_PREFIX: &str = "member-";
@@ -59,81 +59,6 @@
     Leave(oneshot::Sender<()>),
 }
 
-/// A claim to be written.
-#[derive(Debug)]
-pub(crate) struct ClaimRequest {
-    /// Key of the row.
-    pub(crate) key: String,
-    /// The row.
-    pub(crate) row: ClaimRow,
-    /// Version to take over, zero for a new row.
-    pub(crate) expect: u64,
-    /// Where the answer goes.
-    pub(crate) reply: oneshot::Sender<ClaimReply>,
-}
-
-/// A write that waits for its transaction.
-#[derive(Debug)]
-enum PendingWrite {
-    /// A claim that a call waits for.
-    Claim(ClaimRequest),
-    /// An outcome, a release, or another write that nobody waits for.
-    Outcome(TableWrite),
-}
-
-impl PendingWrite {
-    fn key(&self) -> &str {
-        match self {
-            Self::Claim(request) => &request.key,
-            Self::Outcome(write) => &write.key,
-        }
-    }
-
-    fn write(&self) -> TableWrite {
-        match self {
-            Self::Claim(request) => TableWrite {
-                key: request.key.clone(),
-                expect: Some(request.expect),
-                value: serde_json::to_string(&request.row).ok(),
-            },
-            Self::Outcome(write) => write.clone(),
-        }
-    }
-
-    /// Drops a claim that was given up; refuses one while the table is down.
-    fn still_wanted(self, hopeless: bool) -> Option<Self> {
-        match self {
-            Self::Claim(request) if request.reply.is_closed() => None,
-            Self::Claim(request) if hopeless => {
-                drop(request.reply.send(ClaimReply::Failed));
-                None
-            }
-            pending => Some(pending),
-        }
-    }
-
-    /// Ends a claim whose key another call holds.
-    fn found(self, row: &TableRow) {
-        let Self::Claim(request) = self else { return };
-        let reply = match parse_claim(row) {
-            Some(found) => ClaimReply::Found { row: Box::new(found), version: row.version },
-            None => ClaimReply::Failed,
-        };
-        drop(request.reply.send(reply));
-    }
-}
-
-/// How a claim ended.
-#[derive(Debug)]
-pub(crate) enum ClaimReply {
-    /// The claim is held at this version.
-    Held(u64),
-    /// Another call holds it.
-    Found { row: Box<ClaimRow>, version: u64 },
-    /// The platform did not take it, as far as can be told.
-    Failed,
-}
-
 /// Where this duty's news go.
 #[derive(Debug)]
 pub(crate) struct PlatformRings {
@@ -482,7 +407,3 @@
 fn member_key(own: &MemberRecord) -> String {
     format!("{MEMBER_PREFIX}{}", own.host)
 }
-
-fn parse_claim(row: &TableRow) -> Option<ClaimRow> {
-    serde_json::from_str(&row.value).ok()
-}
