Do no work for probes that are off; choose the policy once a call

Each try looked its policy up by name in the configuration and among the plug-ins; each try drew, cloned and encoded a probe that a budget of zero then refused; a bulk of member records was learned through a new vector for each; the bench passed six arguments through two signatures; operator.rs compared states where MemberRecord::is_up says it.

Ruled out: merging the look-alike argument lists of entry and guard, and the error types of operator and table: alike in shape only.

Change: CallerCall carries its policy, which ServiceTemplate resolves; ProbeBudget::is_zero ends probing at once; membership learns a record at a time; ModelPlan; is_up. Imports and one comment put in order.

The time saved on a call was not measured.

--- a/benches/policies/main.rs
+++ b/benches/policies/main.rs
@@ -11,7 +11,7 @@
 use gumdrop::Options;
 use hdrhistogram::Histogram;
 
-use crate::model::{FleetModel, ModelBudget, ModelResult};
+use crate::model::{FleetModel, ModelBudget, ModelPlan, ModelResult};
 use crate::scenarios::{SCENARIOS, Scenario};
 
 #[derive(Debug, Options)]
@@ -122,14 +122,14 @@
                     let Some((scenario, contender)) = jobs.get(index) else { return };
                     let policy = railspan::policy(contender.policy).expect("registered");
                     let runs = (1..=options.seeds).map(|seed| {
-                        FleetModel::run(
-                            *scenario,
+                        FleetModel::run(ModelPlan {
+                            scenario: *scenario,
                             policy,
-                            contender.budget,
-                            contender.hedging,
-                            options.calls,
+                            budget: contender.budget,
+                            hedging: contender.hedging,
+                            calls: options.calls,
                             seed,
-                        )
+                        })
                     });
                     *results[index].lock().expect("worker") = runs.collect();
                 }
--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -32,6 +32,20 @@
     pub bytes_per_s: u32,
 }
 
+/// What one run of the model is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct ModelPlan {
+    pub scenario: Scenario,
+    pub policy: &'static SelectionPolicy,
+    /// What measuring may cost, or nothing for no measuring.
+    pub budget: Option<ModelBudget>,
+    /// Whether slow calls get a second try.
+    pub hedging: bool,
+    /// Calls of the run, about.
+    pub calls: u64,
+    pub seed: u64,
+}
+
 /// One line of the table.
 #[derive(Debug)]
 pub struct ModelResult {
@@ -159,10 +173,7 @@
 
 /// The model of one service.
 pub struct FleetModel {
-    scenario: Scenario,
-    policy: &'static SelectionPolicy,
-    probing: bool,
-    hedging: bool,
+    plan: ModelPlan,
     streams: ModelStreams,
     now: MicroTime,
     end: MicroTime,
@@ -176,16 +187,10 @@
 }
 
 impl FleetModel {
-    /// Runs a scenario under a policy for so many calls.
-    pub fn run(
-        scenario: Scenario,
-        policy: &'static SelectionPolicy,
-        budget: Option<ModelBudget>,
-        hedging: bool,
-        calls: u64,
-        seed: u64,
-    ) -> ModelResult {
-        let mut model = Self::open(scenario, policy, budget, hedging, calls, seed);
+    /// Runs a scenario as planned.
+    pub fn run(plan: ModelPlan) -> ModelResult {
+        let scenario = plan.scenario;
+        let mut model = Self::open(plan);
         model.schedule(MicroTime(0), ModelEvent::Call);
         for target in 0..model.targets.len() {
             model.schedule(MicroTime(GUARD_TICK_US), ModelEvent::GuardTick { target });
@@ -210,14 +215,8 @@
         model.finish()
     }
 
-    fn open(
-        scenario: Scenario,
-        policy: &'static SelectionPolicy,
-        budget: Option<ModelBudget>,
-        hedging: bool,
-        calls: u64,
-        seed: u64,
-    ) -> Self {
+    fn open(plan: ModelPlan) -> Self {
+        let scenario = plan.scenario;
         let targets: Vec<ModelTarget> = (0..scenario.targets)
             .map(|index| {
                 let wrong = scenario.trouble == Trouble::WrongSlots && index == 0;
@@ -233,7 +232,7 @@
             })
             .collect();
         let rate = rate_per_us(&scenario);
-        let limits = budget.unwrap_or(ModelBudget { messages_per_s: 0, bytes_per_s: 0 });
+        let limits = plan.budget.unwrap_or(ModelBudget { messages_per_s: 0, bytes_per_s: 0 });
         let entries = (0..scenario.entries).map(|_| ModelEntry {
             service: ServiceTargets::new(
                 (0..scenario.targets).map(|index| record(&scenario, index, 0)).collect(),
@@ -243,13 +242,10 @@
             hedge_budget: RetryBudget::open_hedges(),
         });
         Self {
-            scenario,
-            policy,
-            probing: budget.is_some(),
-            hedging,
-            streams: ModelStreams::open(seed),
+            plan,
+            streams: ModelStreams::open(plan.seed),
             now: MicroTime(0),
-            end: MicroTime((calls as f64 / rate) as u64),
+            end: MicroTime((plan.calls as f64 / rate) as u64),
             queue: BinaryHeap::new(),
             sequence: 0,
             entries: entries.collect(),
@@ -277,7 +273,7 @@
     }
 
     fn hop(&mut self) -> MicroTime {
-        let mean = self.scenario.hop_us as f64;
+        let mean = self.plan.scenario.hop_us as f64;
         MicroTime((mean * self.streams.network.random_range(0.5..1.5)) as u64)
     }
 
@@ -317,14 +313,14 @@
     }
 
     fn schedule_burst(&mut self, target: usize) {
-        let Trouble::Bursts { gap_ms } = self.scenario.trouble else { return };
+        let Trouble::Bursts { gap_ms } = self.plan.scenario.trouble else { return };
         let gap = exponential(&mut self.streams.bursts, gap_ms as f64 * 1_000.0);
         self.schedule(self.now + MicroTime(gap as u64), ModelEvent::BurstStart { target });
     }
 
     fn trouble(&mut self, on: bool) {
         let mut out = Vec::new();
-        match self.scenario.trouble {
+        match self.plan.scenario.trouble {
             Trouble::FailFast => self.targets[0].failing = on,
             Trouble::Drain if on => self.targets[0].door.leave(&mut out),
             Trouble::Drain => {
@@ -345,8 +341,8 @@
     /// Gossip brings a target back to all entries.
     fn rejoin(&mut self, target: usize) {
         for entry in &mut self.entries {
-            let mut fresh = record(&self.scenario, target, self.now.0);
-            fresh.load = LoadWord { slots: self.scenario.slots, ..LoadWord::default() };
+            let mut fresh = record(&self.plan.scenario, target, self.now.0);
+            fresh.load = LoadWord { slots: self.plan.scenario.slots, ..LoadWord::default() };
             match entry.service.targets.iter_mut().find(|known| known.name == fresh.name) {
                 Some(known) => *known = fresh,
                 None => entry.service.targets.push(fresh),
@@ -365,11 +361,11 @@
         if self.now >= self.end {
             return;
         }
-        let mut gap = 1.0 / rate_per_us(&self.scenario);
-        if let Trouble::Overload(load) = self.scenario.trouble
+        let mut gap = 1.0 / rate_per_us(&self.plan.scenario);
+        if let Trouble::Overload(load) = self.plan.scenario.trouble
             && self.third() == 1
         {
-            gap *= f64::from(self.scenario.load) / f64::from(load);
+            gap *= f64::from(self.plan.scenario.load) / f64::from(load);
         }
         let gap = exponential(&mut self.streams.calls, gap) as u64;
         self.schedule(self.now + MicroTime(gap), ModelEvent::Call);
@@ -388,7 +384,7 @@
             gone: Vec::new(),
             priority: CallPriority { urgent, worth },
             began: self.now,
-            deadline: self.now + MicroTime::from_millis(self.scenario.deadline_ms),
+            deadline: self.now + MicroTime::from_millis(self.plan.scenario.deadline_ms),
             account: self.streams.calls.random_range(0..2),
             open: Vec::new(),
         };
@@ -413,7 +409,7 @@
         }
         let service = &mut self.entries[entry].service;
         let Some(index) =
-            service.choose(self.now, self.policy, &call.tried, &mut self.streams.policy)
+            service.choose(self.now, self.plan.policy, &call.tried, &mut self.streams.policy)
         else {
             if call.open.is_empty() {
                 self.end_call(id, false);
@@ -428,14 +424,14 @@
         let attempt = self.sequence;
         let sent = self.now;
         call.open.push(attempt);
-        if self.probing {
+        if self.plan.budget.is_some() {
             self.probe(entry);
         }
         self.attempts.insert(
             attempt,
             ModelAttempt { call: id, target, sent, started: None, answered: false },
         );
-        if self.hedging && self.calls[&id].open.len() == 1 {
+        if self.plan.hedging && self.calls[&id].open.len() == 1 {
             self.schedule(sent + patience, ModelEvent::Hedge { call: id, attempt });
         }
         let at = self.now + self.hop();
@@ -502,7 +498,7 @@
 
     fn serve(&mut self, target: usize, attempt: u64) {
         let state = &self.targets[target];
-        let mean = self.scenario.service_us * state.factor * state.burst;
+        let mean = self.plan.scenario.service_us * state.factor * state.burst;
         let took = if state.failing {
             500.0
         } else {
--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,7 @@
 use crate::findings::{FindingList, nearest};
 use crate::ids::{AccountName, ServiceName};
 use crate::schema::{CheckedText, FieldKind, FieldRule};
+use crate::selection::{self, SelectionPolicy};
 use crate::wire::CallPriority;
 
 /// Everything that one revision sets.
@@ -261,6 +262,14 @@
     }
 }
 
+impl ServiceTemplate {
+    /// Returns the policy that chooses among the service's targets.
+    pub(crate) fn selection_policy(&self) -> &'static SelectionPolicy {
+        let named = self.policy.as_deref().and_then(selection::policy);
+        named.unwrap_or_else(selection::default_policy)
+    }
+}
+
 impl RequestKind {
     fn matches(&self, method: &str, path: &str) -> bool {
         let method_fits = self.method.as_deref().is_none_or(|own| own == method);
@@ -343,8 +352,8 @@
             text.add_at(&format!("{path}.name"), &format!("service `{name}` stands twice"));
         }
         let policy = field(service, "policy");
-        if !policy.is_empty() && crate::selection::policy(policy).is_none() {
-            let known = crate::selection::policy_names().join(", ");
+        if !policy.is_empty() && selection::policy(policy).is_none() {
+            let known = selection::policy_names().join(", ");
             text.add_at(&format!("{path}.policy"), &format!("expected one of: {known}"));
         }
         let mut seen = HashSet::new();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -37,7 +37,7 @@
 use crate::retry::{CallCourse, NextStep, RetryBudget, TryEnd};
 use crate::revision::ActiveRevision;
 use crate::ring::RingInbox;
-use crate::selection::{self, TargetPlace, TargetRegistry};
+use crate::selection::{SelectionPolicy, TargetPlace, TargetRegistry};
 use crate::settings::BudgetSettings;
 use crate::wire::KeyClaim;
 
@@ -96,6 +96,7 @@
     pub(crate) service: ServiceName,
     pub(crate) account: AccountName,
     pub(crate) share: u16,
+    pub(crate) policy: &'static SelectionPolicy,
     pub(crate) terms: CallTerms,
     pub(crate) method: String,
     pub(crate) path: String,
@@ -248,6 +249,7 @@
             service: service.name.clone(),
             account: account.name.clone(),
             share: account.share,
+            policy: service.selection_policy(),
             terms,
             method: parts.method.to_string(),
             path,
@@ -325,20 +327,12 @@
         }
     }
 
-    fn policy(&self, service: &ServiceName) -> &'static selection::SelectionPolicy {
-        let active = self.active.borrow();
-        let template = active.as_ref().and_then(|active| active.config.service(service.as_str()));
-        let name = template.and_then(|template| template.policy.as_deref());
-        name.and_then(selection::policy).unwrap_or_else(selection::default_policy)
-    }
-
     /// Chooses a target that is not in `tried`.
     pub(crate) fn choose(&self, call: &CallerCall, tried: &[TargetName]) -> Option<ChosenTarget> {
-        let policy = self.policy(&call.service);
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
-        let index = targets.choose(now, policy, tried, &mut self.rng.borrow_mut())?;
+        let index = targets.choose(now, call.policy, tried, &mut self.rng.borrow_mut())?;
         let record = &targets.targets[index];
         let others = targets.targets.len().saturating_sub(tried.len() + 1);
         Some(ChosenTarget {
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -14,8 +14,9 @@
 /// Tries a call at a target, and at a second one if the first is slow.
 ///
 /// Only kinds whose template says so are hedged: a call that makes calls of its
-/// own would double them all, at every level. The first answer holds; the other try is cancelled. `tried` gets the second
-/// target. A last try, and a call that must not repeat, is never hedged.
+/// own would double them all, at every level. The first answer holds; the other
+/// try is cancelled. `tried` gets the second target. A last try, and a call that
+/// must not repeat, is never hedged.
 pub(crate) async fn run(
     duty: &Rc<EntryDuty>,
     call: &CallerCall,
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -14,6 +14,9 @@
 
 /// Asks one target of the service for its load, if the budget allows.
 pub(crate) fn probe_some(duty: &EntryDuty, service: &ServiceName) {
+    if duty.probe_budget.borrow().is_zero() {
+        return;
+    }
     let registry = duty.registry.borrow();
     let Some(targets) = registry.services.get(service).map(|service| &service.targets) else {
         return;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -9,6 +9,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+
 use crate::clock::MicroTime;
 use crate::consts::{GOSSIP_PERIOD, MAX_DATAGRAM, SUSPECT_PERIODS};
 use crate::ids::HostName;
@@ -16,9 +20,6 @@
     FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
 use crate::wire;
-use rand::RngExt;
-use rand::seq::SliceRandom;
-use rand_pcg::Pcg64Mcg;
 
 /// Daemons asked to probe on one's behalf.
 const INDIRECT: usize = 3;
@@ -347,7 +348,9 @@
         out: &mut Vec<MembershipAction>,
     ) {
         let GossipMessage { from: sender, kind, number, revision, digest, updates } = message;
-        self.learn(now, updates, out);
+        for record in updates {
+            self.learn(now, record, out);
+        }
         match kind {
             GossipKind::Ping => {
                 let message = self.message(GossipKind::Ack, number);
@@ -411,25 +414,18 @@
         for record in records {
             let host = record.host.clone();
             let known = host == self.own.host || self.members.contains_key(&host);
-            self.learn(now, vec![record], out);
+            self.learn(now, record, out);
             if !known {
                 self.news.remove(&host);
             }
         }
     }
 
-    fn learn(
-        &mut self,
-        now: MicroTime,
-        records: Vec<MemberRecord>,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        for record in records {
-            if record.host == self.own.host {
-                self.refute(&record, out);
-            } else {
-                self.merge(now, record, out);
-            }
+    fn learn(&mut self, now: MicroTime, record: MemberRecord, out: &mut Vec<MembershipAction>) {
+        if record.host == self.own.host {
+            self.refute(&record, out);
+        } else {
+            self.merge(now, record, out);
         }
     }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -112,7 +112,7 @@
             host: member.host.clone(),
             data_centre: member.data_centre.clone(),
             daemon: member.state,
-            ready: target.ready && member.state <= MemberState::Suspect,
+            ready: target.ready && member.is_up(),
             slots: target.slots,
         }));
     }
@@ -128,8 +128,11 @@
 pub async fn read_status(daemon: SocketAddr) -> Result<Vec<HostStatus>, OperatorError> {
     let view = read_members(daemon).await?;
     let asked = view.members.into_iter().map(|member| async move {
-        let up = member.state <= MemberState::Suspect;
-        let status = if up { ask(Method::GET, member.admin, "/status").await.ok() } else { None };
+        let status = if member.is_up() {
+            ask(Method::GET, member.admin, "/status").await.ok()
+        } else {
+            None
+        };
         HostStatus {
             host: member.host,
             daemon: member.state,
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Tells whether nothing is ever granted.
+    #[must_use]
+    pub const fn is_zero(&self) -> bool {
+        self.messages_per_s == 0 || self.bytes_per_s == 0
+    }
+
     /// Takes leave to send `messages` of `bytes` in all, or nothing.
     pub fn take(&mut self, now: MicroTime, messages: u32, bytes: u32) -> bool {
         self.latest = self.latest.max(now);
