--- a/benches/capacity/fleet.rs
+++ b/benches/capacity/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use railspan::{FleetConfig, PlatformClient};
+use railspan::{FleetConfig, open_store};
 use railspan_standins::{
     DaemonProcess, DaemonSpec, PlatformLimits, PlatformStandin, TargetOptions, TargetStandin, fetch,
 };
@@ -84,7 +84,7 @@
 
     pub fn publish(&self) -> u64 {
         let config = FleetConfig::parse("template", TEMPLATE).expect("template");
-        let client = PlatformClient::open(self.platform.address());
+        let client = open_store(self.platform.address());
         let published = self.runtime.block_on(railspan::publish(&client, &config, "bench", None));
         published.expect("published").revision
     }
--- a/benches/capacity/table.rs
+++ b/benches/capacity/table.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use railspan::{PlatformClient, TableWrite};
+use railspan::{TableWrite, open_store};
 use railspan_standins::{DaemonProcess, DaemonSpec, PlatformLimits, PlatformStandin};
 
 use super::members::record;
@@ -53,7 +53,7 @@
 
 /// Writes the rows of all members but the daemon's own.
 async fn fill(platform: &PlatformStandin, size: usize) {
-    let client = PlatformClient::open(platform.address());
+    let client = open_store(platform.address());
     let rows: Vec<TableWrite> = (1..size)
         .map(|index| {
             let mut record = record(index);
--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -379,7 +379,7 @@
         self.offered(urgent).1 += u64::from(worth);
         let call = ModelCall {
             entry: self.streams.calls.random_range(0..self.entries.len()),
-            course: CallCourse::open(true),
+            course: CallCourse::open(true, railspan::MAX_ATTEMPTS),
             tried: Vec::new(),
             gone: Vec::new(),
             priority: CallPriority { urgent, worth },
@@ -459,6 +459,7 @@
             share: 1,
             priority: call.priority,
             deadline: call.deadline,
+            give_up: call.deadline,
             last: call.course.is_last_try(),
         };
         self.step_door(target, AdmissionEvent::Arrive(waiting));
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -14,7 +14,7 @@
 use gumdrop::Options;
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
-use railspan::{DaemonSettings, FleetConfig, PlatformClient};
+use railspan::{DaemonParts, DaemonSettings, FleetConfig, open_store};
 use railspan_standins::{
     CallReport, CallRequest, CallerClient, DaemonPlace, DaemonProcess, DaemonSpec, PlatformLimits,
     PlatformStandin, TargetOptions, TargetRun, TargetStandin, Verdict,
@@ -127,7 +127,9 @@
 fn play_daemon(arguments: &[String]) -> Outcome<ExitCode> {
     let file = arguments.first().ok_or("expected a settings file")?;
     let settings = DaemonSettings::parse(file, &std::fs::read_to_string(file)?)?;
-    let daemon = railspan::spawn(&settings)?;
+    let parts =
+        DaemonParts { client: open_store(settings.platform_address), adapter: railspan::adapter() };
+    let daemon = railspan::spawn(&settings, parts)?;
     println!("{}", serde_json::to_string(daemon.addresses())?);
     daemon.wait();
     Ok(ExitCode::SUCCESS)
@@ -253,7 +255,7 @@
 
 async fn publish(user: &UserFleet, platform: SocketAddr) -> Outcome<()> {
     let config = FleetConfig::parse("template", user.template)?;
-    railspan::publish(&PlatformClient::open(platform), &config, "quickstart", None).await?;
+    railspan::publish(&open_store(platform), &config, "quickstart", None).await?;
     Ok(())
 }
 
--- /dev/null
+++ b/src/adapter.rs
@@ -0,0 +1,84 @@
+//! What a deployment's platform brings: names, calls and their reading.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+
+use crate::consts::TARGET_LEASE;
+use crate::guard::TargetAnnouncement;
+use crate::headers::HeaderNames;
+use crate::ids::TargetName;
+
+/// The adapter of one kind of platform; a table that never changes.
+#[derive(Debug)]
+pub struct DeploymentAdapter {
+    /// The platform's names of the headers.
+    pub headers: &'static HeaderNames,
+    /// Path at which the platform asks for readiness.
+    pub ready_path: &'static str,
+    /// Reads a call of the host's target; `Err` is the answer to a bad one.
+    pub read_report: for<'a> fn(&ControlRequest<'a>) -> Result<TargetReport, ControlReply>,
+    /// Reads the terms that the platform sets for all daemons.
+    pub read_terms: fn(&str) -> DeploymentTerms,
+}
+
+/// A call of the host's target to its daemon.
+#[derive(Debug)]
+pub struct ControlRequest<'a> {
+    /// HTTP method.
+    pub method: &'a Method,
+    /// Path without the query.
+    pub path: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+/// An answer to a call that can't be used.
+#[derive(Debug)]
+pub struct ControlReply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// What is wrong, for a person.
+    pub text: String,
+}
+
+/// What a target tells of itself.
+#[derive(Clone, Debug)]
+pub enum TargetReport {
+    /// It runs, and takes new work or not.
+    Alive {
+        /// Where it is and what it offers.
+        announcement: TargetAnnouncement,
+        /// Grows with every report of one target.
+        sequence: u64,
+        /// How much longer it stays slow after its start.
+        cold: Duration,
+    },
+    /// It is about to end and takes no new work.
+    Left(TargetName),
+}
+
+/// Terms that a deployment's platform sets for all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DeploymentTerms {
+    /// Further tries that all daemons may make, as a share of the calls.
+    pub retry_ratio: f64,
+    /// Further tries beyond that share, in one window of the platform's.
+    pub retry_slack: f64,
+    /// Time a target's heartbeat stays valid without a further one.
+    pub target_lease: Duration,
+    /// Time from a stop signal until the process is killed.
+    pub grace: Duration,
+}
+
+impl Default for DeploymentTerms {
+    /// Returns terms that suit a platform which sets none.
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.1,
+            retry_slack: 10.0,
+            target_lease: TARGET_LEASE,
+            grace: Duration::from_secs(6),
+        }
+    }
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,39 +1,30 @@
 //! The duty that operators and the host's own targets talk to.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use serde::Serialize;
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::consts::SLOW_SENDER;
+use crate::durable::PlatformEvent;
 use crate::entry::EntryEvent;
 use crate::guard::{GuardEvent, TargetAnnouncement};
+use crate::httpd;
 use crate::ids::{HostName, TargetName};
 use crate::member::FleetView;
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeersEvent;
-use crate::platform::PlatformEvent;
 use crate::revision::RevisionHead;
 use crate::ring::{RingInbox, RingSender};
 
-/// Longest body an operator or target may send, in bytes.
-const MAX_BODY: usize = 64 << 10;
-
 /// Longest wait for another duty's answer.
 const DUTY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,23 +67,11 @@
 
     /// Serves operators and targets until the runtime ends.
     pub(crate) async fn serve(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((socket, _)) = listener.accept().await else { continue };
-            spawn_local(Rc::clone(&self).serve_connection(socket));
-        }
-    }
-
-    async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
-        let serve = service_fn(move |request| {
+        httpd::serve(listener, move |request| {
             let duty = Rc::clone(&self);
-            async move { Ok::<_, Infallible>(duty.answer(request).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(SLOW_SENDER)
-            .serve_connection(TokioIo::new(socket), serve);
-        // A broken connection is the asker's own affair.
-        drop(connection.await);
+            async move { duty.answer(request).await }
+        })
+        .await;
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -102,16 +81,16 @@
             (&Method::GET, "/metrics") => {
                 Response::new(Full::new(Bytes::from(self.metrics.render())))
             }
-            (&Method::GET, "/state") => to_json(StatusCode::OK, &self.state().await),
-            (&Method::GET, "/status") => to_json(StatusCode::OK, &self.status().await),
+            (&Method::GET, "/state") => httpd::to_json(StatusCode::OK, &self.state().await),
+            (&Method::GET, "/status") => httpd::to_json(StatusCode::OK, &self.status().await),
             (&Method::GET, "/members") => self.members().await,
             (&Method::POST, "/announce") => self.announce(request).await,
             (&Method::POST, "/drain") => self.drain(request).await,
             (&Method::POST, "/hint") => {
                 drop(self.rings.platform.push(PlatformEvent::Hint));
-                to_json(StatusCode::OK, &json!({"hinted": true}))
+                httpd::to_json(StatusCode::OK, &json!({"hinted": true}))
             }
-            _ => fault(StatusCode::NOT_FOUND, "no such page"),
+            _ => httpd::fault(StatusCode::NOT_FOUND, "no such page"),
         }
     }
 
@@ -119,7 +98,7 @@
         let entry = ask(&self.rings.entry, EntryEvent::Dump).await;
         let ready = entry.as_ref().is_some_and(|entry| entry["ready"] == json!(true));
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        to_json(status, &json!({"ready": ready}))
+        httpd::to_json(status, &json!({"ready": ready}))
     }
 
     /// Returns the inputs of every decision this daemon makes.
@@ -152,24 +131,24 @@
     async fn members(&self) -> Response<Full<Bytes>> {
         let view: Option<FleetView> = ask(&self.rings.peers, PeersEvent::Members).await;
         match view {
-            Some(view) => to_json(StatusCode::OK, &view),
-            None => busy(),
+            Some(view) => httpd::to_json(StatusCode::OK, &view),
+            None => httpd::busy(),
         }
     }
 
     async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let body = match read(request).await {
+        let body = match httpd::read(request).await {
             Ok(body) => body,
             Err(response) => return response,
         };
         match serde_json::from_slice::<TargetAnnouncement>(&body) {
-            Err(error) => fault(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => httpd::fault(StatusCode::BAD_REQUEST, &error.to_string()),
             Ok(announcement) if announcement.slots == 0 => {
-                fault(StatusCode::BAD_REQUEST, "slots must be at least 1")
+                httpd::fault(StatusCode::BAD_REQUEST, "slots must be at least 1")
             }
             Ok(announcement) => match self.rings.guard.push(GuardEvent::Announce(announcement)) {
-                Ok(()) => to_json(StatusCode::OK, &json!({"announced": true})),
-                Err(_full) => busy(),
+                Ok(()) => httpd::to_json(StatusCode::OK, &json!({"announced": true})),
+                Err(_full) => httpd::busy(),
             },
         }
     }
@@ -180,14 +159,14 @@
             query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
         };
         let Some(target) = field("target").map(TargetName::from) else {
-            return fault(StatusCode::BAD_REQUEST, "expected ?target=NAME&on=true|false");
+            return httpd::fault(StatusCode::BAD_REQUEST, "expected ?target=NAME&on=true|false");
         };
         let drained = field("on") != Some("false");
         let asked = ask(&self.rings.guard, |reply| GuardEvent::Drain { target, drained, reply });
         match asked.await {
-            Some(true) => to_json(StatusCode::OK, &json!({"drained": drained})),
-            Some(false) => fault(StatusCode::NOT_FOUND, "no such target on this host"),
-            None => busy(),
+            Some(true) => httpd::to_json(StatusCode::OK, &json!({"drained": drained})),
+            Some(false) => httpd::fault(StatusCode::NOT_FOUND, "no such target on this host"),
+            None => httpd::busy(),
         }
     }
 }
@@ -201,29 +180,3 @@
     ring.push(event(reply)).ok()?;
     timeout(DUTY_TIMEOUT, answer).await.ok()?.ok()
 }
-
-async fn read(request: Request<Incoming>) -> Result<Bytes, Response<Full<Bytes>>> {
-    let body = timeout(SLOW_SENDER, Limited::new(request.into_body(), MAX_BODY).collect()).await;
-    match body {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(fault(StatusCode::BAD_REQUEST, &error.to_string())),
-        Err(_elapsed) => Err(fault(StatusCode::REQUEST_TIMEOUT, "body too slow")),
-    }
-}
-
-fn busy() -> Response<Full<Bytes>> {
-    fault(StatusCode::SERVICE_UNAVAILABLE, "the daemon is busy")
-}
-
-fn fault(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
-    to_json(status, &json!({"error": text}))
-}
-
-fn to_json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
-    let text = serde_json::to_vec_pretty(value).unwrap_or_default();
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    let json = http::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
-    response
-}
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -43,6 +43,8 @@
     pub priority: CallPriority,
     /// When its caller stops waiting.
     pub deadline: MicroTime,
+    /// When it is refused if it has no slot yet; not after the deadline.
+    pub give_up: MicroTime,
     /// Whether its entry has no other target left to try.
     pub last: bool,
 }
@@ -93,6 +95,8 @@
     running: HashMap<CallId, (AccountName, u16)>,
     waiting: Vec<WaitingCall>,
     service_us: f64,
+    /// As the target told it last, in percent; zero if it never did.
+    slowness: u16,
     failing: f64,
     leaving: bool,
     sequence: u64,
@@ -107,6 +111,7 @@
             running: HashMap::new(),
             waiting: Vec::new(),
             service_us: FIRST_SERVICE_US,
+            slowness: 0,
             failing: 0.0,
             leaving: false,
             sequence: 0,
@@ -158,11 +163,17 @@
             queued: self.waiting.len() as u16,
             slots: self.slots as u16,
             service_us: self.service_us as u32,
+            slowness: self.slowness,
             failing: (self.failing * 1_000.0) as u16,
             sequence: self.sequence,
         }
     }
 
+    /// Notes how long work takes at this moment, in percent of the usual.
+    pub fn note_slowness(&mut self, percent: u16) {
+        self.slowness = percent;
+    }
+
     /// Returns how many calls run.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -185,7 +196,7 @@
             return;
         }
         let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other)).count();
-        if now + self.wait_behind(ahead) >= call.deadline {
+        if now + self.wait_behind(ahead) >= call.give_up {
             out.push(self.refuse(call.call, RefusalReason::TooLate));
             return;
         }
@@ -232,7 +243,7 @@
     fn expire(&mut self, now: MicroTime, out: &mut Vec<AdmissionAction>) {
         let mut index = 0;
         while index < self.waiting.len() {
-            if self.waiting[index].deadline > now {
+            if self.waiting[index].give_up > now {
                 index += 1;
                 continue;
             }
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -11,9 +11,10 @@
 
 use crate::clock::MicroTime;
 use crate::consts::REVOKE_MARGIN;
-use crate::entry::{CallerCall, EntryDuty};
+use crate::entry::EntryDuty;
 use crate::h2io::{self, HeadReader};
 use crate::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::intake::CallerCall;
 use crate::outcome::{CallFate, ClaimRow};
 use crate::reply::{self, EntryBody, GuardBody};
 use crate::selection::TargetPlace;
@@ -25,6 +26,15 @@
 /// Longest wait for a guard's word about an earlier call.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest body that goes out in one piece with its head, in bytes.
+const MAX_JOINED_BODY: usize = 64 << 10;
+
+/// Part of the latency objective that a call may wait for a slot.
+///
+/// The users' accounting takes a refusal within a quarter of the objective for
+/// prompt; a fifth leaves time for the way back.
+const PATIENCE_PART: u64 = 5;
+
 /// How a try ended.
 pub(crate) enum AttemptEnd {
     /// The target answered.
@@ -98,7 +108,7 @@
         return AttemptEnd::Refused { reason, retry_after_ms: UNREACHABLE_RETRY_MS };
     }
     let deadline = Instant::now() + left;
-    let head = make_head(call, target, place, left, last);
+    let head = make_head(call, target, place, left, last, now);
     let Some(sender) = connect(duty, place, deadline).await else {
         outstanding.failed = true;
         return AttemptEnd::unreachable();
@@ -141,13 +151,27 @@
     AttemptEnd::Lost
 }
 
+/// Returns how long a call may still wait for a slot.
+///
+/// A call that can't start early is refused while another try may still be in
+/// time; see [`PATIENCE_PART`].
+fn patience(call: &CallerCall, now: MicroTime) -> MicroTime {
+    if call.terms.objective_ms >= call.terms.deadline_ms {
+        return call.deadline.since(now);
+    }
+    let whole = MicroTime(u64::from(call.terms.objective_ms) * 1_000 / PATIENCE_PART);
+    (call.arrived + whole).since(now)
+}
+
 fn make_head(
     call: &CallerCall,
     target: &TargetName,
     place: &TargetPlace,
     left: Duration,
     last: bool,
+    duty_now: MicroTime,
 ) -> CallHead {
+    let patience_ms = patience(call, duty_now).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
         incarnation: place.incarnation,
@@ -157,6 +181,7 @@
         share: call.share,
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
+        patience_ms,
         repeatable: call.terms.repeatable,
         last,
         claim: call.claim.clone(),
@@ -190,14 +215,15 @@
     head: &CallHead,
     body: &Bytes,
 ) -> Result<ResponseFuture, SendFailure> {
-    let framed = h2io::frame(head).map_err(|_too_long| SendFailure::NotSent)?;
+    let together = body.len() <= MAX_JOINED_BODY;
+    let start = if together { body.as_ref() } else { &[] };
+    let framed = h2io::frame_with(head, start).map_err(|_too_long| SendFailure::NotSent)?;
     let request = Request::post("http://guard/call").body(());
     let request = request.map_err(|_never| SendFailure::NotSent)?;
     let sent = sender.send_request(request, false).map_err(|_closed| SendFailure::NotSent);
     let (response, mut stream) = sent?;
-    let whole = body.is_empty();
-    let first = h2io::send_all(&mut stream, framed, whole).await;
-    if whole {
+    let first = h2io::send_all(&mut stream, framed, together).await;
+    if together {
         first.map_err(|_broken| SendFailure::MaybeSent)?;
         return Ok(response);
     }
--- a/src/bin/railspand.rs
+++ b/src/bin/railspand.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use railspan::DaemonSettings;
+use railspan::{DaemonParts, DaemonSettings};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -34,7 +34,11 @@
         Ok(settings) => settings,
         Err(findings) => return complain(BAD_INPUT, &findings.to_string()),
     };
-    match railspan::spawn(&settings) {
+    let parts = DaemonParts {
+        client: railspan::open_store(settings.platform_address),
+        adapter: railspan::adapter(),
+    };
+    match railspan::spawn(&settings, parts) {
         Ok(daemon) => {
             announce(&daemon);
             daemon.wait();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,9 +12,9 @@
 use crate::config::FleetConfig;
 use crate::findings::{FileFinding, FindingList, TextPlace};
 use crate::operator::{self, OperatorError};
+use crate::platform::open_store;
 use crate::publish::{self, PublishError};
 use crate::settings::{DaemonSettings, is_settings};
-use crate::table::PlatformClient;
 
 /// How a command ended, as its exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -226,7 +226,7 @@
     };
     let name = options.operator.clone().or_else(|| std::env::var("USER").ok());
     let name = name.unwrap_or_else(|| "unknown".to_owned());
-    let client = PlatformClient::open(daemon(options.platform));
+    let client = open_store(daemon(options.platform));
     match publish::publish(&client, &config, &name, options.base).await {
         Ok(head) => {
             if let Some(daemon) = options.daemon {
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,9 +8,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::consts::{DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS};
+use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
 use crate::findings::{FindingList, nearest};
 use crate::ids::{AccountName, ServiceName};
+use crate::route::{CallerLimits, RouteRule};
 use crate::schema::{CheckedText, FieldKind, FieldRule};
 use crate::selection::{self, SelectionPolicy};
 use crate::wire::CallPriority;
@@ -24,6 +25,12 @@
     /// One set of parameters for each client account.
     #[serde(default)]
     pub accounts: Vec<AccountParameters>,
+    /// Where requests go that name no account, by host and path.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<RouteRule>,
+    /// What callers may send, and how long they may take.
+    #[serde(default, skip_serializing_if = "CallerLimits::is_unset")]
+    pub limits: CallerLimits,
 }
 
 /// The template of one service.
@@ -116,6 +123,10 @@
     pub repeatable: bool,
     /// Time the call has, in milliseconds.
     pub deadline_ms: u32,
+    /// Time within which an answer is worth most, in milliseconds.
+    pub objective_ms: u32,
+    /// Targets that one call may be sent to, at most.
+    pub attempts: u32,
     /// Whether a slow call gets a second try beside the first.
     pub hedge: bool,
 }
@@ -249,6 +260,7 @@
             .map(|own| &own.terms);
         let base = kind.map(|kind| &kind.terms);
         let safe = matches!(method, "GET" | "HEAD");
+        let deadline_ms = pick(own, base, |terms| terms.deadline_ms).unwrap_or(service.deadline_ms);
         CallTerms {
             kind: name.to_owned(),
             priority: CallPriority {
@@ -256,7 +268,9 @@
                 worth: pick(own, base, |terms| terms.worth).unwrap_or(1),
             },
             repeatable: pick(own, base, |terms| terms.repeatable).unwrap_or(safe),
-            deadline_ms: pick(own, base, |terms| terms.deadline_ms).unwrap_or(service.deadline_ms),
+            deadline_ms,
+            objective_ms: deadline_ms,
+            attempts: MAX_ATTEMPTS,
             hedge: pick(own, base, |terms| terms.hedge).unwrap_or(false),
         }
     }
--- a/src/consts.rs
+++ b/src/consts.rs
@@ -10,6 +10,10 @@
 /// Largest encoded head between two daemons, in bytes.
 pub const MAX_HEAD: usize = 64 << 10;
 
+/// Longest start of an answer that a guard reads before it sends any of it on,
+/// in bytes: an answer that breaks within it can still be replaced.
+pub const MAX_WHOLE_ANSWER: usize = 128 << 10;
+
 /// Largest answer body that is kept with a recorded outcome, in bytes.
 pub const MAX_RECORDED_BODY: usize = 4 << 10;
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,19 +12,23 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
-use crate::admin::{AdminDuty, AdminRings};
-use crate::consts::RING_CAPACITY;
-use crate::duty;
+use crate::adapter::{DeploymentAdapter, DeploymentTerms};
+use crate::admin::{AdminDuty, AdminEvent, AdminRings};
+use crate::consts::{MAX_REQUEST_BODY, RING_CAPACITY, TARGET_LEASE};
+use crate::control::{self, DaemonReadiness};
+use crate::durable::{self, ConfigSource, DurableParts, PlatformEvent, PlatformRings};
+use crate::duty::{self, DutyBody};
 use crate::entry::{self, EntryEvent, EntryParts};
 use crate::guard::{self, GuardEvent, GuardParts, GuardRings};
+use crate::headers::OWN_NAMES;
 use crate::ids::{DaemonIncarnation, HostName};
 use crate::log;
 use crate::member::{MemberRecord, MemberState};
 use crate::metrics::DaemonMetrics;
 use crate::peers::{self, PeersEvent, PeersParts, PeersRings};
-use crate::platform::{self, PlatformEvent, PlatformRings};
-use crate::ring::RingInbox;
-use crate::settings::DaemonSettings;
+use crate::retry::RetryShare;
+use crate::ring::{RingInbox, RingSender};
+use crate::settings::{DaemonSettings, DeploymentSettings};
 use crate::table::PlatformClient;
 
 /// Tries to find a port that is free for TCP and UDP alike.
@@ -36,6 +40,21 @@
 /// Longest wait to withdraw from the table.
 const WITHDRAW: Duration = Duration::from_secs(2);
 
+/// Part of the fleet's further tries that the daemons share out.
+///
+/// The rest is left for what a window's edges and repeated inner calls add.
+const RETRY_PART: f64 = 0.5;
+
+/// Largest body of a call in a deployment, in bytes: what its operator may allow.
+const MAX_DEPLOYED_BODY: usize = 64 << 20;
+
+/// Part of the time between a stop signal and a kill in which callers are
+/// asked to go elsewhere: longer than the platform takes to notice.
+const LINGER_PART: f64 = 0.5;
+
+/// Part of that time after which all calls must have ended.
+const STOP_PART: f64 = 0.85;
+
 /// Why a daemon did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -109,122 +128,255 @@
     }
 }
 
+/// What a daemon is opened with beside its settings.
+#[derive(Debug)]
+pub struct DaemonParts {
+    /// The one client of the platform.
+    pub client: PlatformClient,
+    /// The platform's adapter; used where the settings name a deployment.
+    pub adapter: &'static DeploymentAdapter,
+}
+
+/// A daemon's listeners for its deployment's platform.
+struct DeployedListeners {
+    ready: TcpListener,
+    control: TcpListener,
+}
+
+/// Everything of a daemon that is bound to an address.
+struct DaemonListeners {
+    caller: TcpListener,
+    admin: TcpListener,
+    guard: (TcpListener, UdpSocket),
+    peer: (TcpListener, UdpSocket),
+    probe: UdpSocket,
+    deployed: Option<DeployedListeners>,
+}
+
+/// The inboxes of all duties, and the rings between them.
+struct DaemonRings {
+    entry: RingInbox<EntryEvent>,
+    guard: RingInbox<GuardEvent>,
+    peers: RingInbox<PeersEvent>,
+    platform: RingInbox<PlatformEvent>,
+    admin: RingInbox<AdminEvent>,
+    from_guard: GuardRings,
+    from_peers: PeersRings,
+    from_platform: PlatformRings,
+    from_admin: AdminRings,
+    /// For the reports of the host's target.
+    reports: RingSender<GuardEvent>,
+}
+
 /// Binds all addresses and starts all threads of a daemon.
 ///
 /// # Errors
 ///
 /// Fails when an address, a thread or a counter can't be had; nothing keeps
 /// running then but threads that end with the process.
-pub fn spawn(settings: &DaemonSettings) -> Result<RunningDaemon, StartError> {
-    let logger = log::open(settings.host.as_str());
+pub fn spawn(settings: &DaemonSettings, parts: DaemonParts) -> Result<RunningDaemon, StartError> {
     let metrics = Arc::new(DaemonMetrics::open().context(MetricsSnafu)?);
+    let logger = log::open(settings.host.as_str(), &metrics).context(ThreadSnafu)?;
     let seed = settings.seed.unwrap_or_else(|| DaemonIncarnation::random().0);
-    let incarnation = DaemonIncarnation::random();
-
-    let caller = listen(settings.caller_address)?;
-    let admin = listen(settings.admin_address)?;
-    let (guard_tcp, guard_udp) = listen_both(settings.guard_address)?;
-    let (peer_tcp, peer_udp) = listen_both(settings.peer_address)?;
-    let probe_address = SocketAddr::new(settings.guard_address.ip(), 0);
-    let probe_socket = bind_udp(probe_address)?;
-    let addresses = DaemonAddresses {
-        host: settings.host.clone(),
-        caller: local(&caller, settings.caller_address)?,
-        guard: local(&guard_tcp, settings.guard_address)?,
-        peer: local(&peer_tcp, settings.peer_address)?,
-        admin: local(&admin, settings.admin_address)?,
-    };
-    let own = MemberRecord {
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
-        incarnation,
-        version: 1,
-        state: MemberState::Alive,
-        guard: addresses.guard,
-        peer: addresses.peer,
-        caller: addresses.caller,
-        admin: addresses.admin,
-        targets: Vec::new(),
-        revision: 0,
-    };
+    let DaemonParts { client, adapter } = parts;
+    let deployment = settings.deployment.as_ref();
+    let names = if deployment.is_some() { adapter.headers } else { &OWN_NAMES };
+    let terms = deployment.map(|deployment| (adapter.read_terms)(&deployment.terms));
 
-    let mut entry_inbox = RingInbox::open();
-    let mut guard_inbox = RingInbox::open();
-    let mut peers_inbox = RingInbox::open();
-    let mut platform_inbox = RingInbox::open();
-    let mut admin_inbox = RingInbox::open();
-    let guard_rings = GuardRings {
-        peers: peers_inbox.sender(RING_CAPACITY),
-        platform: platform_inbox.sender(RING_CAPACITY),
-    };
-    let peers_rings = PeersRings {
-        entry: entry_inbox.sender(RING_CAPACITY),
-        platform: platform_inbox.sender(RING_CAPACITY),
-    };
-    let platform_rings = PlatformRings {
-        entry: entry_inbox.sender(RING_CAPACITY),
-        peers: peers_inbox.sender(RING_CAPACITY),
-        admin: admin_inbox.sender(RING_CAPACITY),
-    };
-    let admin_rings = AdminRings {
-        entry: entry_inbox.sender(RING_CAPACITY),
-        guard: guard_inbox.sender(RING_CAPACITY),
-        peers: peers_inbox.sender(RING_CAPACITY),
-        platform: platform_inbox.sender(RING_CAPACITY),
-    };
+    let listeners = bind_all(settings)?;
+    let addresses = bound_addresses(settings, &listeners)?;
+    let DaemonListeners { caller, admin, guard, peer, probe, deployed } = listeners;
+    let own = own_record(settings, &addresses);
+    let incarnation = own.incarnation;
+    let rings = open_rings();
+    let readiness = DaemonReadiness::default();
+    let mut bodies: Vec<(&str, DutyBody)> = Vec::new();
 
-    let parts =
-        EntryParts { seed, probe_budget: settings.probe_budget, listener: caller, probe_socket };
-    let (counters, log) = (Arc::clone(&metrics), logger.clone());
-    start("entry", move || entry::run(parts, entry_inbox, counters, log))?;
+    let parts = EntryParts {
+        seed,
+        names,
+        own_service: deployment.map(|deployment| deployment.service.clone()),
+        retry_share: retry_share(terms),
+        readiness: readiness.clone(),
+        probe_budget: settings.probe_budget,
+        listener: caller,
+        probe_socket: probe,
+    };
+    let (inbox, counters, log) = (rings.entry, Arc::clone(&metrics), logger.clone());
+    bodies.push(("entry", duty::body(move || entry::run(parts, inbox, counters, log))));
 
     let parts = GuardParts {
         host: settings.host.clone(),
         incarnation,
+        names,
+        target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
+        max_body: if terms.is_some() { MAX_DEPLOYED_BODY } else { MAX_REQUEST_BODY },
         address: addresses.guard,
-        listener: guard_tcp,
-        socket: guard_udp,
+        listener: guard.0,
+        socket: guard.1,
     };
-    let (counters, log) = (Arc::clone(&metrics), logger.clone());
-    start("guard", move || guard::run(parts, guard_inbox, guard_rings, counters, log))?;
+    let (inbox, counters, log) = (rings.guard, Arc::clone(&metrics), logger.clone());
+    let out = rings.from_guard;
+    bodies.push(("guard", duty::body(move || guard::run(parts, inbox, out, counters, log))));
 
     let parts = PeersParts {
         own: own.clone(),
         seed: seed.wrapping_add(1),
         seeds: settings.seeds.clone(),
-        socket: peer_udp,
-        listener: peer_tcp,
+        socket: peer.1,
+        listener: peer.0,
     };
-    let (counters, log) = (Arc::clone(&metrics), logger.clone());
-    start("peers", move || peers::run(parts, peers_inbox, peers_rings, counters, log))?;
+    let (inbox, counters, log) = (rings.peers, Arc::clone(&metrics), logger.clone());
+    let out = rings.from_peers;
+    bodies.push(("peers", duty::body(move || peers::run(parts, inbox, out, counters, log))));
 
-    let client = PlatformClient::open(settings.platform_address);
-    let (counters, log) = (Arc::clone(&metrics), logger.clone());
-    let seed = seed.wrapping_add(2);
-    start("platform", move || {
-        platform::run(client, own, seed, platform_inbox, platform_rings, counters, log)
-    })?;
+    let source = if deployed.is_some() { ConfigSource::Operator } else { ConfigSource::Published };
+    let parts = DurableParts { client, own, seed: seed.wrapping_add(2), source };
+    let (inbox, counters, log) = (rings.platform, Arc::clone(&metrics), logger.clone());
+    let out = rings.from_platform;
+    bodies.push(("platform", duty::body(move || durable::run(parts, inbox, out, counters, log))));
 
     let (stop, stopped) = oneshot::channel();
-    let host = settings.host.clone();
-    let bound = Duration::from_millis(settings.stop_bound_ms);
-    let admin = start("admin", move || async move {
-        let duty = AdminDuty::new(host, admin_rings, metrics);
+    let plan = stop_plan(settings, terms);
+    let duty = (settings.host.clone(), rings.from_admin, metrics);
+    let (inbox, reports) = (rings.admin, rings.reports);
+    let body = move || async move {
+        let duty = AdminDuty::new(duty.0, duty.1, duty.2);
         let Ok(listener) = tokio::net::TcpListener::from_std(admin) else { return };
         spawn_local(std::rc::Rc::clone(&duty).serve(listener));
-        spawn_local(std::rc::Rc::clone(&duty).hear(admin_inbox));
+        spawn_local(std::rc::Rc::clone(&duty).hear(inbox));
+        if let Some(deployed) = deployed
+            && let Err(error) = deployed.serve(adapter, readiness, reports)
+        {
+            warn!(logger, "can't serve the platform"; "error" => %error);
+            return;
+        }
+        info!(logger, "started"; "incarnation" => incarnation.0);
         wait_for_stop(stopped).await;
-        stop_all(&duty.rings, bound, &logger).await;
-    })?;
+        stop_all(&duty.rings, plan, &logger).await;
+    };
+    bodies.push(("admin", duty::body(body)));
+    let admin = duty::spawn_all(bodies, settings.one_thread).context(ThreadSnafu)?;
     Ok(RunningDaemon { addresses, stop: Some(stop), admin })
 }
 
-fn start<F, Fut>(name: &str, body: F) -> Result<JoinHandle<()>, StartError>
-where
-    F: FnOnce() -> Fut + Send + 'static,
-    Fut: Future<Output = ()>,
-{
-    duty::spawn(name, body).context(ThreadSnafu)
+impl DeployedListeners {
+    fn serve(
+        self,
+        adapter: &'static DeploymentAdapter,
+        readiness: DaemonReadiness,
+        reports: RingSender<GuardEvent>,
+    ) -> io::Result<()> {
+        let ready = tokio::net::TcpListener::from_std(self.ready)?;
+        let control = tokio::net::TcpListener::from_std(self.control)?;
+        spawn_local(control::serve_ready(ready, adapter, readiness));
+        spawn_local(control::serve_reports(control, adapter, reports));
+        Ok(())
+    }
+}
+
+fn retry_share(terms: Option<DeploymentTerms>) -> RetryShare {
+    terms.map_or_else(RetryShare::default, |terms| RetryShare {
+        earned: terms.retry_ratio * RETRY_PART,
+        saved: terms.retry_slack * RETRY_PART,
+        divided: true,
+    })
+}
+
+fn stop_plan(settings: &DaemonSettings, terms: Option<DeploymentTerms>) -> StopPlan {
+    match terms {
+        Some(terms) => StopPlan {
+            linger: terms.grace.mul_f64(LINGER_PART),
+            bound: terms.grace.mul_f64(STOP_PART),
+        },
+        None => StopPlan {
+            linger: Duration::ZERO,
+            bound: Duration::from_millis(settings.stop_bound_ms),
+        },
+    }
+}
+
+fn bind_all(settings: &DaemonSettings) -> Result<DaemonListeners, StartError> {
+    let deployment = settings.deployment.as_ref();
+    Ok(DaemonListeners {
+        caller: listen(settings.caller_address)?,
+        admin: listen(settings.admin_address)?,
+        guard: listen_both(settings.guard_address)?,
+        peer: listen_both(settings.peer_address)?,
+        probe: bind_udp(SocketAddr::new(settings.guard_address.ip(), 0))?,
+        deployed: deployment.map(listen_deployed).transpose()?,
+    })
+}
+
+fn bound_addresses(
+    settings: &DaemonSettings,
+    listeners: &DaemonListeners,
+) -> Result<DaemonAddresses, StartError> {
+    Ok(DaemonAddresses {
+        host: settings.host.clone(),
+        caller: local(&listeners.caller, settings.caller_address)?,
+        guard: local(&listeners.guard.0, settings.guard_address)?,
+        peer: local(&listeners.peer.0, settings.peer_address)?,
+        admin: local(&listeners.admin, settings.admin_address)?,
+    })
+}
+
+fn own_record(settings: &DaemonSettings, addresses: &DaemonAddresses) -> MemberRecord {
+    MemberRecord {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: DaemonIncarnation::random(),
+        version: 1,
+        state: MemberState::Alive,
+        guard: addresses.guard,
+        peer: addresses.peer,
+        caller: addresses.caller,
+        admin: addresses.admin,
+        targets: Vec::new(),
+        revision: 0,
+    }
+}
+
+fn open_rings() -> DaemonRings {
+    let mut entry = RingInbox::open();
+    let mut guard = RingInbox::open();
+    let mut peers = RingInbox::open();
+    let mut platform = RingInbox::open();
+    let mut admin = RingInbox::open();
+    DaemonRings {
+        from_guard: GuardRings {
+            peers: peers.sender(RING_CAPACITY),
+            platform: platform.sender(RING_CAPACITY),
+        },
+        from_peers: PeersRings {
+            entry: entry.sender(RING_CAPACITY),
+            platform: platform.sender(RING_CAPACITY),
+        },
+        from_platform: PlatformRings {
+            entry: entry.sender(RING_CAPACITY),
+            peers: peers.sender(RING_CAPACITY),
+            admin: admin.sender(RING_CAPACITY),
+        },
+        from_admin: AdminRings {
+            entry: entry.sender(RING_CAPACITY),
+            guard: guard.sender(RING_CAPACITY),
+            peers: peers.sender(RING_CAPACITY),
+            platform: platform.sender(RING_CAPACITY),
+        },
+        reports: guard.sender(RING_CAPACITY),
+        entry,
+        guard,
+        peers,
+        platform,
+        admin,
+    }
+}
+
+fn listen_deployed(deployment: &DeploymentSettings) -> Result<DeployedListeners, StartError> {
+    Ok(DeployedListeners {
+        ready: listen(deployment.ready_address)?,
+        control: listen(deployment.control_address)?,
+    })
 }
 
 /// Waits for a signal, or for the handle's word.
@@ -242,11 +394,25 @@
     }
 }
 
+/// How long a planned stop may take.
+#[derive(Clone, Copy, Debug)]
+struct StopPlan {
+    /// Time for callers to go elsewhere, while those that come are served.
+    linger: Duration,
+    /// Time after which calls under way are given up.
+    bound: Duration,
+}
+
 /// Stops all duties in order: say good-bye, finish the calls, withdraw.
-async fn stop_all(rings: &AdminRings, bound: Duration, logger: &Logger) {
+async fn stop_all(rings: &AdminRings, plan: StopPlan, logger: &Logger) {
+    let StopPlan { linger, bound } = plan;
     info!(logger, "planned stop"; "bound_ms" => bound.as_millis() as u64);
     let (said, goodbye) = oneshot::channel();
     let leave = rings.peers.push(PeersEvent::Leave(said)).is_ok();
+    if rings.entry.push(EntryEvent::Withdraw).is_ok() {
+        tokio::time::sleep(linger).await;
+    }
+    let bound = bound.saturating_sub(linger);
     let (entry_done, entry_stopped) = oneshot::channel();
     let (guard_done, guard_stopped) = oneshot::channel();
     let entry = rings.entry.push(EntryEvent::Stop(entry_done)).is_ok();
--- a/src/platform.rs
+++ b/src/durable.rs
@@ -1,4 +1,4 @@
-//! The duty that talks to the platform: bootstrap, revisions, claims.
+//! The duty that keeps what must last in the platform: members, revisions, claims.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -26,7 +26,7 @@
 use crate::publish::{body_name, read_head};
 use crate::revision::{ActiveRevision, RevisionHead, RevisionState};
 use crate::ring::{RingInbox, RingSender};
-use crate::table::{CommitReply, PlatformClient, PlatformError, TableWrite};
+use crate::table::{CommitReply, OperatorConfig, PlatformClient, PlatformError, TableWrite};
 
 /// Start of the keys of member rows.
 const MEMBER_PREFIX: &str = "member-";
@@ -37,6 +37,10 @@
 /// Tries of the bootstrap between two tries of the seeds.
 const SEED_ROUNDS: u32 = 4;
 
+/// Bounds of the wait before the platform is asked again after a failure.
+const RETRY_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(1_200));
+
 /// Writes kept for the end of an outage.
 const MAX_PENDING_WRITES: usize = 10_000;
 
@@ -67,6 +71,15 @@
     pub(crate) admin: RingSender<AdminEvent>,
 }
 
+/// Where configurations come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConfigSource {
+    /// The head that this system's own command publishes.
+    Published,
+    /// What the operator of a deployment writes.
+    Operator,
+}
+
 struct PlatformDuty {
     client: PlatformClient,
     revisions: RefCell<RevisionState>,
@@ -82,16 +95,24 @@
     logger: Logger,
 }
 
+/// What the duty needs to run.
+#[derive(Debug)]
+pub(crate) struct DurableParts {
+    pub(crate) client: PlatformClient,
+    pub(crate) own: MemberRecord,
+    pub(crate) seed: u64,
+    pub(crate) source: ConfigSource,
+}
+
 /// Runs the duty until the thread's runtime ends.
 pub(crate) async fn run(
-    client: PlatformClient,
-    own: MemberRecord,
-    seed: u64,
+    parts: DurableParts,
     mut inbox: RingInbox<PlatformEvent>,
     rings: PlatformRings,
     metrics: Arc<DaemonMetrics>,
     logger: Logger,
 ) {
+    let DurableParts { client, own, seed, source } = parts;
     let duty = Rc::new(PlatformDuty {
         client,
         revisions: RefCell::default(),
@@ -107,7 +128,10 @@
         logger,
     });
     spawn_local(Rc::clone(&duty).bootstrap(own.clone()));
-    spawn_local(Rc::clone(&duty).poll_heads());
+    match source {
+        ConfigSource::Published => spawn_local(Rc::clone(&duty).poll_heads()),
+        ConfigSource::Operator => spawn_local(Rc::clone(&duty).watch_operator()),
+    };
     spawn_local(Rc::clone(&duty).commit_all());
     loop {
         match inbox.next().await {
@@ -178,6 +202,69 @@
         _ = done.send(());
     }
 
+    /// Waits for the operator's configurations, one after the other.
+    async fn watch_operator(self: Rc<Self>) {
+        let mut cursor = 0;
+        let mut failures = 0;
+        loop {
+            let news = self.client.next_config(cursor).await;
+            self.count("watch", &news);
+            match news {
+                Ok(news) => {
+                    if failures > 0 {
+                        info!(self.logger, "platform regained"; "failures" => failures);
+                    }
+                    failures = 0;
+                    let empty = news.config.is_none() && news.cursor == cursor;
+                    cursor = news.cursor;
+                    if let Some(config) = news.config {
+                        self.adopt_operator(&config);
+                    } else if empty {
+                        // A platform that answers at once must not be asked without pause.
+                        tokio::time::sleep(RETRY_PAUSES.0).await;
+                    }
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        warn!(self.logger, "platform lost"; "error" => %error, "cursor" => cursor);
+                    }
+                    failures += 1;
+                    if matches!(error, PlatformError::Bad { .. }) {
+                        cursor = 0;
+                    }
+                    tokio::time::sleep(self.retry_pause(failures)).await;
+                }
+            }
+        }
+    }
+
+    /// Returns a wait that grows with the failures and differs between daemons.
+    fn retry_pause(&self, failures: u32) -> Duration {
+        let (least, most) = RETRY_PAUSES;
+        let grown = least * 2_u32.pow(failures.min(8));
+        grown.min(most).mul_f64(self.rng.borrow_mut().random_range(0.5..1.0))
+    }
+
+    fn adopt_operator(&self, operator: &OperatorConfig) {
+        if operator.revision <= self.revisions.borrow().number() {
+            return;
+        }
+        let body = match serde_json::to_vec(&operator.config) {
+            Ok(body) => body,
+            Err(error) => {
+                warn!(self.logger, "revision refused"; "revision" => operator.revision, "why" => %error);
+                return;
+            }
+        };
+        let head = RevisionHead {
+            revision: operator.revision,
+            hash: blake3::hash(&body).to_hex().to_string(),
+            publish: String::new(),
+            operator: String::new(),
+        };
+        self.adopt(&head, &body);
+    }
+
     /// Polls the head, more rarely the larger the fleet.
     async fn poll_heads(self: Rc<Self>) {
         loop {
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -1,20 +1,53 @@
-//! One thread for each duty of a daemon.
+//! The duties of a daemon: a thread for each, or one for all.
 
 use std::io;
+use std::pin::Pin;
 use std::thread::{Builder, JoinHandle};
 
-use tokio::task::LocalSet;
+use tokio::runtime::Runtime;
+use tokio::task::{LocalSet, spawn_local};
 
-/// Starts a thread that runs one future on a runtime of its own.
-///
-/// The future is made inside the thread, so it need not be `Send`.
-pub(crate) fn spawn<F, Fut>(name: &str, body: F) -> io::Result<JoinHandle<()>>
+/// Makes a duty's future, inside its thread: it need not be `Send`.
+pub(crate) type DutyBody = Box<dyn FnOnce() -> Pin<Box<dyn Future<Output = ()>>> + Send>;
+
+/// Boxes what makes a duty's future.
+pub(crate) fn body<F, Fut>(make: F) -> DutyBody
 where
     F: FnOnce() -> Fut + Send + 'static,
-    Fut: Future<Output = ()>,
+    Fut: Future<Output = ()> + 'static,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Box::new(move || Box::pin(make()))
+}
+
+/// Starts all duties; returns the thread of the last, which ends with it.
+///
+/// On a small part of a core one thread serves all: each message that crosses
+/// threads there costs a wake-up that the call waits for.
+pub(crate) fn spawn_all(
+    mut bodies: Vec<(&str, DutyBody)>,
+    one_thread: bool,
+) -> io::Result<JoinHandle<()>> {
+    let (name, last) = bodies.pop().ok_or_else(|| io::Error::other("no duties"))?;
+    let mut beside = Vec::new();
+    for (name, body) in bodies {
+        if one_thread {
+            beside.push(body);
+        } else {
+            spawn(name, Vec::new(), body)?;
+        }
+    }
+    spawn(name, beside, last)
+}
+
+/// Starts a thread that runs a duty, and others beside it, on one runtime.
+fn spawn(name: &str, beside: Vec<DutyBody>, body: DutyBody) -> io::Result<JoinHandle<()>> {
+    let runtime: Runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     Builder::new().name(name.to_owned()).spawn(move || {
-        LocalSet::new().block_on(&runtime, async move { body().await });
+        LocalSet::new().block_on(&runtime, async move {
+            for other in beside {
+                spawn_local(other());
+            }
+            body().await;
+        });
     })
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,13 +1,14 @@
 //! The duty that takes calls and chooses targets for them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,34 +16,32 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::attempt::{self, AttemptEnd};
 use crate::clock::{MicroTime, ProcessClock};
-use crate::config::{CallTerms, FleetConfig};
-use crate::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
-use crate::headers;
+use crate::config::FleetConfig;
+use crate::consts::SLOW_SENDER;
+use crate::control::DaemonReadiness;
+use crate::headers::{self, HeaderNames};
 use crate::hedge;
-use crate::ids::{AccountName, ServiceName, TargetName};
+use crate::ids::{ServiceName, TargetName};
+use crate::intake::{self, CallerCall, NOT_READY_RETRY_MS};
 use crate::member::FleetView;
 use crate::metrics::DaemonMetrics;
 use crate::outcome::{CallFate, ClaimRow, RowVerdict};
 use crate::pool::GuardPool;
 use crate::probe::ProbeBudget;
 use crate::reply::{self, EntryBody};
-use crate::retry::{CallCourse, NextStep, RetryBudget, TryEnd};
+use crate::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd};
 use crate::revision::ActiveRevision;
 use crate::ring::RingInbox;
-use crate::selection::{SelectionPolicy, TargetPlace, TargetRegistry};
+use crate::selection::{TargetPlace, TargetRegistry};
 use crate::settings::BudgetSettings;
-use crate::wire::KeyClaim;
-
-/// When to come back to a daemon that is not ready, in milliseconds.
-const NOT_READY_RETRY_MS: u32 = 500;
+use crate::wire::{LoadWord, RefusalReason};
 
 /// When to come back while an earlier call with the key still runs.
 const RUNNING_RETRY_MS: u32 = 500;
@@ -58,6 +57,8 @@
     Joined { least_revision: u64 },
     /// Tell the state.
     Dump(oneshot::Sender<Value>),
+    /// Ask callers to go elsewhere, but serve those that come.
+    Withdraw,
     /// Take no new calls, finish the old, then tell.
     Stop(oneshot::Sender<()>),
 }
@@ -72,7 +73,17 @@
     pub(crate) probe_socket: UdpSocket,
     pub(crate) rng: RefCell<Pcg64Mcg>,
     pub(crate) hedge_budget: RefCell<RetryBudget>,
-    retry_budget: RefCell<RetryBudget>,
+    /// What this daemon may add to a service's calls.
+    retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    retry_share: RetryShare,
+    /// The most daemons that were ever in the fleet's view.
+    fleet_size: Cell<usize>,
+    pub(crate) names: &'static HeaderNames,
+    /// The service of the host's target.
+    pub(crate) own_service: Option<ServiceName>,
+    readiness: DaemonReadiness,
+    /// Set once callers are asked to go elsewhere.
+    withdrawn: Cell<bool>,
     active: RefCell<Option<ActiveRevision>>,
     least_revision: RefCell<Option<u64>>,
     /// Connections of callers.
@@ -85,27 +96,15 @@
 #[derive(Debug)]
 pub(crate) struct EntryParts {
     pub(crate) seed: u64,
+    pub(crate) names: &'static HeaderNames,
+    pub(crate) own_service: Option<ServiceName>,
+    pub(crate) retry_share: RetryShare,
+    pub(crate) readiness: DaemonReadiness,
     pub(crate) probe_budget: BudgetSettings,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) probe_socket: std::net::UdpSocket,
 }
 
-/// One call as its caller made it.
-#[derive(Debug)]
-pub(crate) struct CallerCall {
-    pub(crate) service: ServiceName,
-    pub(crate) account: AccountName,
-    pub(crate) share: u16,
-    pub(crate) policy: &'static SelectionPolicy,
-    pub(crate) terms: CallTerms,
-    pub(crate) method: String,
-    pub(crate) path: String,
-    pub(crate) headers: headers::HeaderList,
-    pub(crate) body: Bytes,
-    pub(crate) deadline: MicroTime,
-    pub(crate) claim: Option<KeyClaim>,
-}
-
 /// A target as it was chosen for a try.
 #[derive(Debug)]
 pub(crate) struct ChosenTarget {
@@ -113,6 +112,9 @@
     pub(crate) place: TargetPlace,
     /// Time it takes for a call, as far as known, in microseconds.
     pub(crate) service_us: f64,
+    /// What the choice was made on, and its age.
+    pub(crate) load: LoadWord,
+    pub(crate) load_age: MicroTime,
     /// Targets that stay untried.
     pub(crate) others: usize,
 }
@@ -137,7 +139,13 @@
         probe_socket,
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
         hedge_budget: RefCell::new(RetryBudget::open_hedges()),
-        retry_budget: RefCell::new(RetryBudget::open()),
+        retry_budgets: RefCell::default(),
+        retry_share: parts.retry_share,
+        fleet_size: Cell::new(1),
+        names: parts.names,
+        own_service: parts.own_service,
+        readiness: parts.readiness,
+        withdrawn: Cell::new(false),
         active: RefCell::default(),
         least_revision: RefCell::default(),
         open: watch::Sender::new(0),
@@ -155,9 +163,17 @@
     fn handle(self: &Rc<Self>, event: EntryEvent) {
         match event {
             EntryEvent::Fleet(view) => self.adopt(&view),
-            EntryEvent::Config(active) => *self.active.borrow_mut() = Some(active),
+            EntryEvent::Config(active) => {
+                *self.active.borrow_mut() = Some(active);
+                self.tell_readiness();
+            }
             EntryEvent::Joined { least_revision } => {
                 *self.least_revision.borrow_mut() = Some(least_revision);
+                self.tell_readiness();
+            }
+            EntryEvent::Withdraw => {
+                self.withdrawn.set(true);
+                self.tell_readiness();
             }
             EntryEvent::Dump(reply) => drop(reply.send(self.dump())),
             EntryEvent::Stop(done) => {
@@ -170,9 +186,25 @@
         self.registry.borrow_mut().adopt(self.clock.now(), view);
         let guards: std::collections::HashSet<_> =
             view.serving().map(|member| (member.guard, member.incarnation)).collect();
+        self.fleet_size.set(self.fleet_size.get().max(guards.len()));
         self.pool.retain(|key| guards.contains(key));
     }
 
+    fn tell_readiness(&self) {
+        self.readiness.set(self.config().is_some() && !self.withdrawn.get());
+    }
+
+    /// Lets a service's budget do something, such as grant a further try.
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let open = || self.retry_share.open(self.fleet_size.get());
+        act(budgets.entry(service.clone()).or_insert_with(open))
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut stopping = self.stopping.subscribe();
         loop {
@@ -197,7 +229,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(SLOW_SENDER)
+            .header_read_timeout(self.idle_limit())
             .serve_connection(TokioIo::new(socket), serve);
         let mut connection = std::pin::pin!(connection);
         let mut stopping = self.stopping.subscribe();
@@ -213,9 +245,21 @@
         self.open.send_modify(|open| *open -= 1);
     }
 
+    /// Returns how long a kept connection may stay without a whole head.
+    fn idle_limit(&self) -> Duration {
+        let active = self.active.borrow();
+        let Some(active) = active.as_ref() else { return SLOW_SENDER };
+        let limits = &active.config.limits;
+        let parts = [limits.idle_timeout_ms, limits.head_timeout_ms];
+        let set: u32 = parts.iter().flatten().sum();
+        SLOW_SENDER.max(Duration::from_millis(u64::from(set)))
+    }
+
     async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<EntryBody> {
         let since = self.clock.now();
-        let response = match self.receive(request).await {
+        let id = self.names.request_id.and_then(|name| headers::text(request.headers(), name));
+        let id: Arc<str> = Arc::from(id.unwrap_or_default());
+        let mut response = match intake::receive(&self, request, &id).await {
             Ok(call) => self.route(call).await,
             Err(refusal) => refusal,
         };
@@ -224,50 +268,49 @@
         self.metrics.calls.with_label_values(&[outcome]).inc();
         let took = self.clock.now().since(since);
         self.metrics.latency.observe(took.duration().as_secs_f64());
+        self.log_answer(&id, &response, took);
+        self.finish_head(&mut response);
         response
     }
 
-    /// Reads and checks a call; `Err` is the answer to a bad one.
-    async fn receive(&self, request: Request<Incoming>) -> Result<CallerCall, Response<EntryBody>> {
-        let (parts, body) = request.into_parts();
-        let config = self.config().ok_or_else(|| {
-            reply::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", NOT_READY_RETRY_MS)
-        })?;
-        let refuse = |status, reason| reply::not_run(status, reason, 0);
-        let account = bearer(&parts.headers).and_then(|token| config.account(token));
-        let account = account.ok_or_else(|| refuse(StatusCode::UNAUTHORIZED, "no_account"))?;
-        let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-        let (service, path) = split_path(target);
-        let service = config.service(service);
-        let service = service.ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no_service"))?;
-        let terms = config.terms(service, account, parts.method.as_str(), &path);
-        let deadline_ms = deadline_of(&parts.headers, terms.deadline_ms)
-            .ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "bad_deadline"))?;
-        let deadline = self.clock.now() + MicroTime::from_millis(u64::from(deadline_ms));
-        let body = read_body(body, &parts.headers).await?;
-        let mut call = CallerCall {
-            service: service.name.clone(),
-            account: account.name.clone(),
-            share: account.share,
-            policy: service.selection_policy(),
-            terms,
-            method: parts.method.to_string(),
-            path,
-            headers: headers::forward_request(&parts.headers),
-            body,
-            deadline,
-            claim: None,
-        };
-        if !call.terms.repeatable {
-            let key = idempotency_key(&parts.headers);
-            let key = key.ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "no_idempotency_key"))?;
-            call.claim = Some(make_claim(&call, key));
+    fn log_answer(&self, id: &str, response: &Response<EntryBody>, took: MicroTime) {
+        let text = |name| headers::text(response.headers(), name).unwrap_or_default();
+        let (outcome, reason) = (text(headers::OUTCOME), text(headers::REASON));
+        let status = response.status().as_u16();
+        if reason.is_empty() {
+            info!(self.logger, "answered"; "id" => id, "status" => status, "took_us" => took.0,
+                "target" => text(headers::TARGET));
+        } else {
+            warn!(self.logger, "given up"; "id" => id, "status" => status, "took_us" => took.0,
+                "outcome" => outcome, "reason" => reason,
+                "retry_after_ms" => text(headers::RETRY_AFTER_MS));
+        }
+    }
+
+    /// Brings an answer's head into the form that callers here expect.
+    fn finish_head(&self, response: &mut Response<EntryBody>) {
+        let headers = response.headers_mut();
+        if self.names.fractional_retry
+            && let Some(ms) = headers::text(headers, headers::RETRY_AFTER_MS)
+            && let Ok(ms) = ms.parse::<u32>()
+        {
+            let seconds = format!("{:.3}", f64::from(ms) / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        if !self.names.call_facts {
+            for name in headers::OWN_FACTS {
+                headers.remove(*name);
+            }
+        }
+        if self.withdrawn.get() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        Ok(call)
     }
 
     /// Returns the configuration, if calls may be served by it.
-    fn config(&self) -> Option<Arc<FleetConfig>> {
+    pub(crate) fn config(&self) -> Option<Arc<FleetConfig>> {
         let active = self.active.borrow();
         let active = active.as_ref()?;
         let least = (*self.least_revision.borrow())?;
@@ -279,7 +322,7 @@
         let mut tried: Vec<TargetName> = Vec::new();
         // Of those, the ones that will not be free again soon.
         let mut gone: Vec<TargetName> = Vec::new();
-        let mut course = CallCourse::open(call.terms.repeatable);
+        let mut course = CallCourse::open(call.terms.repeatable, call.terms.attempts);
         let mut refusal = ("no_target", NOT_READY_RETRY_MS);
         loop {
             if course.is_last_try() {
@@ -290,11 +333,14 @@
                 return give_up(course.give_up(), refusal);
             };
             crate::measure::probe_some(self, &call.service);
+            self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
             let last = course.is_last_try() || chosen.others == 0;
             let (end, cause) = match hedge::run(self, &call, &chosen, last, &mut tried).await {
                 AttemptEnd::Answered(response) => {
-                    course.step(TryEnd::Answered, true, &mut self.retry_budget.borrow_mut());
+                    self.with_budget(&call.service, |budget| {
+                        course.step(TryEnd::Answered, true, budget)
+                    });
                     self.hedge_budget.borrow_mut().succeed();
                     return response;
                 }
@@ -303,7 +349,9 @@
                     if !reason.is_load() {
                         gone.push(chosen.name);
                     }
-                    (TryEnd::Refused, reason.label())
+                    let declined = reason == RefusalReason::Declined;
+                    let end = if declined { TryEnd::Declined } else { TryEnd::Refused };
+                    (end, reason.label())
                 }
                 AttemptEnd::Lost => {
                     gone.push(chosen.name);
@@ -319,10 +367,11 @@
                 }
             };
             let in_time = self.clock.now() < call.deadline;
-            let next = course.step(end, in_time, &mut self.retry_budget.borrow_mut());
+            let next = self.with_budget(&call.service, |budget| course.step(end, in_time, budget));
             if next != NextStep::TryAgain {
                 return give_up(next, refusal);
             }
+            info!(self.logger, "tried again"; "id" => &*call.id, "cause" => cause);
             self.metrics.retries.with_label_values(&[cause]).inc();
         }
     }
@@ -339,10 +388,22 @@
             name: record.name.clone(),
             place: record.place.clone()?,
             service_us: record.service_us(),
+            load: record.load,
+            load_age: now.since(record.heard),
             others,
         })
     }
 
+    fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
+        let revision = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
+        let load = chosen.load;
+        info!(self.logger, "chosen"; "id" => &*call.id, "service" => %call.service,
+            "target" => %chosen.name, "host" => %chosen.place.host, "revision" => revision,
+            "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
+            "service_us" => load.service_us, "slowness" => load.slowness,
+            "load_age_us" => chosen.load_age.0, "left_us" => call.deadline.since(self.clock.now()).0);
+    }
+
     /// Finds out about an earlier call with the same key.
     ///
     /// Returns its answer, or nothing if it is certain never to run.
@@ -388,7 +449,7 @@
             "revision": self.active.borrow().as_ref().map(|active| active.head.revision),
             "least_revision": *self.least_revision.borrow(),
             "services": self.registry.borrow().services,
-            "retry_budget": *self.retry_budget.borrow(),
+            "retry_budgets": *self.retry_budgets.borrow(),
             "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
             "caller_connections": *self.open.borrow(),
@@ -412,70 +473,3 @@
         claim.takeover = Some(version);
     }
 }
-
-fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
-    let value = headers.get(http::header::AUTHORIZATION)?.as_bytes();
-    value.strip_prefix(b"Bearer ")
-}
-
-fn idempotency_key(headers: &HeaderMap) -> Option<&[u8]> {
-    let key = headers.get(headers::IDEMPOTENCY_KEY)?.as_bytes();
-    (!key.is_empty() && key.len() <= MAX_KEY).then_some(key)
-}
-
-/// Splits `/service/rest?query` into the service and the path at the target.
-fn split_path(path: &str) -> (&str, String) {
-    let path = path.strip_prefix('/').unwrap_or(path);
-    let end = path.find(['/', '?']).unwrap_or(path.len());
-    let (service, rest) = path.split_at(end);
-    let slash = if rest.starts_with('/') { "" } else { "/" };
-    (service, format!("{slash}{rest}"))
-}
-
-/// Returns the time a call has, or nothing if its header can't be read.
-fn deadline_of(headers: &HeaderMap, default_ms: u32) -> Option<u32> {
-    let Some(value) = headers.get(headers::DEADLINE_MS) else { return Some(default_ms) };
-    let asked: u32 = value.to_str().ok()?.parse().ok()?;
-    Some(asked.min(MAX_DEADLINE_MS))
-}
-
-async fn read_body(body: Incoming, headers: &HeaderMap) -> Result<Bytes, Response<EntryBody>> {
-    let refuse = |status, reason| {
-        let mut response = reply::not_run(status, reason, 0);
-        // The rest of the body stays unread: nothing may follow it.
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
-        response
-    };
-    let length = headers.get(http::header::CONTENT_LENGTH);
-    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if length.is_some_and(|length| length > MAX_REQUEST_BODY) {
-        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-    }
-    match timeout(SLOW_SENDER, Limited::new(body, MAX_REQUEST_BODY).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
-        Ok(Err(_broken)) => Err(refuse(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_elapsed) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
-/// Derives the claim row of a call, which no other account can name.
-fn make_claim(call: &CallerCall, key: &[u8]) -> KeyClaim {
-    let row =
-        hash_parts(&[call.account.as_str().as_bytes(), call.service.as_str().as_bytes(), key]);
-    let print = hash_parts(&[call.method.as_bytes(), call.path.as_bytes(), &call.body]);
-    KeyClaim { row: format!("claim-{row}"), print, takeover: None }
-}
-
-/// Hashes parts so that no two lists of parts read alike.
-fn hash_parts(parts: &[&[u8]]) -> String {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().to_hex().to_string()
-}
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -12,10 +12,6 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Request, Response};
-use http_body_util::Full;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use slog::{Logger, info};
@@ -24,21 +20,24 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::adapter::TargetReport;
 use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 use crate::claim::{ClaimReply, ClaimRequest};
 use crate::clock::ProcessClock;
-use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, MAX_REQUEST_BODY, SLOW_SENDER};
+use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, SLOW_SENDER};
+use crate::durable::PlatformEvent;
 use crate::h2io::{self, HeadReader, StreamError};
+use crate::headers::HeaderNames;
 use crate::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::lease::{TargetCondition, TargetLease};
 use crate::member::TargetNotice;
 use crate::metrics::DaemonMetrics;
 use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
 use crate::peers::PeersEvent;
-use crate::platform::PlatformEvent;
 use crate::ring::{RingInbox, RingSender};
 use crate::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::table::TableWrite;
+use crate::target_pool::TargetPool;
 use crate::wire::{
     self, AnswerHead, CallHead, KeyClaim, LoadWord, ProbeReply, ProbeRequest, RefusalReason,
     RevokeHead, RevokeReply,
@@ -47,9 +46,6 @@
 /// How often leases and deadlines are looked at.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Longest wait for a connection to a target on the same host.
-const TARGET_CONNECT: Duration = Duration::from_millis(500);
-
 /// When to come back to a target that is leaving or gone, in milliseconds.
 pub(crate) const LEAVING_RETRY_MS: u32 = 200;
 
@@ -76,6 +72,8 @@
 pub(crate) enum GuardEvent {
     /// A target announced itself.
     Announce(TargetAnnouncement),
+    /// The platform's target told of itself; answered once acted upon.
+    Report { report: TargetReport, reply: oneshot::Sender<()> },
     /// An operator drains a target, or takes that back.
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
     /// Tell the state.
@@ -96,6 +94,11 @@
 pub(crate) struct GuardParts {
     pub(crate) host: HostName,
     pub(crate) incarnation: DaemonIncarnation,
+    pub(crate) names: &'static HeaderNames,
+    /// Time a target's word stays valid without a further one.
+    pub(crate) target_lease: Duration,
+    /// Longest body of a call, in bytes.
+    pub(crate) max_body: usize,
     pub(crate) address: SocketAddr,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) socket: std::net::UdpSocket,
@@ -105,6 +108,8 @@
     pub(crate) announcement: TargetAnnouncement,
     lease: TargetLease,
     door: AdmissionQueue,
+    /// The newest report that was acted upon.
+    sequence: u64,
     /// Calls that wait for the table while they hold a slot.
     pub(crate) claiming: usize,
 }
@@ -122,10 +127,13 @@
     /// Streams of calls that have not ended.
     open: watch::Sender<usize>,
     stopping: watch::Sender<bool>,
-    pub(crate) client: Client<HttpConnector, Full<Bytes>>,
+    pub(crate) pool: Rc<TargetPool>,
+    pub(crate) names: &'static HeaderNames,
+    target_lease: Duration,
+    max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
     rings: GuardRings,
-    logger: Logger,
+    pub(crate) logger: Logger,
 }
 
 /// Runs the duty until the thread's runtime ends.
@@ -149,7 +157,10 @@
         waiters: RefCell::default(),
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
-        client: target_client(),
+        pool: Rc::default(),
+        names: parts.names,
+        target_lease: parts.target_lease,
+        max_body: parts.max_body,
         metrics,
         rings,
         logger,
@@ -162,22 +173,14 @@
     }
 }
 
-fn target_client() -> Client<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(TARGET_CONNECT));
-    Client::builder(TokioExecutor::new())
-        .pool_max_idle_per_host(64)
-        .pool_idle_timeout(Duration::from_secs(20))
-        // A repeat is this system's decision, never the library's.
-        .retry_canceled_requests(false)
-        .build(connector)
-}
-
 impl GuardDuty {
     fn handle(self: &Rc<Self>, event: GuardEvent) {
         match event {
-            GuardEvent::Announce(announcement) => self.announce(announcement),
+            GuardEvent::Announce(announcement) => self.announce(announcement, None),
+            GuardEvent::Report { report, reply } => {
+                self.take_report(report);
+                _ = reply.send(());
+            }
             GuardEvent::Drain { target, drained, reply } => {
                 _ = reply.send(self.drain(&target, drained));
             }
@@ -188,11 +191,25 @@
         }
     }
 
-    fn announce(&self, announcement: TargetAnnouncement) {
+    fn take_report(&self, report: TargetReport) {
+        match report {
+            TargetReport::Alive { announcement, sequence, .. } => {
+                self.announce(announcement, Some(sequence));
+            }
+            TargetReport::Left(name) => self.end_target(&name),
+        }
+    }
+
+    /// Takes a target's word; one with a number is ignored if it is late.
+    fn announce(&self, announcement: TargetAnnouncement, sequence: Option<u64>) {
         let now = self.clock.now();
         let key = (announcement.service.clone(), announcement.target.clone());
         let mut targets = self.targets.borrow_mut();
         if let Some(target) = targets.get_mut(&key) {
+            if sequence.is_some_and(|sequence| sequence <= target.sequence) {
+                return;
+            }
+            target.sequence = sequence.unwrap_or_default();
             target.lease.renew(now, announcement.condition);
             target.door.resize(announcement.slots);
             target.announcement = announcement;
@@ -200,13 +217,25 @@
             info!(self.logger, "target announced"; "target" => %announcement.target);
             let mut door = AdmissionQueue::open(announcement.slots);
             door.leave(&mut Vec::new());
-            let lease = TargetLease::open(now, announcement.condition);
-            targets.insert(key, LocalTarget { announcement, lease, door, claiming: 0 });
+            let lease = TargetLease::open(now, announcement.condition, self.target_lease);
+            let sequence = sequence.unwrap_or_default();
+            let target = LocalTarget { announcement, lease, door, sequence, claiming: 0 };
+            targets.insert(key, target);
         }
         drop(targets);
         self.check_leases();
     }
 
+    /// Ends a target for good: what it said earlier may still arrive, late.
+    fn end_target(&self, name: &TargetName) {
+        for target in self.targets.borrow_mut().values_mut() {
+            if target.announcement.target == *name {
+                target.lease.end();
+            }
+        }
+        self.check_leases();
+    }
+
     fn drain(&self, name: &TargetName, drained: bool) -> bool {
         let mut found = false;
         for target in self.targets.borrow_mut().values_mut() {
@@ -390,7 +419,7 @@
     }
 
     async fn serve_call(self: &Rc<Self>, mut reader: HeadReader, mut respond: SendResponse<Bytes>) {
-        let received = timeout(SLOW_SENDER, receive_call(&mut reader)).await;
+        let received = timeout(SLOW_SENDER, receive_call(&mut reader, self.max_body)).await;
         let Ok(Ok((head, body))) = received else {
             respond.send_reset(Reason::PROTOCOL_ERROR);
             return;
@@ -468,6 +497,7 @@
             share: head.share,
             priority: head.priority,
             deadline: call.deadline,
+            give_up: call.deadline.min(call.give_up),
             last: head.last,
         };
         self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
@@ -527,6 +557,13 @@
         }
     }
 
+    /// Notes how long work takes at a target now, in percent of the usual.
+    pub(crate) fn note_slowness(&self, key: &(ServiceName, TargetName), percent: u16) {
+        if let Some(target) = self.targets.borrow_mut().get_mut(key) {
+            target.door.note_slowness(percent);
+        }
+    }
+
     pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadWord {
         let mut targets = self.targets.borrow_mut();
         targets.get_mut(key).map(|target| target.door.load()).unwrap_or_default()
@@ -539,6 +576,8 @@
         retry_after_ms: u32,
     ) -> AnswerHead {
         self.metrics.refusals.with_label_values(&[reason.label()]).inc();
+        info!(self.logger, "refused"; "id" => &*call.id, "target" => %call.key.1,
+            "reason" => reason.label(), "retry_after_ms" => retry_after_ms);
         AnswerHead::Refused { call: call.call, reason, retry_after_ms, load: self.load(&call.key) }
     }
 
@@ -578,10 +617,13 @@
     }
 }
 
-async fn receive_call(reader: &mut HeadReader) -> Result<(CallHead, Bytes), StreamError> {
+async fn receive_call(
+    reader: &mut HeadReader,
+    max_body: usize,
+) -> Result<(CallHead, Bytes), StreamError> {
     let head: CallHead = reader.head().await?;
     let length = head.body_len as usize;
-    if length > MAX_REQUEST_BODY {
+    if length > max_body {
         return Err(StreamError::Short);
     }
     let body = reader.body(length).await?;
--- a/src/h2io.rs
+++ b/src/h2io.rs
@@ -64,10 +64,16 @@
 
 /// Encodes a head with its length before it.
 pub(crate) fn frame<T: Serialize>(head: &T) -> Result<Bytes, WireError> {
+    frame_with(head, &[])
+}
+
+/// Encodes a head with its length before it and a body behind it.
+pub(crate) fn frame_with<T: Serialize>(head: &T, body: &[u8]) -> Result<Bytes, WireError> {
     let encoded = wire::encode(head)?;
-    let mut framed = BytesMut::with_capacity(PREFIX + encoded.len());
+    let mut framed = BytesMut::with_capacity(PREFIX + encoded.len() + body.len());
     framed.put_u32(encoded.len() as u32);
     framed.put_slice(&encoded);
+    framed.put_slice(body);
     Ok(framed.freeze())
 }
 
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -25,6 +25,72 @@
 /// The caller's key of a call that must not repeat.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Names of the headers that carry the system's own facts.
+///
+/// A deployment may have names of its own; what a name stands for is the same.
+#[derive(Debug)]
+pub struct HeaderNames {
+    /// Time left to the deadline, in milliseconds; from callers, and to targets.
+    pub deadline_ms: &'static str,
+    /// The caller's id of its request; targets echo it.
+    pub request_id: Option<&'static str>,
+    /// The service whose host the request comes from; set by the system.
+    pub caller_service: Option<&'static str>,
+    /// The only target that may run the request; set by the system.
+    pub expected_target: Option<&'static str>,
+    /// The target that answered, where targets tell.
+    pub running_target: Option<&'static str>,
+    /// A target's proof of a whole answer; a success without one is none.
+    pub signature: Option<&'static str>,
+    /// Set by a target that did not run the request.
+    pub not_executed: Option<&'static str>,
+    /// A target's load: running, waiting, slots, slowness in percent.
+    pub load: Option<&'static str>,
+    /// Whether the caller's `Host` travels to the target.
+    pub keeps_host: bool,
+    /// Whether callers read fractions of a second in `Retry-After`.
+    pub fractional_retry: bool,
+    /// Whether targets and callers get the facts that only this system names.
+    pub call_facts: bool,
+}
+
+/// The system's own names.
+pub const OWN_NAMES: HeaderNames = HeaderNames {
+    deadline_ms: DEADLINE_MS,
+    request_id: None,
+    caller_service: None,
+    expected_target: None,
+    running_target: None,
+    signature: None,
+    not_executed: None,
+    load: None,
+    keeps_host: false,
+    fractional_retry: false,
+    call_facts: true,
+};
+
+impl HeaderNames {
+    /// Tells whether only the system may set a header of a request.
+    fn is_reserved(&self, name: &str) -> bool {
+        let reserved = [Some(self.deadline_ms), self.caller_service, self.expected_target];
+        reserved.contains(&Some(name))
+    }
+}
+
+/// Returns a header of a list as text.
+pub(crate) fn find<'a>(list: &'a HeaderList, name: &str) -> Option<&'a str> {
+    let (_, value) = list.iter().find(|(other, _)| other == name)?;
+    std::str::from_utf8(value).ok()
+}
+
+/// Returns a header as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Headers of answers that only the system's own interface has.
+pub(crate) const OWN_FACTS: &[&str] = &[OUTCOME, REASON, RETRY_AFTER_MS, TARGET, RECORDED];
+
 /// Headers that belong to one connection (RFC 9110, 7.6.1), or to framing.
 const HOP: &[&str] = &[
     "connection",
@@ -44,9 +110,15 @@
 pub(crate) type HeaderList = Vec<(String, Vec<u8>)>;
 
 /// Returns the request headers that travel to the target.
-pub(crate) fn forward_request(headers: &HeaderMap) -> HeaderList {
-    let list = forward(headers);
-    list.into_iter().filter(|(name, _)| name != "content-length").collect()
+pub(crate) fn forward_request(headers: &HeaderMap, names: &HeaderNames) -> HeaderList {
+    let mut list = forward(headers);
+    list.retain(|(name, _)| name != "content-length" && !names.is_reserved(name));
+    if names.keeps_host
+        && let Some(host) = headers.get(http::header::HOST)
+    {
+        list.push(("host".to_owned(), host.as_bytes().to_vec()));
+    }
+    list
 }
 
 /// Returns the answer headers that travel to the caller.
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -7,8 +7,9 @@
 use tokio::time::timeout;
 
 use crate::attempt::{self, AttemptEnd};
-use crate::entry::{CallerCall, ChosenTarget, EntryDuty};
+use crate::entry::{ChosenTarget, EntryDuty};
 use crate::ids::TargetName;
+use crate::intake::CallerCall;
 use crate::retry::hedge_after;
 
 /// Tries a call at a target, and at a second one if the first is slow.
--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,224 @@
+//! Reading a caller's request: where it goes, and on which terms.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::clock::MicroTime;
+use crate::config::{CallTerms, FleetConfig};
+use crate::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
+use crate::entry::EntryDuty;
+use crate::headers;
+use crate::ids::{AccountName, ServiceName};
+use crate::reply::{self, EntryBody};
+use crate::selection::{self, SelectionPolicy};
+use crate::wire::KeyClaim;
+
+/// When to come back to a daemon that is not ready, in milliseconds.
+pub(crate) const NOT_READY_RETRY_MS: u32 = 500;
+
+/// Longest body of a deployment that sets no limit, in bytes.
+const MAX_ROUTED_BODY: u64 = 64 << 20;
+
+/// Account of calls that name none.
+const NO_ACCOUNT: &str = "";
+
+/// One call as its caller made it.
+#[derive(Debug)]
+pub(crate) struct CallerCall {
+    /// The caller's id of the request; empty where callers give none.
+    pub(crate) id: Arc<str>,
+    pub(crate) service: ServiceName,
+    pub(crate) account: AccountName,
+    pub(crate) share: u16,
+    pub(crate) policy: &'static SelectionPolicy,
+    pub(crate) terms: CallTerms,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: headers::HeaderList,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: MicroTime,
+    pub(crate) deadline: MicroTime,
+    pub(crate) claim: Option<KeyClaim>,
+}
+
+/// Reads and checks a call; `Err` is the answer to a bad one.
+pub(crate) async fn receive(
+    duty: &EntryDuty,
+    request: Request<Incoming>,
+    id: &Arc<str>,
+) -> Result<CallerCall, Response<EntryBody>> {
+    let arrived = duty.clock.now();
+    let (parts, body) = request.into_parts();
+    let config = duty.config().ok_or_else(|| {
+        reply::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", NOT_READY_RETRY_MS)
+    })?;
+    if duty.names.call_facts {
+        receive_of_account(duty, &config, arrived, &parts, body).await
+    } else {
+        receive_routed(duty, &config, arrived, &parts, body, id).await
+    }
+}
+
+/// Reads a call that goes by its host and path.
+async fn receive_routed(
+    duty: &EntryDuty,
+    config: &FleetConfig,
+    arrived: MicroTime,
+    parts: &Parts,
+    body: Incoming,
+    id: &Arc<str>,
+) -> Result<CallerCall, Response<EntryBody>> {
+    let names = duty.names;
+    let host = headers::text(&parts.headers, "host");
+    let host = host.or_else(|| parts.uri.authority().map(http::uri::Authority::as_str));
+    let route = config.route(host.unwrap_or_default(), parts.uri.path());
+    let route = route.ok_or_else(|| reply::not_run(StatusCode::NOT_FOUND, "no_route", 0))?;
+    let asked_ms = headers::text(&parts.headers, names.deadline_ms);
+    let terms = route.terms(asked_ms.and_then(|text| text.trim().parse().ok()));
+    let mut forwarded = headers::forward_request(&parts.headers, names);
+    if let (Some(name), Some(service)) = (names.caller_service, &duty.own_service) {
+        forwarded.push((name.to_owned(), service.as_str().as_bytes().to_vec()));
+    }
+    let deadline = arrived + MicroTime::from_millis(u64::from(terms.deadline_ms));
+    let limit = config.limits.body_bytes.unwrap_or(MAX_ROUTED_BODY);
+    let service = route.draw(&mut duty.rng.borrow_mut()).clone();
+    let body = read_body(body, &parts.headers, limit as usize).await?;
+    Ok(CallerCall {
+        id: Arc::clone(id),
+        service,
+        account: AccountName::from(NO_ACCOUNT),
+        share: 1,
+        policy: selection::default_policy(),
+        terms,
+        method: parts.method.to_string(),
+        path: path_and_query(parts).to_owned(),
+        headers: forwarded,
+        body,
+        arrived,
+        deadline,
+        claim: None,
+    })
+}
+
+/// Reads a call of a client account, which names its service in the path.
+async fn receive_of_account(
+    duty: &EntryDuty,
+    config: &FleetConfig,
+    arrived: MicroTime,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<CallerCall, Response<EntryBody>> {
+    let refuse = |status, reason| reply::not_run(status, reason, 0);
+    let account = bearer(&parts.headers).and_then(|token| config.account(token));
+    let account = account.ok_or_else(|| refuse(StatusCode::UNAUTHORIZED, "no_account"))?;
+    let (service, path) = split_path(path_and_query(parts));
+    let service = config.service(service);
+    let service = service.ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no_service"))?;
+    let terms = config.terms(service, account, parts.method.as_str(), &path);
+    let deadline_ms = deadline_of(&parts.headers, terms.deadline_ms)
+        .ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "bad_deadline"))?;
+    let deadline = arrived + MicroTime::from_millis(u64::from(deadline_ms));
+    let body = read_body(body, &parts.headers, MAX_REQUEST_BODY).await?;
+    let mut call = CallerCall {
+        id: Arc::from(""),
+        service: service.name.clone(),
+        account: account.name.clone(),
+        share: account.share,
+        policy: service.selection_policy(),
+        terms,
+        method: parts.method.to_string(),
+        path,
+        headers: headers::forward_request(&parts.headers, duty.names),
+        body,
+        arrived,
+        deadline,
+        claim: None,
+    };
+    if !call.terms.repeatable {
+        let key = idempotency_key(&parts.headers);
+        let key = key.ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "no_idempotency_key"))?;
+        call.claim = Some(make_claim(&call, key));
+    }
+    Ok(call)
+}
+
+fn path_and_query(parts: &Parts) -> &str {
+    parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(http::header::AUTHORIZATION)?.as_bytes();
+    value.strip_prefix(b"Bearer ")
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Option<&[u8]> {
+    let key = headers.get(headers::IDEMPOTENCY_KEY)?.as_bytes();
+    (!key.is_empty() && key.len() <= MAX_KEY).then_some(key)
+}
+
+/// Splits `/service/rest?query` into the service and the path at the target.
+fn split_path(path: &str) -> (&str, String) {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    let end = path.find(['/', '?']).unwrap_or(path.len());
+    let (service, rest) = path.split_at(end);
+    let slash = if rest.starts_with('/') { "" } else { "/" };
+    (service, format!("{slash}{rest}"))
+}
+
+/// Returns the time a call has, or nothing if its header can't be read.
+fn deadline_of(headers: &HeaderMap, default_ms: u32) -> Option<u32> {
+    let Some(value) = headers.get(headers::DEADLINE_MS) else { return Some(default_ms) };
+    let asked: u32 = value.to_str().ok()?.parse().ok()?;
+    Some(asked.min(MAX_DEADLINE_MS))
+}
+
+async fn read_body(
+    body: Incoming,
+    headers: &HeaderMap,
+    limit: usize,
+) -> Result<Bytes, Response<EntryBody>> {
+    let refuse = |status, reason| {
+        let mut response = reply::not_run(status, reason, 0);
+        // The rest of the body stays unread: nothing may follow it.
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+    };
+    let length = headers::text(headers, "content-length");
+    let length = length.and_then(|text| text.parse::<usize>().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+    }
+    match timeout(SLOW_SENDER, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+        }
+        Ok(Err(_broken)) => Err(refuse(StatusCode::BAD_REQUEST, "body_broken")),
+        Err(_elapsed) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
+    }
+}
+
+/// Derives the claim row of a call, which no other account can name.
+fn make_claim(call: &CallerCall, key: &[u8]) -> KeyClaim {
+    let row =
+        hash_parts(&[call.account.as_str().as_bytes(), call.service.as_str().as_bytes(), key]);
+    let print = hash_parts(&[call.method.as_bytes(), call.path.as_bytes(), &call.body]);
+    KeyClaim { row: format!("claim-{row}"), print, takeover: None }
+}
+
+/// Hashes parts so that no two lists of parts read alike.
+fn hash_parts(parts: &[&[u8]]) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.finalize().to_hex().to_string()
+}
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -4,10 +4,11 @@
 //! taking new work when it says so, when an operator drains it, or when its
 //! heartbeats stop.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::MicroTime;
-use crate::consts::TARGET_LEASE;
 
 /// What a target says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,12 +24,15 @@
 
 /// The lease of one target.
 ///
-/// Invariant: after a heartbeat at `t`, and without another, `is_ready` is
-/// false from `t + TARGET_LEASE` on.
+/// Invariants: after a heartbeat at `t`, and without another, `is_ready` is
+/// false from `t + lasts` on; an ended lease is never ready again.
 #[derive(Clone, Debug, Serialize)]
 pub struct TargetLease {
     condition: TargetCondition,
     heard: MicroTime,
+    lasts: MicroTime,
+    /// Set when the target said that it ends; a later heartbeat is a late one.
+    ended: bool,
     /// Set by an operator; only an operator takes it back.
     drained: bool,
 }
@@ -36,8 +40,8 @@
 impl TargetLease {
     /// Opens the lease of a target heard of now.
     #[must_use]
-    pub const fn open(now: MicroTime, condition: TargetCondition) -> Self {
-        Self { condition, heard: now, drained: false }
+    pub fn open(now: MicroTime, condition: TargetCondition, lasts: Duration) -> Self {
+        Self { condition, heard: now, lasts: lasts.into(), ended: false, drained: false }
     }
 
     /// Notes a heartbeat.
@@ -46,6 +50,11 @@
         self.condition = condition;
     }
 
+    /// Notes that the target ends.
+    pub const fn end(&mut self) {
+        self.ended = true;
+    }
+
     /// Notes an operator's order.
     pub const fn drain(&mut self, drained: bool) {
         self.drained = drained;
@@ -54,7 +63,7 @@
     /// Tells whether the target takes new work.
     #[must_use]
     pub fn is_ready(&self, now: MicroTime) -> bool {
-        let fresh = now.since(self.heard) < TARGET_LEASE.into();
-        fresh && !self.drained && self.condition == TargetCondition::Ready
+        let fresh = now.since(self.heard) < self.lasts;
+        fresh && !self.ended && !self.drained && self.condition == TargetCondition::Ready
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,12 +19,14 @@
 //!     share: 1,
 //!     priority: CallPriority { urgent: true, worth: 9 },
 //!     deadline: MicroTime::from_millis(100),
+//!     give_up: MicroTime::from_millis(100),
 //!     last: true,
 //! };
 //! queue.step(MicroTime(0), AdmissionEvent::Arrive(call), &mut actions);
 //! assert_eq!(actions, [AdmissionAction::Start(CallId(7))]);
 //! ```
 
+mod adapter;
 mod admin;
 mod admission;
 mod attempt;
@@ -33,7 +35,9 @@
 mod clock;
 mod config;
 mod consts;
+mod control;
 mod daemon;
+mod durable;
 mod duty;
 mod entry;
 mod findings;
@@ -41,7 +45,9 @@
 mod h2io;
 mod headers;
 mod hedge;
+mod httpd;
 mod ids;
+mod intake;
 mod lease;
 mod log;
 mod measure;
@@ -52,6 +58,7 @@
 mod outcome;
 mod pace;
 mod peers;
+#[path = "../platform/mod.rs"]
 mod platform;
 mod pool;
 mod probe;
@@ -60,14 +67,18 @@
 mod retry;
 mod revision;
 mod ring;
+mod route;
 mod rpc;
 mod schema;
 mod selection;
 mod served;
 mod settings;
 mod table;
+mod target_call;
+mod target_pool;
 mod wire;
 
+pub use adapter::{ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, TargetReport};
 pub use admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 pub use cli::run_command;
 pub use clock::MicroTime;
@@ -76,7 +87,7 @@
     ServiceTemplate,
 };
 pub use consts::*;
-pub use daemon::{DaemonAddresses, RunningDaemon, StartError, spawn};
+pub use daemon::{DaemonAddresses, DaemonParts, RunningDaemon, StartError, spawn};
 pub use findings::{FileFinding, FindingList, TextPlace, nearest};
 pub use guard::TargetAnnouncement;
 pub use headers::*;
@@ -90,17 +101,22 @@
 pub use membership::{MembershipAction, MembershipEvent, MembershipState};
 pub use outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer, RowVerdict};
 pub use pace::CommitPace;
+pub use platform::{ManifestError, adapter, open_store};
 pub use probe::ProbeBudget;
 pub use publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use reply::CallOutcome;
-pub use retry::{CallCourse, NextStep, RetryBudget, TryEnd, hedge_after};
+pub use retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
+pub use route::{CallerLimits, RouteRule, RouteTarget};
 pub use selection::{
     DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
     TargetRegistry, default_policy, policy, policy_names,
 };
-pub use settings::{BudgetSettings, DaemonSettings, is_settings};
-pub use table::{CommitReply, PlatformClient, PlatformError, TableRow, TableWrite};
+pub use settings::{BudgetSettings, DaemonSettings, DeploymentSettings, is_settings};
+pub use table::{
+    CommitReply, ConfigNews, ObjectWrite, OperatorConfig, PlatformClient, PlatformError, StoreCall,
+    StoreCalls, StoreFuture, TableRow, TableWrite,
+};
 pub use wire::{
     AnswerHead, CallHead, CallPriority, KeyClaim, LoadWord, ProbeReply, ProbeRequest,
     RefusalReason, RevokeHead, RevokeReply, WireError, decode, encode,
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -33,6 +33,18 @@
     Unknown,
 }
 
+impl CallFate {
+    /// Returns the fate as a word for logs.
+    pub(crate) const fn label(&self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Running => "running",
+            Self::Answered(_) => "answered",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The state of a claim in the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,11 +19,11 @@
 
 use crate::clock::{MicroTime, ProcessClock};
 use crate::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
+use crate::durable::PlatformEvent;
 use crate::entry::EntryEvent;
 use crate::member::{FleetView, GossipMessage, MemberRecord, TargetNotice};
 use crate::membership::{MembershipAction, MembershipEvent, MembershipState};
 use crate::metrics::DaemonMetrics;
-use crate::platform::PlatformEvent;
 use crate::revision::ActiveRevision;
 use crate::ring::{RingInbox, RingSender};
 use crate::rpc;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -63,6 +63,35 @@
     }
 }
 
+/// A daemon's part of what all daemons together may add to a service's calls.
+///
+/// Each keeps to its part without hearing the others, also when it is cut off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryShare {
+    /// Tries earned by one answered call.
+    pub earned: f64,
+    /// Tries that all daemons together may save up.
+    pub saved: f64,
+    /// Whether `saved` is divided among the daemons.
+    pub divided: bool,
+}
+
+impl Default for RetryShare {
+    /// Returns the share of a daemon whose deployment sets no bound.
+    fn default() -> Self {
+        Self { earned: RETRIES.0, saved: RETRIES.1, divided: false }
+    }
+}
+
+impl RetryShare {
+    /// Opens the budget of one of `daemons` daemons, with its savings full.
+    #[must_use]
+    pub fn open(&self, daemons: usize) -> RetryBudget {
+        let parts = if self.divided { daemons.max(1) as f64 } else { 1.0 };
+        RetryBudget::with_rates((self.earned, (self.saved / parts).max(1.0)))
+    }
+}
+
 /// Returns how long to wait for a try that was expected to take `service_us`.
 #[must_use]
 pub fn hedge_after(service_us: f64) -> MicroTime {
@@ -74,8 +103,10 @@
 pub enum TryEnd {
     /// A target answered, whatever it said.
     Answered,
-    /// The call did not run there.
+    /// The call was not sent to the target.
     Refused,
+    /// The target had the call and says that it did not run it.
+    Declined,
     /// The call may have run there.
     Lost,
     /// An earlier call with its key is certain not to run; this one may.
@@ -97,20 +128,24 @@
 
 /// The course of one call over its tries.
 ///
-/// Invariants: at most [`MAX_ATTEMPTS`] tries; after a lost try it never says
-/// `TellNotRun`, and a call that must not repeat is not tried again.
+/// Invariants: at most [`MAX_ATTEMPTS`] tries, of which at most `attempts`
+/// reach a target; after a lost try it never says `TellNotRun`, and a call
+/// that must not repeat is not tried again.
 #[derive(Clone, Debug)]
 pub struct CallCourse {
     repeatable: bool,
+    attempts: u32,
     tries: u32,
+    /// Tries that reached a target.
+    reached: u32,
     lost: bool,
 }
 
 impl CallCourse {
     /// Opens the course of a call.
     #[must_use]
-    pub const fn open(repeatable: bool) -> Self {
-        Self { repeatable, tries: 0, lost: false }
+    pub const fn open(repeatable: bool, attempts: u32) -> Self {
+        Self { repeatable, attempts, tries: 0, reached: 0, lost: false }
     }
 
     /// Takes the end of a try; `in_time` tells whether the deadline is ahead.
@@ -124,9 +159,17 @@
             }
             TryEnd::Refused | TryEnd::TakeOver if more => return NextStep::TryAgain,
             TryEnd::Refused | TryEnd::TakeOver => {}
+            TryEnd::Declined => {
+                self.reached += 1;
+                if more && self.reached < self.attempts && budget.take() {
+                    return NextStep::TryAgain;
+                }
+            }
             TryEnd::Lost => {
                 self.lost = true;
-                if more && self.repeatable && budget.take() {
+                self.reached += 1;
+                let again = more && self.repeatable && self.reached < self.attempts;
+                if again && budget.take() {
                     return NextStep::TryAgain;
                 }
             }
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,117 @@
+//! Routes of a deployment: where requests go by host and path.
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::config::{CallTerms, FleetConfig};
+use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
+use crate::ids::ServiceName;
+use crate::wire::CallPriority;
+
+/// Rank of a route from which on it is not urgent; zero is the most urgent.
+const FIRST_ROUTINE_RANK: u8 = 1;
+
+/// Worth of the most urgent rank, on the scale of [`CallPriority`].
+const TOP_WORTH: u8 = 100;
+
+/// Requests that go to the same services on the same terms.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteRule {
+    /// The operator's name for it.
+    pub name: String,
+    /// Host that the request names, in lower case.
+    pub host: String,
+    /// Start of the path; the longest one of a host holds.
+    pub prefix: String,
+    /// Services that share the requests by weight; never empty.
+    pub targets: Vec<RouteTarget>,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Longest time a caller is kept waiting, in milliseconds.
+    #[serde(default)]
+    pub timeout_ms: Option<u32>,
+    /// Time within which an answer is worth most, in milliseconds.
+    #[serde(default)]
+    pub objective_ms: Option<u32>,
+    /// Rank among requests; zero is the most urgent.
+    #[serde(default)]
+    pub rank: u8,
+    /// Targets that one request may be sent to, at most.
+    #[serde(default)]
+    pub attempts: Option<u32>,
+}
+
+/// A service's part of a route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part, relative to the others'.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long they may take; unset where unlimited.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CallerLimits {
+    /// Longest head of a request, in bytes.
+    pub head_bytes: Option<u32>,
+    /// Longest body of a request, in bytes.
+    pub body_bytes: Option<u64>,
+    /// Longest time over a request's head, in milliseconds.
+    pub head_timeout_ms: Option<u32>,
+    /// Longest time a kept connection stays unused, in milliseconds.
+    pub idle_timeout_ms: Option<u32>,
+}
+
+impl CallerLimits {
+    pub(crate) fn is_unset(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl FleetConfig {
+    /// Returns the route of a request: the longest prefix of its host.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let fits = |route: &&RouteRule| {
+            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+        };
+        self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
+    }
+}
+
+impl RouteRule {
+    /// Draws the service of one request, by weight.
+    pub(crate) fn draw(&self, rng: &mut Pcg64Mcg) -> &ServiceName {
+        let whole: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let mut left = if whole == 0 { 0 } else { rng.random_range(0..whole) };
+        for target in &self.targets {
+            match left.checked_sub(u64::from(target.weight)) {
+                Some(rest) => left = rest,
+                None => return &target.service,
+            }
+        }
+        &self.targets[0].service
+    }
+
+    /// Returns the terms of a request that names `asked_ms` as its time.
+    pub(crate) fn terms(&self, asked_ms: Option<u32>) -> CallTerms {
+        let limit_ms = self.timeout_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(MAX_DEADLINE_MS);
+        let deadline_ms = asked_ms.unwrap_or(limit_ms).min(limit_ms);
+        CallTerms {
+            kind: self.name.clone(),
+            priority: CallPriority {
+                urgent: self.rank < FIRST_ROUTINE_RANK,
+                worth: TOP_WORTH.saturating_sub(self.rank),
+            },
+            repeatable: self.repeatable,
+            deadline_ms,
+            objective_ms: self.objective_ms.unwrap_or(deadline_ms),
+            attempts: self.attempts.unwrap_or(MAX_ATTEMPTS),
+            hedge: false,
+        }
+    }
+}
--- a/src/served.rs
+++ b/src/served.rs
@@ -2,16 +2,15 @@
 
 use std::cell::Cell;
 use std::future::poll_fn;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{Reason, SendStream};
-use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use slog::info;
 use tokio::time::{sleep_until, timeout};
 
 use crate::admission::AdmissionEvent;
@@ -23,6 +22,8 @@
 use crate::ids::{CallId, ServiceName, TargetName};
 use crate::outcome::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
 use crate::table::TableWrite;
+use crate::target_call::{self, AnswerMeaning, TargetAnswer};
+use crate::target_pool::TargetFailure;
 use crate::wire::{AnswerHead, CallHead, RefusalReason};
 
 /// Time a call that must not repeat may run on after its deadline.
@@ -65,8 +66,13 @@
 pub(crate) struct ServedCall {
     duty: Rc<GuardDuty>,
     pub(crate) call: CallId,
+    /// The caller's id of the request; empty where callers give none.
+    pub(crate) id: String,
     pub(crate) key: (ServiceName, TargetName),
+    arrived: MicroTime,
     pub(crate) deadline: MicroTime,
+    /// When it is refused if it has no slot yet.
+    pub(crate) give_up: MicroTime,
     /// Whether the call is in the door's care; a copy of another call never is.
     pub(crate) entered: Cell<bool>,
     /// When the call got its slot.
@@ -96,12 +102,17 @@
 
 impl ServedCall {
     pub(crate) fn open(duty: &Rc<GuardDuty>, head: &CallHead) -> Self {
+        let id = duty.names.request_id.and_then(|name| headers::find(&head.headers, name));
+        let now = duty.clock.now();
         let remaining = u64::from(head.remaining_ms.min(MAX_DEADLINE_MS));
         Self {
             duty: Rc::clone(duty),
             call: head.call,
+            id: id.unwrap_or_default().to_owned(),
             key: (head.service.clone(), head.target.clone()),
-            deadline: duty.clock.now() + MicroTime::from_millis(remaining),
+            arrived: now,
+            deadline: now + MicroTime::from_millis(remaining),
+            give_up: now + MicroTime::from_millis(u64::from(head.patience_ms)),
             entered: Cell::default(),
             started: Cell::default(),
             dispatched: Cell::default(),
@@ -120,6 +131,8 @@
         let duty = &self.duty;
         duty.metrics.dispatched.inc();
         self.dispatched.set(Some(duty.clock.now()));
+        info!(duty.logger, "sent"; "id" => &*self.id, "target" => %self.key.1,
+            "waited_us" => duty.clock.now().since(self.arrived).0, "left_us" => self.deadline.since(duty.clock.now()).0);
         let left = self.deadline.since(duty.clock.now()).duration();
         let deadline = tokio::time::Instant::now() + left;
         let mut asked = Box::pin(self.ask_target(head, body));
@@ -148,6 +161,9 @@
         } else if fate == CallFate::Unknown {
             self.failed.set(true);
         }
+        info!(duty.logger, "ended"; "id" => &*self.id, "target" => %self.key.1,
+            "fate" => fate.label(), "failed" => self.failed.get(), "cancelled" => cancelled,
+            "took_us" => duty.clock.now().since(self.arrived).0);
         self.record(claim, &fate);
         let mut ledger = duty.ledger.borrow_mut();
         if head.repeatable {
@@ -157,20 +173,27 @@
         }
     }
 
+    /// Sends the call to the target and reads the start of its answer.
     async fn ask_target(
         &self,
         head: &CallHead,
         body: Bytes,
-    ) -> Result<Response<Incoming>, TargetFailure> {
+    ) -> Result<TargetAnswer, TargetFailure> {
+        let duty = &self.duty;
         let address = {
-            let targets = self.duty.targets.borrow();
+            let targets = duty.targets.borrow();
             targets.get(&self.key).map(|target| target.announcement.address)
         };
         let address = address.ok_or(TargetFailure::NotSent)?;
-        let request = build_request(head, body, address).ok_or(TargetFailure::NotSent)?;
-        self.duty.client.request(request).await.map_err(|error| {
-            if error.is_connect() { TargetFailure::NotSent } else { TargetFailure::Broken }
-        })
+        let left = self.deadline.since(duty.clock.now());
+        let left_ms = left.duration().as_millis() as u32;
+        let request = target_call::make_request(head, body, address, left_ms, duty.names);
+        let request = request.ok_or(TargetFailure::NotSent)?;
+        let (response, connection) = duty.pool.send(address, request, head.repeatable).await?;
+        if let Some(percent) = target_call::slowness(response.headers(), duty.names) {
+            duty.note_slowness(&self.key, percent);
+        }
+        target_call::read_start(response, connection).await
     }
 
     /// Records the outcome for repeats; a call that did not run frees its key.
@@ -189,15 +212,6 @@
     }
 }
 
-/// Why a target gave no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum TargetFailure {
-    /// Not a byte of the call went to it.
-    NotSent,
-    /// It may have run the call.
-    Broken,
-}
-
 /// Moves a target's answer to the entry, and keeps what has to be recorded.
 struct AnswerPump<'a> {
     call: &'a ServedCall,
@@ -217,42 +231,71 @@
     }
 
     /// Sends the answer; returns what became of the call.
-    async fn forward(&mut self, answered: Result<Response<Incoming>, TargetFailure>) -> CallFate {
-        match answered {
-            Ok(response) => self.forward_response(response).await,
-            Err(TargetFailure::NotSent) => {
-                let duty = &self.call.duty;
-                self.call.dispatched.set(None);
-                let refusal = duty.refusal(self.call, RefusalReason::Unreachable, LEAVING_RETRY_MS);
-                self.send_head(&refusal, true).await;
-                CallFate::NotRun
-            }
+    async fn forward(&mut self, answered: Result<TargetAnswer, TargetFailure>) -> CallFate {
+        let answer = match answered {
+            Ok(answer) => answer,
+            Err(TargetFailure::NotSent) => return self.refuse(RefusalReason::Unreachable).await,
             Err(TargetFailure::Broken) => {
                 self.lose().await;
-                CallFate::Unknown
+                return CallFate::Unknown;
             }
+        };
+        let names = self.call.duty.names;
+        let reason = match target_call::meaning(self.head, answer.status, &answer.headers, names) {
+            AnswerMeaning::Answer => return self.forward_answer(answer).await,
+            AnswerMeaning::NotRun => RefusalReason::Declined,
+            AnswerMeaning::OtherTarget => RefusalReason::Absent,
+            AnswerMeaning::Foreign => {
+                // What follows on this connection is out of step: it is closed.
+                self.lose().await;
+                return CallFate::Unknown;
+            }
+        };
+        if answer.rest.is_none() {
+            answer.connection.release(&answer.headers);
         }
+        self.refuse(reason).await
+    }
+
+    /// Tells the entry that the call did not run and never will.
+    async fn refuse(&mut self, reason: RefusalReason) -> CallFate {
+        self.call.dispatched.set(None);
+        let refusal = self.call.duty.refusal(self.call, reason, LEAVING_RETRY_MS);
+        self.send_head(&refusal, true).await;
+        CallFate::NotRun
     }
 
-    async fn forward_response(&mut self, response: Response<Incoming>) -> CallFate {
-        let (parts, mut body) = response.into_parts();
-        self.call.failed.set(parts.status.is_server_error());
+    async fn forward_answer(&mut self, answer: TargetAnswer) -> CallFate {
+        self.call.failed.set(answer.status.is_server_error());
         let mut recorded = RecordedAnswer {
-            status: parts.status.as_u16(),
-            content_type: content_type(&parts.headers),
-            body: Some(Vec::new()),
+            status: answer.status.as_u16(),
+            content_type: content_type(&answer.headers),
+            // Only the answer to a keyed call is ever asked for again.
+            body: self.head.claim.as_ref().map(|_claim| Vec::new()),
         };
-        let length = answer_length(self.head, parts.status, &parts.headers);
-        let answer = AnswerHead::Answered {
+        keep(&mut recorded, &answer.start);
+        let length = match &answer.rest {
+            None => Some(answer.start.len() as u64),
+            Some(_more) => answer_length(self.head, answer.status, &answer.headers),
+        };
+        let answered = AnswerHead::Answered {
             call: self.call.call,
-            status: parts.status.as_u16(),
-            headers: headers::forward_answer(&parts.headers),
+            status: answer.status.as_u16(),
+            headers: headers::forward_answer(&answer.headers),
             length,
             load: self.call.duty.load(&self.call.key),
         };
-        self.send_head(&answer, false).await;
+        let Some(mut rest) = answer.rest else {
+            answer.connection.release(&answer.headers);
+            self.send_whole(&answered, answer.start).await;
+            return CallFate::Answered(recorded);
+        };
+        self.send_head(&answered, false).await;
+        if !self.send_data(answer.start).await && self.head.repeatable {
+            return CallFate::Unknown;
+        }
         loop {
-            let Ok(next) = timeout(BODY_STALL, body.frame()).await else {
+            let Ok(next) = timeout(BODY_STALL, rest.frame()).await else {
                 self.reset();
                 return CallFate::Unknown;
             };
@@ -267,12 +310,27 @@
                 return CallFate::Unknown;
             }
         }
+        answer.connection.release(&answer.headers);
         if let Some(mut stream) = self.stream.take() {
             drop(h2io::send_all(&mut stream, Bytes::new(), true).await);
         }
         CallFate::Answered(recorded)
     }
 
+    /// Sends an answer that is at hand, in one piece where the window allows.
+    async fn send_whole(&mut self, answer: &AnswerHead, body: Bytes) {
+        let Some(mut respond) = self.respond.take() else { return };
+        let Ok(bytes) = h2io::frame_with(answer, &body) else {
+            respond.send_reset(Reason::INTERNAL_ERROR);
+            return;
+        };
+        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
+        let sent = timeout(BODY_STALL, h2io::send_all(&mut stream, bytes, true)).await;
+        if !sent.is_ok_and(|sent| sent.is_ok()) {
+            stream.send_reset(Reason::INTERNAL_ERROR);
+        }
+    }
+
     async fn send_head(&mut self, answer: &AnswerHead, end: bool) {
         let Some(mut respond) = self.respond.take() else { return };
         let Ok(bytes) = h2io::frame(answer) else {
@@ -304,25 +362,6 @@
     }
 }
 
-fn build_request(
-    head: &CallHead,
-    body: Bytes,
-    address: SocketAddr,
-) -> Option<Request<Full<Bytes>>> {
-    let mut builder = Request::builder()
-        .method(head.method.as_str())
-        .uri(format!("http://{address}{}", head.path))
-        .header(headers::CALL, head.call.to_string())
-        .header(headers::DEADLINE_MS, head.remaining_ms)
-        .header(headers::ACCOUNT, head.account.as_str())
-        .header(headers::WORTH, u16::from(head.priority.worth))
-        .header(headers::URGENT, u16::from(head.priority.urgent));
-    for (name, value) in &head.headers {
-        builder = builder.header(name.as_str(), value.as_slice());
-    }
-    builder.body(Full::new(body)).ok()
-}
-
 /// Returns the length the body must have, where it is known.
 fn answer_length(head: &CallHead, status: StatusCode, headers: &HeaderMap) -> Option<u64> {
     let empty = head.method == "HEAD"
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 
 use crate::findings::FindingList;
-use crate::ids::{CentreName, HostName};
+use crate::ids::{CentreName, HostName, ServiceName};
 use crate::schema::{CheckedText, FieldKind, FieldRule};
 
 /// What a daemon learns from its settings file.
@@ -34,11 +34,30 @@
     /// What measuring the targets may cost.
     #[serde(default)]
     pub probe_budget: BudgetSettings,
+    /// Whether one thread serves all duties, for hosts with a part of a core.
+    #[serde(default)]
+    pub one_thread: bool,
+    /// Set where a platform's adapter is used.
+    #[serde(default)]
+    pub deployment: Option<DeploymentSettings>,
     /// Seed of the random numbers, or none to draw one.
     #[serde(default)]
     pub seed: Option<u64>,
 }
 
+/// What a daemon learns of the platform that it is deployed on.
+#[derive(Clone, Debug, Deserialize)]
+pub struct DeploymentSettings {
+    /// The service of the host's target.
+    pub service: ServiceName,
+    /// Where the platform asks for readiness, by HTTP.
+    pub ready_address: SocketAddr,
+    /// Where the host's target reports, by HTTP.
+    pub control_address: SocketAddr,
+    /// The platform's terms, as its adapter reads them.
+    pub terms: String,
+}
+
 /// The set budget of measuring messages; none by default.
 ///
 /// Loads travel on every answer anyway; docs/design/policy.md has the figures.
@@ -59,6 +78,13 @@
     FieldRule { name: "bytes_per_s", kind: FieldKind::Whole(0, 100_000_000), required: true },
 ];
 
+const DEPLOYMENT_RULES: &[FieldRule] = &[
+    FieldRule { name: "service", kind: FieldKind::Name, required: true },
+    FieldRule { name: "ready_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "control_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "terms", kind: FieldKind::Text(4_000), required: true },
+];
+
 const RULES: &[FieldRule] = &[
     FieldRule { name: "host", kind: FieldKind::Name, required: true },
     FieldRule { name: "data_centre", kind: FieldKind::Name, required: true },
@@ -70,6 +96,8 @@
     FieldRule { name: "seeds", kind: FieldKind::Addresses, required: false },
     FieldRule { name: "stop_bound_ms", kind: FieldKind::Whole(0, 600_000), required: false },
     FieldRule { name: "probe_budget", kind: FieldKind::Object(BUDGET_RULES), required: false },
+    FieldRule { name: "one_thread", kind: FieldKind::Flag, required: false },
+    FieldRule { name: "deployment", kind: FieldKind::Object(DEPLOYMENT_RULES), required: false },
     FieldRule { name: "seed", kind: FieldKind::Whole(0, u64::MAX), required: false },
 ];
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -1,24 +1,16 @@
 //! The platform's table service and object store, as this system uses them.
+//!
+//! Only what is asked and answered; an adapter brings the calls themselves.
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::consts::PLATFORM_TIMEOUT;
-
-/// Largest answer taken from the platform, in bytes.
-const MAX_ANSWER: usize = 16 << 20;
-
-/// Rows of one page.
-const PAGE: usize = 500;
+use crate::config::FleetConfig;
 
 /// Why the platform did not do what it was asked.
 #[derive(Debug, Snafu)]
@@ -66,7 +58,7 @@
 }
 
 /// How a transaction ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommitReply {
     /// Whether all writes were applied; otherwise none was.
     pub committed: bool,
@@ -81,28 +73,66 @@
     pub missing: Vec<String>,
 }
 
-/// A connection to the platform.
-#[derive(Clone)]
-pub struct PlatformClient {
-    client: Client<HttpConnector, Full<Bytes>>,
-    address: SocketAddr,
+/// A configuration as the operator of a deployment wrote it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorConfig {
+    /// Grows with every change, in steps of any size.
+    pub revision: u64,
+    /// What it sets.
+    pub config: FleetConfig,
+}
+
+/// What the platform told of the operator's configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigNews {
+    /// From where to ask for the next change; zero to read it anew.
+    pub cursor: u64,
+    /// The newest configuration, if one was told.
+    pub config: Option<OperatorConfig>,
+}
+
+/// An answer of the platform that is still to come.
+pub type StoreFuture<T> = BoxFuture<'static, Result<T, PlatformError>>;
+
+/// A call to the platform with one argument.
+pub type StoreCall<A, T> = Box<dyn Fn(A) -> StoreFuture<T> + Send + Sync>;
+
+/// A call that writes an object under a name.
+pub type ObjectWrite = Box<dyn Fn(String, Bytes) -> StoreFuture<()> + Send + Sync>;
+
+/// The calls that an adapter brings.
+pub struct StoreCalls {
+    /// Applies all writes, or none.
+    pub commit: StoreCall<Vec<TableWrite>, CommitReply>,
+    /// Reads one row by its key.
+    pub row: StoreCall<String, Option<TableRow>>,
+    /// Reads all rows whose key starts with a prefix.
+    pub rows: StoreCall<String, Vec<TableRow>>,
+    /// Reads an object by its name.
+    pub object: StoreCall<String, Option<Bytes>>,
+    /// Writes an object whole.
+    pub put_object: ObjectWrite,
+    /// Waits for an operator's configuration newer than a cursor.
+    pub next_config: StoreCall<u64, ConfigNews>,
 }
 
-impl fmt::Debug for PlatformClient {
+impl fmt::Debug for StoreCalls {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("PlatformClient").field("address", &self.address).finish_non_exhaustive()
+        f.debug_struct("StoreCalls").finish_non_exhaustive()
     }
 }
 
+/// The one client of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    calls: Arc<StoreCalls>,
+}
+
 impl PlatformClient {
-    /// Opens a client; connections are made when needed.
+    /// Makes a client of an adapter's calls.
     #[must_use]
-    pub fn open(address: SocketAddr) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(4)
-            .retry_canceled_requests(false)
-            .build_http();
-        Self { client, address }
+    pub fn new(calls: StoreCalls) -> Self {
+        Self { calls: Arc::new(calls) }
     }
 
     /// Applies all writes, or none.
@@ -111,12 +141,7 @@
     ///
     /// `Lost` when the writes may have been applied all the same.
     pub async fn commit(&self, writes: &[TableWrite]) -> Result<CommitReply, PlatformError> {
-        let body = to_json(&writes)?;
-        let (status, bytes) = self.ask(Method::POST, "/table/commit", body).await?;
-        match status {
-            StatusCode::OK | StatusCode::CONFLICT => from_json(&bytes),
-            other => Err(refused(other)),
-        }
+        (self.calls.commit)(writes.to_vec()).await
     }
 
     /// Reads one row.
@@ -125,36 +150,16 @@
     ///
     /// Fails when the platform is down.
     pub async fn row(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
-        let (status, bytes) =
-            self.ask(Method::GET, &format!("/table/row/{key}"), Bytes::new()).await?;
-        match status {
-            StatusCode::OK => from_json(&bytes).map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(refused(other)),
-        }
+        (self.calls.row)(key.to_owned()).await
     }
 
-    /// Reads all rows whose key starts with `prefix`, page by page.
+    /// Reads all rows whose key starts with `prefix`.
     ///
     /// # Errors
     ///
     /// Fails when the platform is down.
     pub async fn rows(&self, prefix: &str) -> Result<Vec<TableRow>, PlatformError> {
-        let mut rows: Vec<TableRow> = Vec::new();
-        loop {
-            let after = rows.last().map_or("", |row| row.key.as_str());
-            let path = format!("/table/rows?prefix={prefix}&after={after}&limit={PAGE}");
-            let (status, bytes) = self.ask(Method::GET, &path, Bytes::new()).await?;
-            if status != StatusCode::OK {
-                return Err(refused(status));
-            }
-            let page: Vec<TableRow> = from_json(&bytes)?;
-            let last = page.len() < PAGE;
-            rows.extend(page);
-            if last {
-                return Ok(rows);
-            }
-        }
+        (self.calls.rows)(prefix.to_owned()).await
     }
 
     /// Reads an object.
@@ -163,13 +168,7 @@
     ///
     /// Fails when the platform is down.
     pub async fn object(&self, name: &str) -> Result<Option<Bytes>, PlatformError> {
-        let (status, bytes) =
-            self.ask(Method::GET, &format!("/objects/{name}"), Bytes::new()).await?;
-        match status {
-            StatusCode::OK => Ok(Some(bytes)),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(refused(other)),
-        }
+        (self.calls.object)(name.to_owned()).await
     }
 
     /// Writes an object whole.
@@ -178,53 +177,16 @@
     ///
     /// `Lost` when it may have been written all the same.
     pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), PlatformError> {
-        let (status, _) = self.ask(Method::PUT, &format!("/objects/{name}"), body).await?;
-        if status.is_success() { Ok(()) } else { Err(refused(status)) }
-    }
-
-    async fn ask(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-            .body(Full::new(body))
-            .map_err(|error| PlatformError::Bad { reason: error.to_string() })?;
-        let asked = tokio::time::timeout(PLATFORM_TIMEOUT, self.exchange(request)).await;
-        asked.unwrap_or_else(|_elapsed| Err(PlatformError::Lost { reason: "timeout".to_owned() }))
+        (self.calls.put_object)(name.to_owned(), body).await
     }
 
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let response = self.client.request(request).await.map_err(|error| {
-            let reason = error.to_string();
-            if error.is_connect() {
-                PlatformError::Down { reason }
-            } else {
-                PlatformError::Lost { reason }
-            }
-        })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
-        let body = body.map_err(|error| PlatformError::Lost { reason: error.to_string() })?;
-        Ok((status, body.to_bytes()))
+    /// Waits for an operator's configuration newer than `after`, up to some
+    /// seconds; at once if `after` is zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform is down or what it has can't be read.
+    pub async fn next_config(&self, after: u64) -> Result<ConfigNews, PlatformError> {
+        (self.calls.next_config)(after).await
     }
 }
-
-fn refused(status: StatusCode) -> PlatformError {
-    PlatformError::Down { reason: format!("it answered {status}") }
-}
-
-fn to_json<T: Serialize>(value: &T) -> Result<Bytes, PlatformError> {
-    let bytes = serde_json::to_vec(value);
-    bytes.map(Bytes::from).map_err(|error| PlatformError::Bad { reason: error.to_string() })
-}
-
-fn from_json<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(bytes).map_err(|error| PlatformError::Bad { reason: error.to_string() })
-}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -74,6 +74,9 @@
     pub slots: u16,
     /// Smoothed time the target takes for a call, in microseconds.
     pub service_us: u32,
+    /// How long work takes at this moment, in percent of the usual; zero where
+    /// the target does not tell.
+    pub slowness: u16,
     /// Smoothed share of failed answers, in thousandths.
     pub failing: u16,
     /// Grows with every word of one guard incarnation.
@@ -119,6 +122,8 @@
     pub priority: CallPriority,
     /// Time left to the caller's deadline, in milliseconds.
     pub remaining_ms: u32,
+    /// Longest time the call may wait for a slot, in milliseconds.
+    pub patience_ms: u32,
     /// Whether a call that was dropped may be cancelled at the target.
     pub repeatable: bool,
     /// Whether the entry has no other target left to try.
@@ -152,6 +157,8 @@
     Revoked,
     /// The target can't be reached.
     Unreachable,
+    /// The target had the call and says that it did not run it.
+    Declined,
     /// The table did not accept the claim.
     PlatformDown,
     /// The request breaks a rule of this protocol.
@@ -176,6 +183,7 @@
             Self::Absent => "absent",
             Self::Revoked => "revoked",
             Self::Unreachable => "unreachable",
+            Self::Declined => "declined",
             Self::PlatformDown => "platform_down",
             Self::Malformed => "malformed",
         }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,4 +1,8 @@
-//! The platform: a transactional table and an object store, with faults.
+//! The platform's store: rows in tables, and objects, with faults.
+//!
+//! Speaks the published protocol of the users' store as far as the system uses
+//! it: one counter of versions, transactions under conditions, pages, a feed of
+//! changes with a history that can be dropped.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -6,6 +10,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,6 +24,15 @@
 const CONNECTIONS: http::ConnectionLimits =
     http::ConnectionLimits { at_once: 10_000, open: Duration::ZERO };
 
+/// Table that only the operator writes.
+const OPERATOR_TABLE: &str = "op";
+
+/// Rows of one page, at most.
+const MAX_PAGE: usize = 500;
+
+/// Time between two looks for changes while a feed waits.
+const FEED_STEP: Duration = Duration::from_millis(10);
+
 /// What the platform carries in a second.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct PlatformLimits {
@@ -45,6 +60,8 @@
     pub lose_answers: u32,
     /// Objects can't be found.
     pub objects_missing: bool,
+    /// The history of changes is gone: whoever follows it must read anew.
+    pub history_gone: bool,
 }
 
 #[derive(Debug)]
@@ -73,37 +90,52 @@
 
 #[derive(Debug)]
 struct State {
-    rows: BTreeMap<String, (u64, String)>,
+    rows: BTreeMap<RowKey, (u64, String)>,
     objects: HashMap<String, Bytes>,
     faults: PlatformFaults,
     limits: PlatformLimits,
     writes: Bucket,
     reads: Bucket,
-    next_version: u64,
+    version: u64,
     /// Counts of requests by kind, refused ones included.
     counts: BTreeMap<&'static str, u64>,
 }
 
-#[derive(Deserialize)]
-struct Write {
+/// Table, part and key of a row.
+type RowKey = (String, String, String);
+
+/// A row, or what is said of one; `value` is base64.
+#[derive(Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct Row {
+    table: String,
+    part: String,
     key: String,
-    expect: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     value: Option<String>,
+    ver: u64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Transaction {
+    expect: Vec<Row>,
+    puts: Vec<Row>,
+    remove: Vec<Row>,
 }
 
 #[derive(Serialize)]
-struct Row {
-    key: String,
-    version: u64,
-    value: String,
+struct Page {
+    rows: Vec<Row>,
+    has_more: bool,
+    ver: u64,
+    now: String,
 }
 
-#[derive(Default, Serialize)]
-struct Commit {
-    committed: bool,
-    versions: Vec<u64>,
-    conflicts: Vec<Row>,
-    missing: Vec<String>,
+impl Row {
+    fn row_key(&self) -> RowKey {
+        (self.table.clone(), self.part.clone(), self.key.clone())
+    }
 }
 
 /// A running platform; it stops when dropped.
@@ -129,7 +161,7 @@
             limits,
             writes: Bucket::full(limits.writes_per_s),
             reads: Bucket::full(limits.reads_per_s),
-            next_version: 1,
+            version: 0,
             counts: BTreeMap::new(),
         }));
         let runtime = http::runtime()?;
@@ -151,12 +183,22 @@
         lock(&self.state).faults = faults;
     }
 
-    /// Returns all rows whose key starts with `prefix`, as key and value.
+    /// Returns the system's rows whose key starts with `prefix`, as key and value.
     #[must_use]
     pub fn rows(&self, prefix: &str) -> Vec<(String, String)> {
         let state = lock(&self.state);
-        let rows = state.rows.iter().filter(|(key, _)| key.starts_with(prefix));
-        rows.map(|(key, (_, value))| (key.clone(), value.clone())).collect()
+        let own = |(table, _, key): &RowKey| table != OPERATOR_TABLE && key.starts_with(prefix);
+        let rows = state.rows.iter().filter(|(key, _)| own(key));
+        rows.map(|((_, _, key), (_, value))| (key.clone(), decode(value))).collect()
+    }
+
+    /// Writes the operator's configuration, which the system may only read.
+    pub fn write_config(&self, text: &str) {
+        let mut state = lock(&self.state);
+        state.version += 1;
+        let version = state.version;
+        let key = (OPERATOR_TABLE.to_owned(), String::new(), "config".to_owned());
+        state.rows.insert(key, (version, BASE64.encode(text)));
     }
 
     /// Returns how many requests of a kind came, such as `commit` or `row`.
@@ -166,6 +208,11 @@
     }
 }
 
+fn decode(value: &str) -> String {
+    let bytes = BASE64.decode(value).unwrap_or_default();
+    String::from_utf8(bytes).unwrap_or_default()
+}
+
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -186,12 +233,16 @@
     if slow > 0 {
         tokio::time::sleep(Duration::from_millis(slow)).await;
     }
+    let query = parts.uri.query().unwrap_or("").to_owned();
+    if path == "/rows-feed" {
+        return Some(feed(&state, &query).await);
+    }
     let mut state = lock(&state);
     let writes = parts.method != Method::GET;
     if state.faults.down || !state.admit(writes) {
         return Some(reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
     }
-    let response = state.serve(&parts.method, &path, parts.uri.query().unwrap_or(""), body);
+    let response = state.serve(&parts.method, &path, &query, body);
     if writes && state.faults.lose_answers > 0 {
         state.faults.lose_answers -= 1;
         return None;
@@ -219,22 +270,20 @@
         query: &str,
         body: Bytes,
     ) -> Response<Full<Bytes>> {
-        if path == "/table/commit" {
+        if path == "/rows-tx" {
             self.count("commit");
             return self.commit(&body);
         }
-        if path == "/table/rows" {
-            self.count("rows");
+        if path == "/rows-get" {
+            let one = field(query, "limit") == "1";
+            self.count(if one { "row" } else { "rows" });
             return self.page(query);
         }
-        if let Some(key) = path.strip_prefix("/table/row/") {
-            self.count("row");
-            return match self.row(key) {
-                Some(row) => json(StatusCode::OK, &row),
-                None => reply(StatusCode::NOT_FOUND, Bytes::new()),
-            };
+        if path.starts_with("/blob-put/") && method != Method::PUT {
+            return reply(StatusCode::METHOD_NOT_ALLOWED, Bytes::new());
         }
-        let Some(name) = path.strip_prefix("/objects/") else {
+        let name = path.strip_prefix("/blob-put/").or_else(|| path.strip_prefix("/blob-get/"));
+        let Some(name) = name else {
             return reply(StatusCode::NOT_FOUND, Bytes::new());
         };
         if method == Method::PUT {
@@ -250,63 +299,102 @@
     }
 
     fn commit(&mut self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(writes) = serde_json::from_slice::<Vec<Write>>(body) else {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
             return reply(StatusCode::BAD_REQUEST, Bytes::new());
         };
-        let mut commit = self.check(&writes);
-        if !commit.conflicts.is_empty() || !commit.missing.is_empty() {
-            return json(StatusCode::CONFLICT, &commit);
+        let written = transaction.puts.iter().chain(&transaction.remove);
+        if written.clone().any(|row| row.table == OPERATOR_TABLE) {
+            return reply(StatusCode::FORBIDDEN, Bytes::new());
         }
-        commit.committed = true;
-        for write in writes {
-            let version = self.next_version;
-            self.next_version += 1;
-            commit.versions.push(version);
-            match write.value {
-                Some(value) => self.rows.insert(write.key, (version, value)),
-                None => self.rows.remove(&write.key),
-            };
+        let present: Vec<Row> = transaction.expect.iter().map(|row| self.present(row)).collect();
+        if present
+            .iter()
+            .zip(&transaction.expect)
+            .any(|(found, expected)| found.ver != expected.ver)
+        {
+            return json(StatusCode::PRECONDITION_FAILED, &self.answer(present, false));
         }
-        json(StatusCode::OK, &commit)
-    }
-
-    /// Finds the rows that are not as the writes expect.
-    fn check(&self, writes: &[Write]) -> Commit {
-        let mut commit = Commit::default();
-        for write in writes {
-            let present = self.row(&write.key);
-            let version = present.as_ref().map_or(0, |row| row.version);
-            if write.expect.is_none_or(|expect| expect == version) {
-                continue;
-            }
-            match present {
-                Some(row) => commit.conflicts.push(row),
-                None => commit.missing.push(write.key.clone()),
-            }
+        self.version += 1;
+        for row in transaction.puts {
+            let value = row.value.clone().unwrap_or_default();
+            self.rows.insert(row.row_key(), (self.version, value));
         }
-        commit
+        for row in transaction.remove {
+            self.rows.remove(&row.row_key());
+        }
+        json(StatusCode::OK, &self.answer(Vec::new(), false))
     }
 
-    fn row(&self, key: &str) -> Option<Row> {
-        let (version, value) = self.rows.get(key)?;
-        Some(Row { key: key.to_owned(), version: *version, value: value.clone() })
+    /// Returns a row as it is; version zero where there is none.
+    fn present(&self, asked: &Row) -> Row {
+        let found = self.rows.get(&asked.row_key());
+        let (ver, value) = found.map_or((0, None), |(ver, value)| (*ver, Some(value.clone())));
+        Row { value, ver, ..asked.clone() }
     }
 
     fn page(&self, query: &str) -> Response<Full<Bytes>> {
-        let field = |name: &str| {
-            query
-                .split('&')
-                .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-                .unwrap_or("")
+        let (table, part) = (field(query, "table"), field(query, "part"));
+        let (from, end) = (field(query, "from"), field(query, "target"));
+        let limit = field(query, "limit").parse().unwrap_or(MAX_PAGE).min(MAX_PAGE);
+        let fits = |(own_table, own_part, key): &RowKey| {
+            let inside = key.as_str() >= from && (end.is_empty() || key.as_str() < end);
+            own_table == table && own_part == part && inside
         };
-        let (prefix, after) = (field("prefix"), field("after"));
-        let limit = field("limit").parse().unwrap_or(100);
-        let keys = self.rows.keys().filter(|key| key.starts_with(prefix) && key.as_str() > after);
-        let rows: Vec<Row> = keys.take(limit).filter_map(|key| self.row(key)).collect();
-        json(StatusCode::OK, &rows)
+        let mut rows: Vec<Row> =
+            self.rows.iter().filter(|(key, _)| fits(key)).map(tell).take(limit + 1).collect();
+        let has_more = rows.len() > limit;
+        rows.truncate(limit);
+        json(StatusCode::OK, &self.answer(rows, has_more))
+    }
+
+    /// Returns the rows of a table that changed after a version, oldest first.
+    fn changes(&self, table: &str, after: u64) -> Vec<Row> {
+        let newer = |key: &RowKey, ver: u64| key.0 == table && ver > after;
+        let mut rows: Vec<Row> =
+            self.rows.iter().filter(|(key, (ver, _))| newer(key, *ver)).map(tell).collect();
+        rows.sort_by_key(|row| row.ver);
+        rows
+    }
+
+    fn answer(&self, rows: Vec<Row>, has_more: bool) -> Page {
+        Page { rows, has_more, ver: self.version, now: "0ms".to_owned() }
     }
 }
 
+/// Waits for changes of a table, up to the time that is asked for.
+async fn feed(state: &Mutex<State>, query: &str) -> Response<Full<Bytes>> {
+    let after = field(query, "after").parse().unwrap_or(0);
+    let wait = Duration::from_millis(field(query, "wait_ms").parse().unwrap_or(0));
+    let until = Instant::now() + wait;
+    lock(state).count("feed");
+    loop {
+        {
+            let state = lock(state);
+            if state.faults.down {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            }
+            if state.faults.history_gone {
+                return reply(StatusCode::GONE, Bytes::new());
+            }
+            let rows = state.changes(field(query, "table"), after);
+            if !rows.is_empty() || Instant::now() >= until {
+                return json(StatusCode::OK, &state.answer(rows, false));
+            }
+        }
+        tokio::time::sleep(FEED_STEP).await;
+    }
+}
+
+fn tell((key, (ver, value)): (&RowKey, &(u64, String))) -> Row {
+    let (table, part, key) = key.clone();
+    Row { table, part, key, value: Some(value.clone()), ver: *ver }
+}
+
+fn field<'a>(query: &'a str, name: &str) -> &'a str {
+    let mut pairs = query.split('&');
+    pairs.find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')).unwrap_or("")
+}
+
 fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
     reply(status, Bytes::from(serde_json::to_vec(value).unwrap_or_default()))
 }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -41,6 +41,7 @@
         share: 1,
         priority,
         deadline,
+        give_up: deadline,
         last: true,
     }
 }
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -67,7 +67,7 @@
         ends in proptest::collection::vec((0_u8..4, any::<bool>()), 1..10),
     ) {
         let mut budget = RetryBudget::open();
-        let mut course = CallCourse::open(repeatable);
+        let mut course = CallCourse::open(repeatable, MAX_ATTEMPTS);
         let mut lost = false;
         for (tries, (end, in_time)) in ends.into_iter().enumerate() {
             let end = [TryEnd::Answered, TryEnd::Refused, TryEnd::Lost, TryEnd::TakeOver][usize::from(end)];
@@ -104,7 +104,7 @@
         probe in 0_u64..10_000_000,
     ) {
         let conditions = [TargetCondition::Warming, TargetCondition::Ready, TargetCondition::Draining];
-        let mut lease = TargetLease::open(MicroTime(0), TargetCondition::Warming);
+        let mut lease = TargetLease::open(MicroTime(0), TargetCondition::Warming, TARGET_LEASE);
         lease.drain(drained);
         let (mut last, mut condition) = (MicroTime(0), TargetCondition::Warming);
         for (at, index) in beats {
@@ -133,7 +133,7 @@
     if level == budgets.len() {
         return;
     }
-    let mut course = CallCourse::open(true);
+    let mut course = CallCourse::open(true, MAX_ATTEMPTS);
     loop {
         *attempts += 1;
         let end = match (failing[level], lost) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use railspan::{FleetConfig, PlatformClient, RevisionHead};
+use railspan::{FleetConfig, RevisionHead, open_store};
 use railspan_standins::{
     CallReport, CallRequest, CallerClient, DaemonPlace, DaemonProcess, DaemonSpec, PlatformFaults,
     PlatformLimits, PlatformStandin, TargetOptions, TargetRun, TargetStandin, Verdict, fetch,
@@ -97,7 +97,7 @@
 
     pub fn publish(&self, template: &str) -> Result<RevisionHead, railspan::PublishError> {
         let config = FleetConfig::parse("template", template).expect("template");
-        let client = PlatformClient::open(self.platform.address());
+        let client = open_store(self.platform.address());
         self.runtime.block_on(railspan::publish(&client, &config, "test", None))
     }
 
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{FleetPlan, LIMIT, TEMPLATE, TestFleet, eventually};
-use railspan::{PlatformClient, PublishError};
+use railspan::{PublishError, open_store};
 use railspan_standins::Verdict;
 
 fn everywhere(fleet: &TestFleet, revision: u64) -> bool {
@@ -24,7 +24,7 @@
 fn racing_operators_one_wins_and_the_others_are_told_who() {
     let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
     let config = railspan::FleetConfig::parse("template", TEMPLATE).expect("template");
-    let client = PlatformClient::open(fleet.platform.address());
+    let client = open_store(fleet.platform.address());
     let names = ["ana", "bima", "chen", "dipa"];
     let race = names.map(|name| railspan::publish(&client, &config, name, Some(1)));
     let ends = fleet.runtime.block_on(futures::future::join_all(race));
@@ -45,9 +45,8 @@
     for _ in 0..3 {
         // The body's answer is lost first, then the head's.
         fleet.faults(|faults| faults.lose_answers = 1);
-        let before = fleet
-            .runtime
-            .block_on(railspan::read_head(&PlatformClient::open(fleet.platform.address())));
+        let before =
+            fleet.runtime.block_on(railspan::read_head(&open_store(fleet.platform.address())));
         let before = before.expect("head").expect("published").0.revision;
         match fleet.publish(TEMPLATE) {
             Ok(head) => assert_eq!(head.revision, before + 1),
