Reload settings on a signal; join through peers that found the daemon

Change: the signal and a look every 5 s read the settings anew; terms change in a running daemon, settings that can't be read change nothing. A daemon that others found by gossip asks those for their state.

--- a/benches/capacity/fleet.rs
+++ b/benches/capacity/fleet.rs
@@ -55,6 +55,7 @@
                 seeds: Vec::new(),
                 stop_bound_ms: 2_000,
                 seed: index as u64,
+                deployment: None,
             });
             let daemon = daemon.expect("daemon");
             if index < with_targets {
--- a/benches/capacity/table.rs
+++ b/benches/capacity/table.rs
@@ -41,6 +41,7 @@
         seeds: Vec::new(),
         stop_bound_ms: 1_000,
         seed: 1,
+        deployment: None,
     });
     let daemon = daemon.expect("daemon");
     std::thread::sleep(WATCHED);
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -127,8 +127,12 @@
 fn play_daemon(arguments: &[String]) -> Outcome<ExitCode> {
     let file = arguments.first().ok_or("expected a settings file")?;
     let settings = DaemonSettings::parse(file, &std::fs::read_to_string(file)?)?;
-    let parts =
-        DaemonParts { client: open_store(settings.platform_address), adapter: railspan::adapter() };
+    let kept = settings.clone();
+    let parts = DaemonParts {
+        client: open_store(settings.platform_address),
+        adapter: railspan::adapter(),
+        reload: Box::new(move || Ok(kept.clone())),
+    };
     let daemon = railspan::spawn(&settings, parts)?;
     println!("{}", serde_json::to_string(daemon.addresses())?);
     daemon.wait();
@@ -233,6 +237,7 @@
             seeds: Vec::new(),
             stop_bound_ms: 5_000,
             seed: index as u64,
+            deployment: None,
         })?;
         // Every second host is an old one, half as fast.
         let service_us = if index % 2 == 0 { 4_000 } else { 8_000 };
--- a/src/bin/railspand.rs
+++ b/src/bin/railspand.rs
@@ -26,17 +26,15 @@
 
 fn main() -> ExitCode {
     let options = DaemonOptions::parse_args_default_or_exit();
-    let text = match std::fs::read_to_string(&options.settings) {
-        Ok(text) => text,
-        Err(error) => return complain(BAD_INPUT, &format!("{}: {error}", options.settings)),
-    };
-    let settings = match DaemonSettings::parse(&options.settings, &text) {
+    let file = options.settings;
+    let settings = match DaemonSettings::open(&file) {
         Ok(settings) => settings,
         Err(findings) => return complain(BAD_INPUT, &findings.to_string()),
     };
     let parts = DaemonParts {
         client: railspan::open_store(settings.platform_address),
         adapter: railspan::adapter(),
+        reload: Box::new(move || DaemonSettings::open(&file)),
     };
     match railspan::spawn(&settings, parts) {
         Ok(daemon) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::durable::{self, ConfigSource, DurableParts, PlatformEvent, PlatformRings};
 use crate::duty::{self, DutyBody};
 use crate::entry::{self, EntryEvent, EntryParts};
+use crate::findings::FindingList;
 use crate::guard::{self, GuardEvent, GuardParts, GuardRings};
 use crate::headers::OWN_NAMES;
 use crate::ids::{DaemonIncarnation, HostName};
@@ -45,6 +46,9 @@
 /// The rest is left for what a window's edges and repeated inner calls add.
 const RETRY_PART: f64 = 0.5;
 
+/// Time between two looks at settings that may have changed without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(5);
+
 /// Largest body of a call in a deployment, in bytes: what its operator may allow.
 const MAX_DEPLOYED_BODY: usize = 64 << 20;
 
@@ -93,6 +97,10 @@
     pub peer: SocketAddr,
     /// For operators and the host's targets.
     pub admin: SocketAddr,
+    /// For the platform's question whether it is ready, if deployed on one.
+    pub ready: Option<SocketAddr>,
+    /// For the reports of the host's target, if deployed on a platform.
+    pub control: Option<SocketAddr>,
 }
 
 /// A running daemon.
@@ -129,12 +137,19 @@
 }
 
 /// What a daemon is opened with beside its settings.
-#[derive(Debug)]
 pub struct DaemonParts {
     /// The one client of the platform.
     pub client: PlatformClient,
     /// The platform's adapter; used where the settings name a deployment.
     pub adapter: &'static DeploymentAdapter,
+    /// Reads the settings anew, when they may have changed.
+    pub reload: Box<dyn Fn() -> Result<DaemonSettings, FindingList> + Send>,
+}
+
+impl std::fmt::Debug for DaemonParts {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("DaemonParts").field("client", &self.client).finish_non_exhaustive()
+    }
 }
 
 /// A daemon's listeners for its deployment's platform.
@@ -178,7 +193,7 @@
     let metrics = Arc::new(DaemonMetrics::open().context(MetricsSnafu)?);
     let logger = log::open(settings.host.as_str(), &metrics).context(ThreadSnafu)?;
     let seed = settings.seed.unwrap_or_else(|| DaemonIncarnation::random().0);
-    let DaemonParts { client, adapter } = parts;
+    let DaemonParts { client, adapter, reload } = parts;
     let deployment = settings.deployment.as_ref();
     let names = if deployment.is_some() { adapter.headers } else { &OWN_NAMES };
     let terms = deployment.map(|deployment| (adapter.read_terms)(&deployment.terms));
@@ -252,7 +267,11 @@
             return;
         }
         info!(logger, "started"; "incarnation" => incarnation.0);
-        wait_for_stop(stopped).await;
+        let reloading = Reloading { reload, adapter, in_force: terms };
+        tokio::select! {
+            () = wait_for_stop(stopped) => {}
+            () = reload_always(reloading, &duty.rings, &logger) => {}
+        }
         stop_all(&duty.rings, plan, &logger).await;
     };
     bodies.push(("admin", duty::body(body)));
@@ -312,12 +331,19 @@
     settings: &DaemonSettings,
     listeners: &DaemonListeners,
 ) -> Result<DaemonAddresses, StartError> {
+    let deployed = listeners.deployed.as_ref();
+    let deployment = settings.deployment.as_ref();
+    let ready = deployed.zip(deployment).map(|(own, set)| local(&own.ready, set.ready_address));
+    let control =
+        deployed.zip(deployment).map(|(own, set)| local(&own.control, set.control_address));
     Ok(DaemonAddresses {
         host: settings.host.clone(),
         caller: local(&listeners.caller, settings.caller_address)?,
         guard: local(&listeners.guard.0, settings.guard_address)?,
         peer: local(&listeners.peer.0, settings.peer_address)?,
         admin: local(&listeners.admin, settings.admin_address)?,
+        ready: ready.transpose()?,
+        control: control.transpose()?,
     })
 }
 
@@ -394,6 +420,54 @@
     }
 }
 
+/// What a reload needs.
+struct Reloading {
+    reload: Box<dyn Fn() -> Result<DaemonSettings, FindingList> + Send>,
+    adapter: &'static DeploymentAdapter,
+    in_force: Option<DeploymentTerms>,
+}
+
+/// Takes over changed settings, upon a signal and now and then without one.
+///
+/// Of a running daemon only the deployment's terms change; addresses are
+/// bound for its life. Settings that can't be read leave the old in force.
+async fn reload_always(mut reloading: Reloading, rings: &AdminRings, logger: &Logger) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut hang_up = match signal(SignalKind::hangup()) {
+        Ok(hang_up) => hang_up,
+        Err(error) => {
+            warn!(logger, "can't reload settings"; "error" => %error);
+            return std::future::pending().await;
+        }
+    };
+    loop {
+        let signalled = tokio::select! {
+            _ = hang_up.recv() => true,
+            () = tokio::time::sleep(SETTINGS_EVERY) => false,
+        };
+        let settings = match (reloading.reload)() {
+            Ok(settings) => settings,
+            Err(findings) => {
+                warn!(logger, "settings refused"; "findings" => %findings);
+                continue;
+            }
+        };
+        let deployment = settings.deployment.as_ref();
+        let terms = deployment.map(|deployment| (reloading.adapter.read_terms)(&deployment.terms));
+        let changed = terms != reloading.in_force;
+        if changed || signalled {
+            info!(logger, "settings reloaded"; "signalled" => signalled, "changed" => changed);
+        }
+        if let Some(terms) = terms.filter(|_terms| changed) {
+            let entry = rings.entry.push(EntryEvent::Share(retry_share(Some(terms)))).is_ok();
+            let guard = rings.guard.push(GuardEvent::Lease(terms.target_lease)).is_ok();
+            if entry && guard {
+                reloading.in_force = Some(terms);
+            }
+        }
+    }
+}
+
 /// How long a planned stop may take.
 #[derive(Clone, Copy, Debug)]
 struct StopPlan {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -57,6 +57,8 @@
     Joined { least_revision: u64 },
     /// Tell the state.
     Dump(oneshot::Sender<Value>),
+    /// The daemon's part of the fleet's further tries changed.
+    Share(RetryShare),
     /// Ask callers to go elsewhere, but serve those that come.
     Withdraw,
     /// Take no new calls, finish the old, then tell.
@@ -75,7 +77,7 @@
     pub(crate) hedge_budget: RefCell<RetryBudget>,
     /// What this daemon may add to a service's calls.
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
-    retry_share: RetryShare,
+    retry_share: Cell<RetryShare>,
     /// The most daemons that were ever in the fleet's view.
     fleet_size: Cell<usize>,
     pub(crate) names: &'static HeaderNames,
@@ -140,7 +142,7 @@
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
         hedge_budget: RefCell::new(RetryBudget::open_hedges()),
         retry_budgets: RefCell::default(),
-        retry_share: parts.retry_share,
+        retry_share: Cell::new(parts.retry_share),
         fleet_size: Cell::new(1),
         names: parts.names,
         own_service: parts.own_service,
@@ -171,6 +173,10 @@
                 *self.least_revision.borrow_mut() = Some(least_revision);
                 self.tell_readiness();
             }
+            EntryEvent::Share(share) => {
+                self.retry_share.set(share);
+                self.retry_budgets.borrow_mut().clear();
+            }
             EntryEvent::Withdraw => {
                 self.withdrawn.set(true);
                 self.tell_readiness();
@@ -201,7 +207,7 @@
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let mut budgets = self.retry_budgets.borrow_mut();
-        let open = || self.retry_share.open(self.fleet_size.get());
+        let open = || self.retry_share.get().open(self.fleet_size.get());
         act(budgets.entry(service.clone()).or_insert_with(open))
     }
 
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -49,6 +49,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct FindingList(pub Vec<FileFinding>);
 
+impl FindingList {
+    /// Makes the list of one fault that has no place in the file.
+    pub(crate) fn of_file(file: &str, text: &str) -> Self {
+        let place = TextPlace { line: 1, column: 1 };
+        Self(vec![FileFinding { file: file.to_owned(), place, text: text.to_owned() }])
+    }
+}
+
 impl fmt::Display for FindingList {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, finding) in self.0.iter().enumerate() {
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -1,6 +1,6 @@
 //! The duty beside the targets: admits calls, and alone speaks to the targets.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -74,6 +74,8 @@
     Announce(TargetAnnouncement),
     /// The platform's target told of itself; answered once acted upon.
     Report { report: TargetReport, reply: oneshot::Sender<()> },
+    /// A target's word stays valid for this long from now on.
+    Lease(Duration),
     /// An operator drains a target, or takes that back.
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
     /// Tell the state.
@@ -129,7 +131,7 @@
     stopping: watch::Sender<bool>,
     pub(crate) pool: Rc<TargetPool>,
     pub(crate) names: &'static HeaderNames,
-    target_lease: Duration,
+    target_lease: Cell<Duration>,
     max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
     rings: GuardRings,
@@ -159,7 +161,7 @@
         stopping: watch::Sender::new(false),
         pool: Rc::default(),
         names: parts.names,
-        target_lease: parts.target_lease,
+        target_lease: Cell::new(parts.target_lease),
         max_body: parts.max_body,
         metrics,
         rings,
@@ -177,6 +179,11 @@
     fn handle(self: &Rc<Self>, event: GuardEvent) {
         match event {
             GuardEvent::Announce(announcement) => self.announce(announcement, None),
+            GuardEvent::Lease(lasts) => {
+                self.target_lease.set(lasts);
+                let mut targets = self.targets.borrow_mut();
+                targets.values_mut().for_each(|target| target.lease.extend_to(lasts));
+            }
             GuardEvent::Report { report, reply } => {
                 self.take_report(report);
                 _ = reply.send(());
@@ -217,7 +224,7 @@
             info!(self.logger, "target announced"; "target" => %announcement.target);
             let mut door = AdmissionQueue::open(announcement.slots);
             door.leave(&mut Vec::new());
-            let lease = TargetLease::open(now, announcement.condition, self.target_lease);
+            let lease = TargetLease::open(now, announcement.condition, self.target_lease.get());
             let sequence = sequence.unwrap_or_default();
             let target = LocalTarget { announcement, lease, door, sequence, claiming: 0 };
             targets.insert(key, target);
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -50,6 +50,11 @@
         self.condition = condition;
     }
 
+    /// Changes how long a heartbeat stays valid.
+    pub fn extend_to(&mut self, lasts: Duration) {
+        self.lasts = lasts.into();
+    }
+
     /// Notes that the target ends.
     pub const fn end(&mut self) {
         self.ended = true;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -188,6 +188,12 @@
         FleetView { members: std::iter::once(self.own.clone()).chain(others).collect() }
     }
 
+    /// Tells whether any other daemon is believed to be up.
+    #[must_use]
+    pub fn knows_others(&self) -> bool {
+        self.members.values().any(|known| known.record.is_up())
+    }
+
     /// Returns how many updates are still to be spread.
     #[must_use]
     pub fn news(&self) -> usize {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -72,6 +72,8 @@
     seeds: Vec<SocketAddr>,
     dirty: RefCell<bool>,
     joined: RefCell<bool>,
+    /// Whether peers are being asked, on the way to `joined`.
+    joining: RefCell<bool>,
     fetching: RefCell<bool>,
     pub(crate) metrics: Arc<DaemonMetrics>,
     rings: PeersRings,
@@ -110,6 +112,7 @@
         seeds,
         dirty: RefCell::new(true),
         joined: RefCell::new(false),
+        joining: RefCell::new(false),
         fetching: RefCell::new(false),
         metrics,
         rings,
@@ -191,6 +194,7 @@
         loop {
             timer.tick().await;
             self.step(MembershipEvent::Tick);
+            self.join_when_found();
             let now = self.clock.now();
             if *self.dirty.borrow() && now.since(viewed) >= VIEW_EVERY {
                 viewed = now;
@@ -207,18 +211,25 @@
         *self.dirty.borrow_mut() = !(entry && platform);
     }
 
+    /// Joins through a peer that found this daemon, without the table's help.
+    fn join_when_found(self: &Rc<Self>) {
+        let found = !*self.joined.borrow() && self.membership.borrow().knows_others();
+        if found && !*self.joining.borrow() {
+            spawn_local(Rc::clone(self).join(Vec::new()));
+        }
+    }
+
     /// Learns from the table and from some peers; then the entry may serve.
     async fn join(self: Rc<Self>, members: Vec<MemberRecord>) {
-        let own = self.membership.borrow().own().host.clone();
-        let mut peers: Vec<SocketAddr> = members
-            .iter()
-            .filter(|member| member.host != own)
-            .map(|member| member.peer)
-            .chain(self.seeds.iter().copied())
-            .collect();
+        self.joining.replace(true);
         // A table that is up names at least this daemon.
         let platform_up = !members.is_empty();
         self.step(MembershipEvent::Learn(members));
+        let view = self.membership.borrow().view();
+        // The view's first member is this daemon itself.
+        let known = view.members.iter().skip(1).filter(|member| member.is_up());
+        let mut peers: Vec<SocketAddr> =
+            known.map(|member| member.peer).chain(self.seeds.iter().copied()).collect();
         peers.shuffle(&mut *self.rng.borrow_mut());
         let mut asked = 0;
         let mut least = 0;
@@ -236,6 +247,7 @@
             info!(self.logger, "joined"; "peers" => asked, "least_revision" => least);
             drop(self.rings.entry.push(EntryEvent::Joined { least_revision: least }));
         }
+        self.joining.replace(false);
     }
 
     /// Exchanges everything with one peer; returns its revision.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -102,6 +102,19 @@
 ];
 
 impl DaemonSettings {
+    /// Reads the settings of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding, each with its place; a file that can't be read
+    /// is one.
+    pub fn open(file: &str) -> Result<Self, FindingList> {
+        match std::fs::read_to_string(file) {
+            Ok(text) => Self::parse(file, &text),
+            Err(error) => Err(FindingList::of_file(file, &error.to_string())),
+        }
+    }
+
     /// Reads a settings file.
     ///
     /// # Errors
--- /dev/null
+++ b/standins/src/hosted.rs
@@ -0,0 +1,324 @@
+//! A target as the users' platform runs them, and a client of its host.
+//!
+//! The target speaks bytes, so that it can also answer wrongly.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+/// Time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+/// Longest wait of the client for one answer.
+const CLIENT_LIMIT: Duration = Duration::from_secs(20);
+
+/// How a hosted target answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostedMood {
+    /// As it should.
+    Answer,
+    /// It runs the request and closes the connection.
+    LoseAnswer,
+    /// It runs the request and answers under another request's id.
+    Foreign,
+    /// It answers a success without its signature.
+    Unsigned,
+    /// It says that it did not run the request.
+    Decline,
+    /// It says that another target has this address.
+    OtherTarget,
+    /// It breaks off in the middle of the body.
+    Truncate,
+    /// It sends a second answer behind the first.
+    Twice,
+    /// It runs the request and answers with a server error.
+    Fail,
+}
+
+/// A request that reached a hosted target.
+#[derive(Clone, Debug)]
+pub struct HostedRun {
+    /// Method and path.
+    pub line: String,
+    /// Headers by lower-case name.
+    pub headers: HashMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When it came.
+    pub at: Instant,
+}
+
+#[derive(Debug)]
+struct HostedState {
+    service: String,
+    name: String,
+    mood: Mutex<HostedMood>,
+    work: Mutex<Duration>,
+    runs: Mutex<Vec<HostedRun>>,
+    sequence: AtomicU64,
+    ended: AtomicBool,
+}
+
+/// A running target; its threads end with it.
+#[derive(Debug)]
+pub struct HostedTarget {
+    address: SocketAddr,
+    state: Arc<HostedState>,
+}
+
+/// What the client got.
+#[derive(Clone, Debug)]
+pub struct HostedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers by lower-case name.
+    pub headers: HashMap<String, String>,
+    /// The body, whole.
+    pub body: Vec<u8>,
+    /// Time from the first byte sent to the last one received.
+    pub took: Duration,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl HostedTarget {
+    /// Starts a target that takes each request `work` long.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn spawn(service: &str, name: &str, work: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(HostedState {
+            service: service.to_owned(),
+            name: name.to_owned(),
+            mood: Mutex::new(HostedMood::Answer),
+            work: Mutex::new(work),
+            runs: Mutex::default(),
+            sequence: AtomicU64::new(0),
+            ended: AtomicBool::new(false),
+        });
+        let shared = Arc::clone(&state);
+        std::thread::spawn(move || accept(&listener, &shared));
+        Ok(Self { address, state })
+    }
+
+    /// Keeps sending heartbeats to a daemon's control address.
+    pub fn report_to(&self, control: SocketAddr) {
+        let state = Arc::clone(&self.state);
+        let address = self.address;
+        std::thread::spawn(move || {
+            while !state.ended.load(Ordering::Relaxed) {
+                // A daemon that is away hears the next one.
+                drop(beat(&state, address, control, "ready"));
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+
+    /// Ends the heartbeats and says `draining` once; returns the status.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon can't be reached.
+    pub fn drain(&self, control: SocketAddr) -> io::Result<u16> {
+        self.state.ended.store(true, Ordering::Relaxed);
+        beat(&self.state, self.address, control, "draining")
+    }
+
+    /// Says that it leaves; returns the status.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon can't be reached.
+    pub fn leave(&self, control: SocketAddr) -> io::Result<u16> {
+        self.state.ended.store(true, Ordering::Relaxed);
+        let path = format!("/instances/{}/leave", self.state.name);
+        Ok(hosted_call(control, "POST", &path, &[], b"")?.status)
+    }
+
+    /// Sends one heartbeat that was made long ago; returns the status.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the daemon can't be reached.
+    pub fn send_late_beat(&self, control: SocketAddr) -> io::Result<u16> {
+        send_beat(&self.state, self.address, control, "ready", 1)
+    }
+
+    /// Changes how it answers.
+    pub fn set_mood(&self, mood: HostedMood) {
+        *lock(&self.state.mood) = mood;
+    }
+
+    /// Changes how long a request takes.
+    pub fn set_work(&self, work: Duration) {
+        *lock(&self.state.work) = work;
+    }
+
+    /// Returns all requests that reached it.
+    #[must_use]
+    pub fn runs(&self) -> Vec<HostedRun> {
+        lock(&self.state.runs).clone()
+    }
+}
+
+fn beat(
+    state: &HostedState,
+    address: SocketAddr,
+    control: SocketAddr,
+    word: &str,
+) -> io::Result<u16> {
+    let sequence = state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+    send_beat(state, address, control, word, sequence)
+}
+
+fn send_beat(
+    state: &HostedState,
+    address: SocketAddr,
+    control: SocketAddr,
+    word: &str,
+    sequence: u64,
+) -> io::Result<u16> {
+    let body = json!({
+        "address": address,
+        "info": {"service": state.service, "version": "v1", "zone": "z", "slots": 4},
+        "status": {"state": word, "sequence": sequence, "cold_remaining": "0ms"},
+    });
+    let path = format!("/instances/{}/heartbeat", state.name);
+    Ok(hosted_call(control, "POST", &path, &[], body.to_string().as_bytes())?.status)
+}
+
+fn accept(listener: &TcpListener, state: &Arc<HostedState>) {
+    for socket in listener.incoming().flatten() {
+        let state = Arc::clone(state);
+        std::thread::spawn(move || {
+            // A connection that breaks is the daemon's affair.
+            drop(serve(&socket, &state));
+        });
+    }
+}
+
+fn serve(socket: &TcpStream, state: &HostedState) -> io::Result<()> {
+    let mut reader = BufReader::new(socket.try_clone()?);
+    let mut writer = socket.try_clone()?;
+    loop {
+        let Some((line, headers)) = read_head(&mut reader)? else { return Ok(()) };
+        let length = headers.get("content-length").and_then(|text| text.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        reader.read_exact(&mut body)?;
+        let id = headers.get("x-request-id").cloned().unwrap_or_default();
+        let mood = lock(&state.mood).clone();
+        if !matches!(mood, HostedMood::Decline | HostedMood::OtherTarget) {
+            let run = HostedRun { line, headers, body, at: Instant::now() };
+            lock(&state.runs).push(run);
+            let work = *lock(&state.work);
+            std::thread::sleep(work);
+        }
+        if !answer(&mut writer, &mood, &id)? {
+            return Ok(());
+        }
+    }
+}
+
+/// Writes the answer; `false` if the connection ends with it.
+fn answer(writer: &mut TcpStream, mood: &HostedMood, id: &str) -> io::Result<bool> {
+    let body = format!("body of {id}");
+    let signature = "X-Server-Signature: 3e1b.07\r\n";
+    let whole = |status: &str, id: &str, extra: &str| {
+        format!(
+            "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let good = whole("200 OK", id, signature);
+    match mood {
+        HostedMood::LoseAnswer => return Ok(false),
+        HostedMood::Answer => writer.write_all(good.as_bytes())?,
+        HostedMood::Foreign => {
+            writer.write_all(whole("200 OK", "another", signature).as_bytes())?;
+        }
+        HostedMood::Unsigned => writer.write_all(whole("200 OK", id, "").as_bytes())?,
+        HostedMood::Fail => {
+            let failed = whole("500 Internal Server Error", id, signature);
+            writer.write_all(failed.as_bytes())?;
+        }
+        HostedMood::Decline => {
+            let declined = whole("503 Service Unavailable", id, "X-Not-Executed: 1\r\n");
+            writer.write_all(declined.as_bytes())?;
+        }
+        HostedMood::OtherTarget => {
+            let other = whole("421 Misdirected Request", id, "X-Instance-Id: i-other\r\n");
+            writer.write_all(other.as_bytes())?;
+        }
+        HostedMood::Truncate => {
+            writer.write_all(&good.as_bytes()[..good.len() - 3])?;
+            return Ok(false);
+        }
+        HostedMood::Twice => {
+            writer.write_all(good.as_bytes())?;
+            writer.write_all(good.as_bytes())?;
+        }
+    }
+    Ok(true)
+}
+
+type Head = (String, HashMap<String, String>);
+
+/// Reads a head's first line and headers; nothing at the end of the stream.
+fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header)?;
+        let Some((name, value)) = header.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    Ok(Some((line.trim_end().to_owned(), headers)))
+}
+
+/// Makes one HTTP request on a connection of its own.
+///
+/// # Errors
+///
+/// Fails when the connection breaks before the answer is whole.
+pub fn hosted_call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<HostedAnswer> {
+    let start = Instant::now();
+    let mut socket = TcpStream::connect(address)?;
+    socket.set_read_timeout(Some(CLIENT_LIMIT))?;
+    let mut lines = vec![format!("{method} {path} HTTP/1.1")];
+    lines.extend(headers.iter().map(|(name, value)| format!("{name}: {value}")));
+    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+        lines.push("Host: localhost".to_owned());
+    }
+    lines.push(format!("Content-Length: {}\r\n\r\n", body.len()));
+    let head = lines.join("\r\n");
+    socket.write_all(head.as_bytes())?;
+    socket.write_all(body)?;
+    let mut reader = BufReader::new(socket);
+    let (line, headers) = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let status = status.ok_or(io::ErrorKind::InvalidData)?;
+    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body)?;
+    Ok(HostedAnswer { status, headers, body, took: start.elapsed() })
+}
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::NamedTempFile;
 
 /// Set to let daemons' logs through to standard error.
@@ -32,6 +32,8 @@
     pub stop_bound_ms: u64,
     /// Seed of the daemon's random numbers.
     pub seed: u64,
+    /// Settings of the platform that it is deployed on, if any.
+    pub deployment: Option<Value>,
 }
 
 /// Where a daemon listens.
@@ -45,6 +47,12 @@
     pub peer: SocketAddr,
     /// For operators and targets.
     pub admin: SocketAddr,
+    /// For the platform's question whether it is ready.
+    #[serde(default)]
+    pub ready: Option<SocketAddr>,
+    /// For the reports of the host's target.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
 }
 
 /// A daemon as a process of its own; killed when dropped.
@@ -62,20 +70,44 @@
     ///
     /// Fails when the process can't be started or does not say where it is.
     pub fn spawn(spec: &DaemonSpec) -> io::Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let ports = Some(any).filter(|_any| spec.deployment.is_some());
+        let place = DaemonPlace {
+            caller: any,
+            guard: any,
+            peer: any,
+            admin: any,
+            ready: ports,
+            control: ports,
+        };
+        Self::spawn_at(spec, &place)
+    }
+
+    /// Starts a daemon at the given addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process can't be started or does not say where it is.
+    pub fn spawn_at(spec: &DaemonSpec, place: &DaemonPlace) -> io::Result<Self> {
         let mut settings = NamedTempFile::new()?;
-        let any = "127.0.0.1:0";
-        let text = json!({
+        let mut text = json!({
             "host": spec.host,
             "data_centre": spec.data_centre,
-            "caller_address": any,
-            "guard_address": any,
-            "peer_address": any,
-            "admin_address": any,
+            "caller_address": place.caller,
+            "guard_address": place.guard,
+            "peer_address": place.peer,
+            "admin_address": place.admin,
             "platform_address": spec.platform,
             "seeds": spec.seeds,
             "stop_bound_ms": spec.stop_bound_ms,
             "seed": spec.seed,
         });
+        if let Some(deployment) = &spec.deployment {
+            text["deployment"] = deployment.clone();
+            text["deployment"]["ready_address"] = json!(place.ready);
+            text["deployment"]["control_address"] = json!(place.control);
+            text["one_thread"] = json!(true);
+        }
         settings.write_all(text.to_string().as_bytes())?;
         let (program, arguments) =
             spec.command.split_first().ok_or_else(|| io::Error::other("no program"))?;
@@ -89,7 +121,9 @@
             .spawn()?;
         let mut line = String::new();
         if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut line)?;
+            let mut reader = BufReader::new(stdout);
+            reader.read_line(&mut line)?;
+            std::thread::spawn(move || pass_on(reader, logs));
         }
         let place = serde_json::from_str(&line).map_err(io::Error::other)?;
         Ok(Self { child, place, _settings: settings })
@@ -134,6 +168,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Says that the settings may have changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Kills the process at once.
     ///
     /// # Errors
@@ -172,3 +215,14 @@
         drop(self.kill());
     }
 }
+
+/// Takes a daemon's log lines, so that they never fill its pipe.
+fn pass_on(mut reader: impl BufRead, show: bool) {
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+        if show {
+            eprint!("{line}");
+        }
+        line.clear();
+    }
+}
--- /dev/null
+++ b/tests/common/hosted.rs
@@ -0,0 +1,162 @@
+//! A small deployment for tests: daemons with the platform's adapter, a target
+//! beside each, and the store's stand-in.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use railspan_standins::{
+    DaemonPlace, DaemonProcess, DaemonSpec, HostedAnswer, HostedTarget, PlatformLimits,
+    PlatformStandin, hosted_call,
+};
+use serde_json::{Value, json};
+
+use super::{any, eventually};
+
+pub const SERVICE: &str = "grillas";
+pub const HOST: &str = "grillas.example";
+pub const SAFE: &str = "/read/";
+pub const UNSAFE: &str = "/write/";
+
+/// Terms of the deployment, in the platform's words.
+pub const TERMS: &str = "heartbeat=500ms,retry_budget_ratio=0.2,budget_slack=58,grace=6s";
+
+pub struct HostedFleet {
+    pub daemons: Vec<DaemonProcess>,
+    pub targets: Vec<HostedTarget>,
+    pub platform: PlatformStandin,
+}
+
+impl HostedFleet {
+    /// Starts daemons and targets, and waits until each daemon serves all.
+    pub fn spawn(hosts: usize, work: Duration) -> Self {
+        let platform = PlatformStandin::spawn(any(), PlatformLimits::default()).expect("platform");
+        platform.write_config(&config(7, SERVICE));
+        let mut fleet = Self { daemons: Vec::new(), targets: Vec::new(), platform };
+        for index in 0..hosts {
+            let daemon = fleet.start_daemon(index);
+            let name = format!("i-{index}");
+            let target = HostedTarget::spawn(SERVICE, &name, work).expect("target");
+            target.report_to(daemon.place().control.expect("control"));
+            fleet.daemons.push(daemon);
+            fleet.targets.push(target);
+        }
+        for index in 0..hosts {
+            fleet.wait_known(index, hosts);
+        }
+        fleet
+    }
+
+    pub fn start_daemon(&self, index: usize) -> DaemonProcess {
+        DaemonProcess::spawn(&self.daemon_spec(index)).expect("daemon")
+    }
+
+    /// Starts a daemon at the addresses that an earlier life of it had.
+    pub fn start_daemon_at(&self, index: usize, place: &DaemonPlace) -> DaemonProcess {
+        DaemonProcess::spawn_at(&self.daemon_spec(index), place).expect("daemon")
+    }
+
+    fn daemon_spec(&self, index: usize) -> DaemonSpec {
+        DaemonSpec {
+            command: vec![env!("CARGO_BIN_EXE_railspand").into()],
+            host: format!("host-{index}"),
+            data_centre: format!("ba-norte-{}", index % 3 + 1),
+            platform: self.platform.address(),
+            seeds: Vec::new(),
+            stop_bound_ms: 5_000,
+            seed: index as u64,
+            deployment: Some(deployment(TERMS)),
+        }
+    }
+
+    pub fn control(&self, index: usize) -> SocketAddr {
+        self.daemons[index].place().control.expect("control")
+    }
+
+    pub fn ready(&self, index: usize) -> u16 {
+        let address = self.daemons[index].place().ready.expect("ready");
+        hosted_call(address, "GET", "/readiness", &[], b"").map_or(0, |answer| answer.status)
+    }
+
+    pub fn state(&self, index: usize) -> Value {
+        let admin = self.daemons[index].place().admin;
+        let page = hosted_call(admin, "GET", "/state", &[], b"");
+        page.ok().and_then(|page| serde_json::from_slice(&page.body).ok()).unwrap_or_default()
+    }
+
+    /// Waits until a daemon is ready and knows so many targets.
+    pub fn wait_known(&self, index: usize, count: usize) {
+        eventually("all targets known", || {
+            let state = self.state(index);
+            let targets =
+                state["entry"]["services"][SERVICE]["targets"].as_array().map_or(0, Vec::len);
+            targets == count && self.ready(index) == 200
+        });
+    }
+
+    /// Makes a request through a daemon; `None` if it got no whole answer.
+    pub fn call(&self, index: usize, prefix: &str, id: &str) -> Option<HostedAnswer> {
+        self.call_within(index, prefix, id, 2_000)
+    }
+
+    pub fn call_within(
+        &self,
+        index: usize,
+        prefix: &str,
+        id: &str,
+        deadline_ms: u32,
+    ) -> Option<HostedAnswer> {
+        let method = if prefix == SAFE { "GET" } else { "POST" };
+        let deadline = deadline_ms.to_string();
+        let headers = [
+            ("Host", HOST),
+            ("X-Request-Id", id),
+            ("X-Deadline-Ms", &*deadline),
+            ("X-Caller-Service", "forged"),
+            ("X-Target-Instance", "forged"),
+        ];
+        let body: &[u8] = if prefix == SAFE { b"" } else { b"some bytes" };
+        let caller = self.daemons[index].place().caller;
+        hosted_call(caller, method, &format!("{prefix}{id}"), &headers, body).ok()
+    }
+
+    /// Returns how often a request ran, on all targets together.
+    pub fn runs(&self, id: &str) -> usize {
+        let has = |target: &HostedTarget| {
+            let runs = target.runs();
+            runs.iter()
+                .filter(|run| run.headers.get("x-request-id").is_some_and(|own| own == id))
+                .count()
+        };
+        self.targets.iter().map(has).sum()
+    }
+}
+
+pub fn deployment(terms: &str) -> Value {
+    json!({
+        "service": SERVICE,
+        "terms": terms,
+    })
+}
+
+/// Makes a configuration as the operator writes it.
+pub fn config(version: u64, service: &str) -> String {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({
+            "name": name, "prefix": prefix, "route_type": kind, "timeout": "3s",
+            "target_latency": "1500ms", "priority": 1, "service": service, "max_attempts": 2,
+        })
+    };
+    json!({
+        "version": format!("r{version}"),
+        "services": [{"name": service, "health_path": "/health", "max_connections": 220}],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 67_108_864,
+            "header_timeout": "3000ms", "idle_timeout": "15000ms",
+        },
+        "virtual_hosts": [{
+            "host": HOST,
+            "paths": [route("read", SAFE, "safe"), route("write", UNSAFE, "unsafe")],
+        }],
+    })
+    .to_string()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small fleet for tests: daemons as processes, stand-ins on threads.
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod hosted;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -91,6 +93,7 @@
             seeds: seeds.to_vec(),
             stop_bound_ms: self.plan.stop_bound_ms,
             seed: index as u64,
+            deployment: None,
         };
         DaemonProcess::spawn(&spec).expect("daemon")
     }
