Choose targets by expected benefit; push load words to their users

Cause: hosts are four times slower for some 300 ms, a quarter to a third of the time, and an entry heard of a target about twice a second; two thirds of calls crossed data centres although a near target was as good. Change: an entry keeps a stream to each target it uses, on which the guard tells each change of slowness or occupancy, within 10 KB/s; the policy weighs the chance to be in time against the cost of bytes that cross.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -158,6 +158,12 @@
     /// Returns the load for the next message to an entry.
     pub fn load(&mut self) -> LoadWord {
         self.sequence += 1;
+        self.peek()
+    }
+
+    /// Returns the load as the last message told it, or newer.
+    #[must_use]
+    pub fn peek(&self) -> LoadWord {
         LoadWord {
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::outcome::{CallFate, ClaimRow};
 use crate::reply::{self, EntryBody, GuardBody};
 use crate::selection::TargetPlace;
+use crate::watching;
 use crate::wire::{AnswerHead, CallHead, LoadWord, RefusalReason, RevokeHead, RevokeReply};
 
 /// Wait told to a caller whose target could not be reached, in milliseconds.
@@ -65,12 +66,7 @@
 
 impl OutstandingCall {
     fn hear(&self, load: LoadWord) {
-        let now = self.duty.clock.now();
-        let mut registry = self.duty.registry.borrow_mut();
-        let targets = registry.services.get_mut(&self.service);
-        if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
-            record.hear(now, load);
-        }
+        self.duty.hear_load(&self.service, &self.target, load);
     }
 }
 
@@ -113,6 +109,7 @@
         outstanding.failed = true;
         return AttemptEnd::unreachable();
     };
+    watching::watch_target(duty, &call.service, target, place);
     let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
@@ -145,6 +142,13 @@
         }
     };
     if let Some((answer, reader)) = answered {
+        if let AnswerHead::Answered { status, length, load, .. } = &answer
+            && *status < 400
+        {
+            let took = duty.clock.now().since(now);
+            let bytes = call.body.len() as u64 + length.unwrap_or_default();
+            duty.course_book.borrow_mut().note(&call.terms.kind, took, load.slowness, bytes);
+        }
         return conclude(outstanding, head.call, &answer, reader);
     }
     outstanding.failed = true;
--- /dev/null
+++ b/src/benefit.rs
@@ -0,0 +1,125 @@
+//! The policy that weighs how likely a target is in time against what it costs.
+//!
+//! A call is worth most within its latency objective. So each target's chance to
+//! be in time is estimated from its load and from how slow its host is at this
+//! moment, and what the bytes cost that would cross between data centres is
+//! taken off. A near target that is as good as a far one wins; a far one wins
+//! where the near one would be late.
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+use crate::clock::MicroTime;
+use crate::selection::{SelectionInput, SelectionPolicy, TargetRecord, half_life};
+
+/// Name of the policy.
+pub const BENEFIT_POLICY: &str = "expected_benefit";
+
+/// Age at which a host's slowness at a moment says half as much, in
+/// microseconds: slowness shifts within some hundred milliseconds.
+const SLOWNESS_HALF_LIFE_US: f64 = 250_000.0;
+
+/// Age at which what others have under way says half as much, in microseconds.
+const OTHERS_HALF_LIFE_US: f64 = 300_000.0;
+
+/// Slowness where the target never told any, in percent.
+const USUAL_SLOWNESS: f64 = 100.0;
+
+/// Slowness expected of a host that was not heard of for long, in percent.
+const UNHEARD_SLOWNESS: f64 = 160.0;
+
+/// Part of the slots in use from which on each call takes longer.
+const CROWDED_FROM: f64 = 0.6;
+
+/// How much longer a call takes where all slots are in use.
+const CROWDED_FACTOR: f64 = 0.8;
+
+/// Spread of the time a call takes, as the steepness of the chance to be in
+/// time around its expected time: at 4, half the objective means 94 of 100.
+const STEEPNESS: i32 = 4;
+
+/// What a kilobyte between two data centres costs, as a part of the benefit of
+/// one call. Chosen on both sites of the users; see docs/design/policy.md.
+const CROSSING_COST_PER_KB: f64 = 0.05;
+
+/// Part of the benefit that speeds up beyond the objective are still worth.
+const SPEED_PART: f64 = 0.1;
+
+/// Share of failures, as a part of the benefit, that costs nothing extra.
+const DRAWN_WITHIN: f64 = 0.005;
+
+/// Time over which a target that joined gets its full part, in microseconds.
+const SLOW_START_US: f64 = 2_000_000.0;
+
+/// What an entry knows of a call before it chooses a target.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOutlook {
+    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
+    pub work_us: f64,
+    /// Time left to the latency objective, in microseconds.
+    pub objective_us: f64,
+    /// Bytes of the request and of the answer, in thousands.
+    pub kilobytes: f64,
+}
+
+impl Default for CallOutlook {
+    fn default() -> Self {
+        Self { work_us: 0.0, objective_us: 1_000_000.0, kilobytes: 0.0 }
+    }
+}
+
+inventory::submit! { EXPECTED_BENEFIT }
+
+/// The policy of calls that go by routes.
+pub(crate) const EXPECTED_BENEFIT: SelectionPolicy =
+    SelectionPolicy { name: BENEFIT_POLICY, choose: choose_worthwhile };
+
+fn choose_worthwhile(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    let values: Vec<(usize, f64)> = input
+        .eligible
+        .iter()
+        .map(|&index| (index, benefit(&input.targets[index], input.now, input.outlook)))
+        .collect();
+    let best = values.iter().fold(f64::NEG_INFINITY, |best, (_, value)| best.max(*value));
+    let near: Vec<usize> = values
+        .iter()
+        .filter(|(_, value)| *value >= best - DRAWN_WITHIN)
+        .map(|(index, _)| *index)
+        .collect();
+    near[rng.random_range(0..near.len())]
+}
+
+/// Estimates what a call sent to a target now would be worth.
+fn benefit(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
+    let expected = expected_us(record, now, outlook);
+    let late = expected / outlook.objective_us.max(1.0);
+    let in_time = 1.0 / (1.0 + late.powi(STEEPNESS));
+    let sound = 1.0 - f64::from(record.load.failing) / 1_000.0;
+    let crossing = if record.far { outlook.kilobytes * CROSSING_COST_PER_KB } else { 0.0 };
+    in_time * sound - SPEED_PART * late.min(10.0) - crossing
+}
+
+/// Estimates when a call sent now would be answered, in microseconds.
+fn expected_us(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
+    let load = &record.load;
+    let age = now.since(record.heard).0 as f64;
+    let slowness = slowness(load.slowness, age);
+    let work = if outlook.work_us > 0.0 { outlook.work_us } else { record.service_us() };
+    let slots = f64::from(load.slots.max(1));
+    let told = f64::from(load.in_flight + load.queued);
+    let others = (told - f64::from(record.outstanding_then)).max(0.0);
+    let ahead = others * half_life(age, OTHERS_HALF_LIFE_US) + f64::from(record.outstanding);
+    let used = (ahead + 1.0) / slots;
+    let crowded = ((used - CROWDED_FROM) / (1.0 - CROWDED_FROM)).clamp(0.0, 1.0);
+    let wait = (ahead + 1.0 - slots).max(0.0) / slots;
+    let ramp = now.since(record.joined).0 as f64 / SLOW_START_US;
+    let start = 2.0 - ramp.min(1.0);
+    work * slowness * start * (1.0 + CROWDED_FACTOR * crowded + wait)
+}
+
+/// Returns the factor by which work is slower than usual, as far as known.
+fn slowness(told: u16, age_us: f64) -> f64 {
+    let told = if told == 0 { USUAL_SLOWNESS } else { f64::from(told) };
+    let known = half_life(age_us, SLOWNESS_HALF_LIFE_US);
+    (UNHEARD_SLOWNESS + (told - UNHEARD_SLOWNESS) * known) / 100.0
+}
--- /dev/null
+++ b/src/course.rs
@@ -0,0 +1,57 @@
+//! What earlier calls of a route took, to choose a target for the next.
+
+use std::collections::HashMap;
+
+use crate::benefit::CallOutlook;
+use crate::clock::MicroTime;
+use crate::intake::CallerCall;
+
+/// Weight of the newest call in the smoothed figures of its route.
+const NEWEST: f64 = 0.1;
+
+/// Routes remembered at most; an operator has some hundreds.
+const MAX_ROUTES: usize = 4_096;
+
+/// Bytes of the heads of a request and its answer between two daemons.
+const HEAD_BYTES: f64 = 600.0;
+
+/// The figures of one route.
+#[derive(Clone, Copy, Debug)]
+struct RouteCourse {
+    /// Time at a target of usual speed, in microseconds.
+    work_us: f64,
+    /// Bytes of a request and its answer, without heads.
+    bytes: f64,
+}
+
+/// The figures of all routes that this entry served.
+#[derive(Debug, Default)]
+pub(crate) struct CourseBook {
+    routes: HashMap<String, RouteCourse>,
+}
+
+impl CourseBook {
+    /// Notes an answered call; `slowness` of its target in percent, or zero.
+    pub(crate) fn note(&mut self, route: &str, took: MicroTime, slowness: u16, bytes: u64) {
+        let factor = if slowness == 0 { 1.0 } else { f64::from(slowness) / 100.0 };
+        let newest = RouteCourse { work_us: took.0 as f64 / factor, bytes: bytes as f64 };
+        if let Some(known) = self.routes.get_mut(route) {
+            known.work_us += NEWEST * (newest.work_us - known.work_us);
+            known.bytes += NEWEST * (newest.bytes - known.bytes);
+        } else if self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.to_owned(), newest);
+        }
+    }
+
+    /// Returns what is known of a call before a target is chosen.
+    pub(crate) fn outlook(&self, call: &CallerCall, now: MicroTime) -> CallOutlook {
+        let objective = MicroTime::from_millis(u64::from(call.terms.objective_ms));
+        let left = (call.arrived + objective).since(now);
+        let known = self.routes.get(&call.terms.kind);
+        CallOutlook {
+            work_us: known.map_or(0.0, |known| known.work_us),
+            objective_us: left.0 as f64,
+            kilobytes: (known.map_or(0.0, |known| known.bytes) + HEAD_BYTES) / 1_000.0,
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -210,6 +210,7 @@
     let parts = EntryParts {
         seed,
         names,
+        data_centre: settings.data_centre.clone(),
         own_service: deployment.map(|deployment| deployment.service.clone()),
         retry_share: retry_share(terms),
         readiness: readiness.clone(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -26,9 +26,10 @@
 use crate::config::FleetConfig;
 use crate::consts::SLOW_SENDER;
 use crate::control::DaemonReadiness;
+use crate::course::CourseBook;
 use crate::headers::{self, HeaderNames};
 use crate::hedge;
-use crate::ids::{ServiceName, TargetName};
+use crate::ids::{CentreName, ServiceName, TargetName};
 use crate::intake::{self, CallerCall, NOT_READY_RETRY_MS};
 use crate::member::FleetView;
 use crate::metrics::DaemonMetrics;
@@ -81,6 +82,11 @@
     /// The most daemons that were ever in the fleet's view.
     fleet_size: Cell<usize>,
     pub(crate) names: &'static HeaderNames,
+    data_centre: CentreName,
+    /// Times and sizes of calls, by route.
+    pub(crate) course_book: RefCell<CourseBook>,
+    /// Targets whose load this entry is told.
+    pub(crate) watched: Cell<usize>,
     /// The service of the host's target.
     pub(crate) own_service: Option<ServiceName>,
     readiness: DaemonReadiness,
@@ -91,7 +97,7 @@
     /// Connections of callers.
     open: watch::Sender<usize>,
     stopping: watch::Sender<bool>,
-    logger: Logger,
+    pub(crate) logger: Logger,
 }
 
 /// What the duty needs to run.
@@ -99,6 +105,7 @@
 pub(crate) struct EntryParts {
     pub(crate) seed: u64,
     pub(crate) names: &'static HeaderNames,
+    pub(crate) data_centre: CentreName,
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) retry_share: RetryShare,
     pub(crate) readiness: DaemonReadiness,
@@ -145,6 +152,9 @@
         retry_share: Cell::new(parts.retry_share),
         fleet_size: Cell::new(1),
         names: parts.names,
+        data_centre: parts.data_centre,
+        course_book: RefCell::default(),
+        watched: Cell::new(0),
         own_service: parts.own_service,
         readiness: parts.readiness,
         withdrawn: Cell::new(false),
@@ -189,7 +199,7 @@
     }
 
     fn adopt(&self, view: &FleetView) {
-        self.registry.borrow_mut().adopt(self.clock.now(), view);
+        self.registry.borrow_mut().adopt(self.clock.now(), view, &self.data_centre);
         let guards: std::collections::HashSet<_> =
             view.serving().map(|member| (member.guard, member.incarnation)).collect();
         self.fleet_size.set(self.fleet_size.get().max(guards.len()));
@@ -387,7 +397,9 @@
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
-        let index = targets.choose(now, call.policy, tried, &mut self.rng.borrow_mut())?;
+        let outlook = self.course_book.borrow().outlook(call, now);
+        let mut rng = self.rng.borrow_mut();
+        let index = targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?;
         let record = &targets.targets[index];
         let others = targets.targets.len().saturating_sub(tried.len() + 1);
         Some(ChosenTarget {
@@ -400,6 +412,29 @@
         })
     }
 
+    /// Notes whether a target is watched; `false` if that was known already.
+    pub(crate) fn mark_watched(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+        watched: bool,
+    ) -> bool {
+        let mut registry = self.registry.borrow_mut();
+        let targets = registry.services.get_mut(service);
+        let record = targets.and_then(|targets| targets.find(target));
+        record.is_some_and(|record| std::mem::replace(&mut record.watched, watched) != watched)
+    }
+
+    /// Notes a target's load, unless a newer word is known.
+    pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadWord) {
+        let now = self.clock.now();
+        let mut registry = self.registry.borrow_mut();
+        let targets = registry.services.get_mut(service);
+        if let Some(record) = targets.and_then(|targets| targets.find(target)) {
+            record.hear(now, load);
+        }
+    }
+
     fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
         let revision = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
         let load = chosen.load;
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -23,7 +23,7 @@
 use crate::adapter::TargetReport;
 use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 use crate::claim::{ClaimReply, ClaimRequest};
-use crate::clock::ProcessClock;
+use crate::clock::{MicroTime, ProcessClock};
 use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, SLOW_SENDER};
 use crate::durable::PlatformEvent;
 use crate::h2io::{self, HeadReader, StreamError};
@@ -34,10 +34,12 @@
 use crate::metrics::DaemonMetrics;
 use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
 use crate::peers::PeersEvent;
+use crate::probe::ProbeBudget;
 use crate::ring::{RingInbox, RingSender};
 use crate::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::table::TableWrite;
 use crate::target_pool::TargetPool;
+use crate::watching::{self, WORD_BYTES, WORD_BYTES_PER_S, differs};
 use crate::wire::{
     self, AnswerHead, CallHead, KeyClaim, LoadWord, ProbeReply, ProbeRequest, RefusalReason,
     RevokeHead, RevokeReply,
@@ -114,6 +116,8 @@
     sequence: u64,
     /// Calls that wait for the table while they hold a slot.
     pub(crate) claiming: usize,
+    /// The load that watchers were told last.
+    told: LoadWord,
 }
 
 type StartSignal = Result<(), (RefusalReason, u32)>;
@@ -135,6 +139,9 @@
     max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
     rings: GuardRings,
+    /// Says that a target's load changed by more than a little.
+    pub(crate) load_changes: watch::Sender<()>,
+    word_budget: RefCell<ProbeBudget>,
     pub(crate) logger: Logger,
 }
 
@@ -159,6 +166,8 @@
         waiters: RefCell::default(),
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
+        load_changes: watch::Sender::new(()),
+        word_budget: RefCell::new(ProbeBudget::open(u32::MAX, WORD_BYTES_PER_S)),
         pool: Rc::default(),
         names: parts.names,
         target_lease: Cell::new(parts.target_lease),
@@ -226,7 +235,14 @@
             door.leave(&mut Vec::new());
             let lease = TargetLease::open(now, announcement.condition, self.target_lease.get());
             let sequence = sequence.unwrap_or_default();
-            let target = LocalTarget { announcement, lease, door, sequence, claiming: 0 };
+            let target = LocalTarget {
+                announcement,
+                lease,
+                door,
+                sequence,
+                claiming: 0,
+                told: LoadWord::default(),
+            };
             targets.insert(key, target);
         }
         drop(targets);
@@ -329,7 +345,20 @@
             }
             self.carry_out(actions);
             self.check_leases();
+            self.tell_watchers(now);
+        }
+    }
+
+    /// Wakes the streams of watchers when a load changed that much.
+    fn tell_watchers(&self, now: MicroTime) {
+        let mut targets = self.targets.borrow_mut();
+        let changed = targets.values().any(|target| differs(&target.told, &target.door.peek()));
+        let words = self.load_changes.receiver_count() as u32;
+        if !changed || !self.word_budget.borrow_mut().take(now, words, words * WORD_BYTES) {
+            return;
         }
+        targets.values_mut().for_each(|target| target.told = target.door.peek());
+        self.load_changes.send_replace(());
     }
 
     /// Answers measuring messages.
@@ -387,10 +416,15 @@
         request: Request<RecvStream>,
         respond: SendResponse<Bytes>,
     ) {
+        let (parts, body) = request.into_parts();
+        let reader = HeadReader::open(body);
+        if parts.uri.path() == "/watch" {
+            // A watch is no call: nobody waits for its end.
+            _ = watching::tell_words(&self, reader, respond).await;
+            return;
+        }
         self.open.send_modify(|open| *open += 1);
-        let revoke = request.uri().path() == "/revoke";
-        let reader = HeadReader::open(request.into_body());
-        if revoke {
+        if parts.uri.path() == "/revoke" {
             self.serve_revoke(reader, respond).await;
         } else {
             self.serve_call(reader, respond).await;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::benefit;
 use crate::clock::MicroTime;
 use crate::config::{CallTerms, FleetConfig};
 use crate::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
@@ -16,7 +17,7 @@
 use crate::headers;
 use crate::ids::{AccountName, ServiceName};
 use crate::reply::{self, EntryBody};
-use crate::selection::{self, SelectionPolicy};
+use crate::selection::SelectionPolicy;
 use crate::wire::KeyClaim;
 
 /// When to come back to a daemon that is not ready, in milliseconds.
@@ -94,7 +95,7 @@
         service,
         account: AccountName::from(NO_ACCOUNT),
         share: 1,
-        policy: selection::default_policy(),
+        policy: &benefit::EXPECTED_BENEFIT,
         terms,
         method: parts.method.to_string(),
         path: path_and_query(parts).to_owned(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,12 +30,14 @@
 mod admin;
 mod admission;
 mod attempt;
+mod benefit;
 mod claim;
 mod cli;
 mod clock;
 mod config;
 mod consts;
 mod control;
+mod course;
 mod daemon;
 mod durable;
 mod duty;
@@ -76,10 +78,12 @@
 mod table;
 mod target_call;
 mod target_pool;
+mod watching;
 mod wire;
 
 pub use adapter::{ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, TargetReport};
 pub use admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+pub use benefit::{BENEFIT_POLICY, CallOutlook};
 pub use cli::run_command;
 pub use clock::MicroTime;
 pub use config::{
@@ -119,5 +123,5 @@
 };
 pub use wire::{
     AnswerHead, CallHead, CallPriority, KeyClaim, LoadWord, ProbeReply, ProbeRequest,
-    RefusalReason, RevokeHead, RevokeReply, WireError, decode, encode,
+    RefusalReason, RevokeHead, RevokeReply, WatchHead, WireError, decode, encode,
 };
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -48,11 +48,6 @@
     loop {
         let Ok((length, _)) = duty.probe_socket.recv_from(&mut buffer).await else { continue };
         let Ok(reply) = wire::decode::<ProbeReply>(&buffer[..length]) else { continue };
-        let now = duty.clock.now();
-        let mut registry = duty.registry.borrow_mut();
-        let service = registry.services.get_mut(&reply.service);
-        if let Some(record) = service.and_then(|service| service.find(&reply.target)) {
-            record.hear(now, reply.load);
-        }
+        duty.hear_load(&reply.service, &reply.target, reply.load);
     }
 }
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+use crate::benefit::CallOutlook;
 use crate::clock::MicroTime;
 use crate::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::member::FleetView;
@@ -90,6 +91,10 @@
     pub ejected_until: MicroTime,
     /// When the target joined, for its slow start.
     pub joined: MicroTime,
+    /// Whether its host is in another data centre than the entry's.
+    pub far: bool,
+    /// Whether its guard tells this entry each change of its load.
+    pub watched: bool,
 }
 
 impl TargetRecord {
@@ -112,6 +117,8 @@
             failures: 0,
             ejected_until: MicroTime(0),
             joined,
+            far: false,
+            watched: false,
         }
     }
 
@@ -191,6 +198,8 @@
     pub eligible: &'a [usize],
     /// Calls chosen so far, for policies that take turns.
     pub turn: usize,
+    /// What is known of the call.
+    pub outlook: &'a CallOutlook,
 }
 
 /// One way to choose, as plug-ins register it.
@@ -265,7 +274,7 @@
 }
 
 /// Returns what is left after `age` of something that halves in `half_life`.
-fn half_life(age: f64, half_life: f64) -> f64 {
+pub(crate) fn half_life(age: f64, half_life: f64) -> f64 {
     (-age / half_life * std::f64::consts::LN_2).exp()
 }
 
@@ -325,6 +334,18 @@
         policy: &SelectionPolicy,
         tried: &[TargetName],
         rng: &mut Pcg64Mcg,
+    ) -> Option<usize> {
+        self.choose_for(now, policy, tried, &CallOutlook::default(), rng)
+    }
+
+    /// Chooses as [`Self::choose`] does, for a call that something is known of.
+    pub fn choose_for(
+        &mut self,
+        now: MicroTime,
+        policy: &SelectionPolicy,
+        tried: &[TargetName],
+        outlook: &CallOutlook,
+        rng: &mut Pcg64Mcg,
     ) -> Option<usize> {
         let untried = |&index: &usize| !tried.contains(&self.targets[index].name);
         let mut eligible: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
@@ -337,8 +358,13 @@
             return None;
         }
         self.turn = self.turn.wrapping_add(1);
-        let input =
-            SelectionInput { now, targets: &self.targets, eligible: &eligible, turn: self.turn };
+        let input = SelectionInput {
+            now,
+            targets: &self.targets,
+            eligible: &eligible,
+            turn: self.turn,
+            outlook,
+        };
         let index = (policy.choose)(&input, rng);
         self.targets[index].outstanding += 1;
         Some(index)
@@ -359,7 +385,9 @@
 
 impl TargetRegistry {
     /// Takes over who is there, keeping what is known of those that stay.
-    pub fn adopt(&mut self, now: MicroTime, view: &FleetView) {
+    ///
+    /// `centre` is the entry's own data centre.
+    pub fn adopt(&mut self, now: MicroTime, view: &FleetView, centre: &CentreName) {
         let mut fresh: HashMap<ServiceName, ServiceTargets> = HashMap::new();
         for member in view.serving() {
             let place = TargetPlace {
@@ -373,7 +401,8 @@
                 let joins = || {
                     TargetRecord::new(target.name.clone(), Some(place.clone()), target.slots, now)
                 };
-                let record = known.unwrap_or_else(joins);
+                let mut record = known.unwrap_or_else(joins);
+                record.far = member.data_centre != *centre;
                 fresh.entry(target.service.clone()).or_default().targets.push(record);
             }
         }
--- /dev/null
+++ b/src/watching.rs
@@ -0,0 +1,112 @@
+//! Load words that a guard sends to the entries that use its target.
+//!
+//! A load word also travels on each answer, but an entry hears few of them and
+//! a host's speed shifts within some hundred milliseconds. So an entry that
+//! sent a call to a target keeps a stream open, on which the guard tells each
+//! change that matters, within a budget of bytes.
+
+use std::future::poll_fn;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use h2::server::SendResponse;
+use http::{Request, Response};
+use slog::info;
+use tokio::task::spawn_local;
+
+use crate::entry::EntryDuty;
+use crate::guard::GuardDuty;
+use crate::h2io::{self, HeadReader};
+use crate::ids::{ServiceName, TargetName};
+use crate::selection::TargetPlace;
+use crate::wire::{LoadWord, WatchHead};
+
+/// Bytes of one word on its stream, with the frame around it.
+pub(crate) const WORD_BYTES: u32 = 50;
+
+/// Bytes of words that one guard sends in a second: half of what the letter
+/// allows for all of control.
+pub(crate) const WORD_BYTES_PER_S: u32 = 10_000;
+
+/// Targets that one entry watches at most.
+///
+/// Entries of large fleets hear of the rest on answers.
+const MAX_WATCHED: usize = 48;
+
+/// Change of slowness, in percent of its value, that is worth a word.
+const SLOWNESS_STEP: u16 = 20;
+
+/// Steps of occupancy that are told apart: parts of the slots in use.
+const OCCUPANCY_STEPS: u16 = 4;
+
+/// Tells whether a word says something that the one told before did not.
+pub(crate) fn differs(told: &LoadWord, now: &LoadWord) -> bool {
+    let gap = told.slowness.abs_diff(now.slowness);
+    let slower = u32::from(gap) * 100 > u32::from(told.slowness) * u32::from(SLOWNESS_STEP);
+    slower || occupancy(told) != occupancy(now) || told.slots != now.slots
+}
+
+fn occupancy(load: &LoadWord) -> u16 {
+    (load.in_flight + load.queued) * OCCUPANCY_STEPS / load.slots.max(1)
+}
+
+/// Starts to watch a target, unless it or enough others are watched.
+pub(crate) fn watch_target(
+    duty: &Rc<EntryDuty>,
+    service: &ServiceName,
+    target: &TargetName,
+    place: &TargetPlace,
+) {
+    if duty.watched.get() >= MAX_WATCHED || !duty.mark_watched(service, target, true) {
+        return;
+    }
+    duty.watched.set(duty.watched.get() + 1);
+    let duty = Rc::clone(duty);
+    let (service, target, place) = (service.clone(), target.clone(), place.clone());
+    spawn_local(async move {
+        hear_words(&duty, &service, &target, &place).await;
+        duty.watched.set(duty.watched.get() - 1);
+        duty.mark_watched(&service, &target, false);
+        info!(duty.logger, "watch ended"; "target" => %target);
+    });
+}
+
+/// Takes over a target's load words until the stream ends.
+async fn hear_words(
+    duty: &EntryDuty,
+    service: &ServiceName,
+    target: &TargetName,
+    place: &TargetPlace,
+) -> Option<()> {
+    let mut sender = duty.pool.connect(place.guard, place.incarnation).await?;
+    let request = Request::post("http://guard/watch").body(()).ok()?;
+    let (response, mut stream) = sender.send_request(request, false).ok()?;
+    let head = WatchHead { service: service.clone(), target: target.clone() };
+    let bytes = h2io::frame(&head).ok()?;
+    h2io::send_all(&mut stream, bytes, true).await.ok()?;
+    let mut reader = HeadReader::open(response.await.ok()?.into_body());
+    loop {
+        let word: LoadWord = reader.head().await.ok()?;
+        duty.hear_load(service, target, word);
+    }
+}
+
+/// Tells an entry of a target's load for as long as it listens.
+pub(crate) async fn tell_words(
+    duty: &GuardDuty,
+    mut reader: HeadReader,
+    mut respond: SendResponse<Bytes>,
+) -> Option<()> {
+    let head: WatchHead = reader.head().await.ok()?;
+    let key = (head.service, head.target);
+    let mut stream = respond.send_response(Response::new(()), false).ok()?;
+    let mut changes = duty.load_changes.subscribe();
+    loop {
+        let word = duty.load(&key);
+        h2io::send_all(&mut stream, h2io::frame(&word).ok()?, false).await.ok()?;
+        tokio::select! {
+            told = changes.changed() => told.ok()?,
+            _ = poll_fn(|cx| stream.poll_reset(cx)) => return None,
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -244,6 +244,15 @@
     pub incarnation: DaemonIncarnation,
 }
 
+/// An entry asks a guard to keep telling a target's load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WatchHead {
+    /// The service.
+    pub service: ServiceName,
+    /// The target watched.
+    pub target: TargetName,
+}
+
 /// A guard's answer to a revocation.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RevokeReply {
