--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -30,11 +30,12 @@
 /// Longest body that goes out in one piece with its head, in bytes.
 const MAX_JOINED_BODY: usize = 64 << 10;
 
-/// Part of the latency objective that a call may wait for a slot.
-///
-/// The users' accounting takes a refusal within a quarter of the objective for
-/// prompt; a fifth leaves time for the way back.
-const PATIENCE_PART: u64 = 5;
+/// Least and greatest part of the latency objective that a call may wait for a
+/// slot. The users' accounting takes a refusal within a quarter for prompt.
+const PATIENCE_PARTS: (f64, f64) = (0.2, 0.6);
+
+/// Time left for the work itself, as a multiple of its usual time.
+const WORK_MARGIN: f64 = 1.5;
 
 /// How a try ended.
 pub(crate) enum AttemptEnd {
@@ -104,7 +105,7 @@
         return AttemptEnd::Refused { reason, retry_after_ms: UNREACHABLE_RETRY_MS };
     }
     let deadline = Instant::now() + left;
-    let head = make_head(call, target, place, left, last, now);
+    let head = make_head(duty, call, target, place, left, last);
     let Some(sender) = connect(duty, place, deadline).await else {
         outstanding.failed = true;
         return AttemptEnd::unreachable();
@@ -157,25 +158,28 @@
 
 /// Returns how long a call may still wait for a slot.
 ///
-/// A call that can't start early is refused while another try may still be in
-/// time; see [`PATIENCE_PART`].
-fn patience(call: &CallerCall, now: MicroTime) -> MicroTime {
+/// As long as it can still be in time; then it is refused, while another try
+/// may be. A call without an objective of its own waits to its deadline.
+fn patience(duty: &EntryDuty, call: &CallerCall, now: MicroTime) -> MicroTime {
     if call.terms.objective_ms >= call.terms.deadline_ms {
         return call.deadline.since(now);
     }
-    let whole = MicroTime(u64::from(call.terms.objective_ms) * 1_000 / PATIENCE_PART);
-    (call.arrived + whole).since(now)
+    let objective = f64::from(call.terms.objective_ms) * 1_000.0;
+    let work = duty.course_book.borrow().outlook(call, now).work_us * WORK_MARGIN;
+    let (least, most) = PATIENCE_PARTS;
+    let wait = (objective - work).clamp(objective * least, objective * most);
+    (call.arrived + MicroTime(wait as u64)).since(now)
 }
 
 fn make_head(
+    duty: &EntryDuty,
     call: &CallerCall,
     target: &TargetName,
     place: &TargetPlace,
     left: Duration,
     last: bool,
-    duty_now: MicroTime,
 ) -> CallHead {
-    let patience_ms = patience(call, duty_now).ceil_millis() as u32;
+    let patience_ms = patience(duty, call, duty.clock.now()).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
         incarnation: place.incarnation,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -438,7 +438,8 @@
     fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
         let revision = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
         let load = chosen.load;
-        info!(self.logger, "chosen"; "id" => &*call.id, "service" => %call.service,
+        info!(self.logger, "chosen"; "id" => &*call.id, "route" => &*call.terms.kind, "worth" => call.terms.priority.worth,
+            "objective_ms" => call.terms.objective_ms, "service" => %call.service,
             "target" => %chosen.name, "host" => %chosen.place.host, "revision" => revision,
             "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
             "service_us" => load.service_us, "slowness" => load.slowness,
