Try failed reads again; make the cost of crossing a setting

Cause: a read that a target failed went back as it was, though another target had time for it; what a crossing costs was a constant of the policy.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -165,7 +165,7 @@
         return call.deadline.since(now);
     }
     let objective = f64::from(call.terms.objective_ms) * 1_000.0;
-    let work = duty.course_book.borrow().outlook(call, now).work_us * WORK_MARGIN;
+    let work = duty.course_book.borrow().work_us(&call.terms.kind) * WORK_MARGIN;
     let (least, most) = PATIENCE_PARTS;
     let wait = (objective - work).clamp(objective * least, objective * most);
     (call.arrived + MicroTime(wait as u64)).since(now)
--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -38,10 +38,6 @@
 /// time around its expected time: at 4, half the objective means 94 of 100.
 const STEEPNESS: i32 = 4;
 
-/// What a kilobyte between two data centres costs, as a part of the benefit of
-/// one call. Chosen on both sites of the users; see docs/design/policy.md.
-const CROSSING_COST_PER_KB: f64 = 0.05;
-
 /// Part of the benefit that speeds up beyond the objective are still worth.
 const SPEED_PART: f64 = 0.1;
 
@@ -58,13 +54,14 @@
     pub work_us: f64,
     /// Time left to the latency objective, in microseconds.
     pub objective_us: f64,
-    /// Bytes of the request and of the answer, in thousands.
-    pub kilobytes: f64,
+    /// What its bytes cost if they cross to another data centre, as a part of
+    /// the benefit of one call.
+    pub crossing_cost: f64,
 }
 
 impl Default for CallOutlook {
     fn default() -> Self {
-        Self { work_us: 0.0, objective_us: 1_000_000.0, kilobytes: 0.0 }
+        Self { work_us: 0.0, objective_us: 1_000_000.0, crossing_cost: 0.0 }
     }
 }
 
@@ -95,7 +92,7 @@
     let late = expected / outlook.objective_us.max(1.0);
     let in_time = 1.0 / (1.0 + late.powi(STEEPNESS));
     let sound = 1.0 - f64::from(record.load.failing) / 1_000.0;
-    let crossing = if record.far { outlook.kilobytes * CROSSING_COST_PER_KB } else { 0.0 };
+    let crossing = if record.far { outlook.crossing_cost } else { 0.0 };
     in_time * sound - SPEED_PART * late.min(10.0) - crossing
 }
 
--- a/src/course.rs
+++ b/src/course.rs
@@ -43,15 +43,28 @@
         }
     }
 
+    /// Returns the usual time of a route's work, in microseconds, or zero.
+    pub(crate) fn work_us(&self, route: &str) -> f64 {
+        self.routes.get(route).map_or(0.0, |known| known.work_us)
+    }
+
     /// Returns what is known of a call before a target is chosen.
-    pub(crate) fn outlook(&self, call: &CallerCall, now: MicroTime) -> CallOutlook {
+    ///
+    /// `crossing_cost` is what a thousand bytes between data centres cost.
+    pub(crate) fn outlook(
+        &self,
+        call: &CallerCall,
+        now: MicroTime,
+        crossing_cost: f64,
+    ) -> CallOutlook {
         let objective = MicroTime::from_millis(u64::from(call.terms.objective_ms));
         let left = (call.arrived + objective).since(now);
         let known = self.routes.get(&call.terms.kind);
+        let bytes = known.map_or(0.0, |known| known.bytes) + HEAD_BYTES;
         CallOutlook {
             work_us: known.map_or(0.0, |known| known.work_us),
             objective_us: left.0 as f64,
-            kilobytes: (known.map_or(0.0, |known| known.bytes) + HEAD_BYTES) / 1_000.0,
+            crossing_cost: crossing_cost * bytes / 1_000.0,
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -211,6 +211,7 @@
         seed,
         names,
         data_centre: settings.data_centre.clone(),
+        crossing_cost: deployment.map_or(0.0, |set| f64::from(set.crossing_cost) / 1_000.0),
         own_service: deployment.map(|deployment| deployment.service.clone()),
         retry_share: retry_share(terms),
         readiness: readiness.clone(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -83,6 +83,8 @@
     fleet_size: Cell<usize>,
     pub(crate) names: &'static HeaderNames,
     data_centre: CentreName,
+    /// What a thousand bytes between data centres cost, in benefits of a call.
+    crossing_cost: f64,
     /// Times and sizes of calls, by route.
     pub(crate) course_book: RefCell<CourseBook>,
     /// Targets whose load this entry is told.
@@ -106,6 +108,7 @@
     pub(crate) seed: u64,
     pub(crate) names: &'static HeaderNames,
     pub(crate) data_centre: CentreName,
+    pub(crate) crossing_cost: f64,
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) retry_share: RetryShare,
     pub(crate) readiness: DaemonReadiness,
@@ -153,6 +156,7 @@
         fleet_size: Cell::new(1),
         names: parts.names,
         data_centre: parts.data_centre,
+        crossing_cost: parts.crossing_cost,
         course_book: RefCell::default(),
         watched: Cell::new(0),
         own_service: parts.own_service,
@@ -340,19 +344,26 @@
         let mut gone: Vec<TargetName> = Vec::new();
         let mut course = CallCourse::open(call.terms.repeatable, call.terms.attempts);
         let mut refusal = ("no_target", NOT_READY_RETRY_MS);
+        // A target's own answer, kept while another target is tried.
+        let mut failure: Option<Response<EntryBody>> = None;
         loop {
             if course.is_last_try() {
                 // Where it was full there may be the shortest queue all the same.
                 tried.retain(|name| gone.contains(name));
             }
             let Some(chosen) = self.choose(&call, &tried) else {
-                return give_up(course.give_up(), refusal);
+                return failure.unwrap_or_else(|| give_up(course.give_up(), refusal));
             };
             crate::measure::probe_some(self, &call.service);
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
             let last = course.is_last_try() || chosen.others == 0;
             let (end, cause) = match hedge::run(self, &call, &chosen, last, &mut tried).await {
+                AttemptEnd::Answered(response) if response.status().is_server_error() => {
+                    gone.push(chosen.name);
+                    failure = Some(response);
+                    (TryEnd::Failed, "failed")
+                }
                 AttemptEnd::Answered(response) => {
                     self.with_budget(&call.service, |budget| {
                         course.step(TryEnd::Answered, true, budget)
@@ -385,7 +396,7 @@
             let in_time = self.clock.now() < call.deadline;
             let next = self.with_budget(&call.service, |budget| course.step(end, in_time, budget));
             if next != NextStep::TryAgain {
-                return give_up(next, refusal);
+                return failure.unwrap_or_else(|| give_up(next, refusal));
             }
             info!(self.logger, "tried again"; "id" => &*call.id, "cause" => cause);
             self.metrics.retries.with_label_values(&[cause]).inc();
@@ -397,7 +408,7 @@
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
-        let outlook = self.course_book.borrow().outlook(call, now);
+        let outlook = self.course_book.borrow().outlook(call, now, self.crossing_cost);
         let mut rng = self.rng.borrow_mut();
         let index = targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?;
         let record = &targets.targets[index];
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -107,6 +107,8 @@
     Refused,
     /// The target had the call and says that it did not run it.
     Declined,
+    /// A target answered that it failed; its answer may be delivered.
+    Failed,
     /// The call may have run there.
     Lost,
     /// An earlier call with its key is certain not to run; this one may.
@@ -165,7 +167,7 @@
                     return NextStep::TryAgain;
                 }
             }
-            TryEnd::Lost => {
+            TryEnd::Lost | TryEnd::Failed => {
                 self.lost = true;
                 self.reached += 1;
                 let again = more && self.repeatable && self.reached < self.attempts;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,6 +56,10 @@
     pub control_address: SocketAddr,
     /// The platform's terms, as its adapter reads them.
     pub terms: String,
+    /// What a thousand bytes between data centres cost, in thousandths of the
+    /// benefit of one call.
+    #[serde(default)]
+    pub crossing_cost: u32,
 }
 
 /// The set budget of measuring messages; none by default.
@@ -82,6 +86,7 @@
     FieldRule { name: "service", kind: FieldKind::Name, required: true },
     FieldRule { name: "ready_address", kind: FieldKind::Address, required: true },
     FieldRule { name: "control_address", kind: FieldKind::Address, required: true },
+    FieldRule { name: "crossing_cost", kind: FieldKind::Whole(0, 100_000), required: false },
     FieldRule { name: "terms", kind: FieldKind::Text(4_000), required: true },
 ];
 
