Foresee when a slot comes free from the calls that run

Cause: the wait for a slot was the smoothed service time over the slots, the same for a lookup of 15 ms and a submission of 140, and work was learned from times that included the wait itself. Change: each call carries its route's usual work, learned from the target's own time; the door knows when each running call is due.

--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -460,6 +460,7 @@
             priority: call.priority,
             deadline: call.deadline,
             give_up: call.deadline,
+            work_us: 0,
             last: call.course.is_last_try(),
         };
         self.step_door(target, AdmissionEvent::Arrive(waiting));
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -27,6 +27,13 @@
 /// Service time assumed before the first answer, in microseconds.
 const FIRST_SERVICE_US: f64 = 10_000.0;
 
+/// Slowness of a target at its usual speed, in percent.
+const USUAL_SLOWNESS: u16 = 100;
+
+/// Time left to a call that is over its expected time, as a part of the
+/// smoothed service time.
+const OVERDUE_PART: f64 = 0.2;
+
 /// Retry times told to callers, in milliseconds.
 const RETRY_AFTER_BOUNDS: (u64, u64) = (5, 5_000);
 
@@ -45,6 +52,8 @@
     pub deadline: MicroTime,
     /// When it is refused if it has no slot yet; not after the deadline.
     pub give_up: MicroTime,
+    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
+    pub work_us: u32,
     /// Whether its entry has no other target left to try.
     pub last: bool,
 }
@@ -85,6 +94,14 @@
     },
 }
 
+/// A call that has a slot.
+#[derive(Clone, Debug)]
+struct RunningCall {
+    account: AccountName,
+    /// When it is expected to end.
+    ends: MicroTime,
+}
+
 /// The door of one target.
 ///
 /// Invariants: `running.len() <= slots`; a call waits only while every slot is
@@ -92,7 +109,7 @@
 #[derive(Debug)]
 pub struct AdmissionQueue {
     slots: usize,
-    running: HashMap<CallId, (AccountName, u16)>,
+    running: HashMap<CallId, RunningCall>,
     waiting: Vec<WaitingCall>,
     service_us: f64,
     /// As the target told it last, in percent; zero if it never did.
@@ -100,6 +117,8 @@
     failing: f64,
     leaving: bool,
     sequence: u64,
+    /// The time of the last event.
+    now: MicroTime,
 }
 
 impl AdmissionQueue {
@@ -115,18 +134,20 @@
             failing: 0.0,
             leaving: false,
             sequence: 0,
+            now: MicroTime(0),
         }
     }
 
     /// Takes one event and appends what follows from it.
     pub fn step(&mut self, now: MicroTime, event: AdmissionEvent, out: &mut Vec<AdmissionAction>) {
+        self.now = now;
         match event {
-            AdmissionEvent::Arrive(call) => self.arrive(now, call, out),
+            AdmissionEvent::Arrive(call) => self.arrive(call, out),
             AdmissionEvent::Finish { call, took, failed } => self.finish(call, took, failed),
             AdmissionEvent::Cancel(call) => self.waiting.retain(|waiting| waiting.call != call),
             AdmissionEvent::Tick => {}
         }
-        self.expire(now, out);
+        self.expire(out);
         self.start(out);
     }
 
@@ -192,7 +213,7 @@
         self.waiting.len()
     }
 
-    fn arrive(&mut self, now: MicroTime, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
+    fn arrive(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
         if self.leaving {
             out.push(self.refuse(call.call, RefusalReason::Leaving));
             return;
@@ -201,8 +222,8 @@
             self.waiting.push(call);
             return;
         }
-        let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other)).count();
-        if now + self.wait_behind(ahead) >= call.give_up {
+        let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other));
+        if self.now + self.wait_behind(ahead) >= call.give_up {
             out.push(self.refuse(call.call, RefusalReason::TooLate));
             return;
         }
@@ -246,10 +267,10 @@
         }
     }
 
-    fn expire(&mut self, now: MicroTime, out: &mut Vec<AdmissionAction>) {
+    fn expire(&mut self, out: &mut Vec<AdmissionAction>) {
         let mut index = 0;
         while index < self.waiting.len() {
-            if self.waiting[index].give_up > now {
+            if self.waiting[index].give_up > self.now {
                 index += 1;
                 continue;
             }
@@ -267,7 +288,9 @@
                 }
             }
             let call = self.waiting.swap_remove(first);
-            self.running.insert(call.call, (call.account, call.share));
+            let ends = self.now + self.expected_time(&call);
+            let running = RunningCall { account: call.account, ends };
+            self.running.insert(call.call, running);
             out.push(AdmissionAction::Start(call.call));
         }
     }
@@ -285,14 +308,31 @@
 
     /// Returns the calls an account runs here, per thousand shares.
     fn use_of(&self, call: &WaitingCall) -> usize {
-        let own = self.running.values().filter(|(account, _)| *account == call.account).count();
+        let same = |running: &&RunningCall| running.account == call.account;
+        let own = self.running.values().filter(same).count();
         own * 1_000 / usize::from(call.share.max(1))
     }
 
-    /// Returns the time until a call behind `ahead` others gets a slot.
-    fn wait_behind(&self, ahead: usize) -> MicroTime {
-        let turns = (ahead + 1) as f64 / self.slots as f64;
-        MicroTime((turns * self.service_us) as u64)
+    /// Returns the time that a call is expected to take at this moment.
+    fn expected_time(&self, call: &WaitingCall) -> MicroTime {
+        if call.work_us == 0 {
+            return MicroTime(self.service_us as u64);
+        }
+        let percent = if self.slowness == 0 { USUAL_SLOWNESS } else { self.slowness };
+        MicroTime(u64::from(call.work_us) * u64::from(percent) / u64::from(USUAL_SLOWNESS))
+    }
+
+    /// Returns the time until a call behind some others gets a slot.
+    fn wait_behind<'a>(&self, ahead: impl Iterator<Item = &'a WaitingCall>) -> MicroTime {
+        let overdue = MicroTime((self.service_us * OVERDUE_PART) as u64);
+        let left = self.running.values().map(|running| running.ends.since(self.now).max(overdue));
+        let mut free: Vec<MicroTime> = left.collect();
+        free.resize(self.slots.max(free.len()), MicroTime(0));
+        for call in ahead {
+            let first = least(&mut free);
+            *first = *first + self.expected_time(call);
+        }
+        *least(&mut free)
     }
 
     fn refuse(&self, call: CallId, reason: RefusalReason) -> AdmissionAction {
@@ -302,7 +342,18 @@
     /// Returns when the present queue will have been served.
     #[must_use]
     pub fn retry_after_ms(&self) -> u32 {
-        let wait = self.wait_behind(self.waiting.len()).ceil_millis();
+        let wait = self.wait_behind(self.waiting.iter()).ceil_millis();
         wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
     }
 }
+
+/// Returns the least of some times; there is at least one.
+fn least(times: &mut [MicroTime]) -> &mut MicroTime {
+    let mut first = 0;
+    for index in 1..times.len() {
+        if times[index] < times[first] {
+            first = index;
+        }
+    }
+    &mut times[first]
+}
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -143,10 +143,10 @@
         }
     };
     if let Some((answer, reader)) = answered {
-        if let AnswerHead::Answered { status, length, load, .. } = &answer
+        if let AnswerHead::Answered { status, length, load, ran_us, .. } = &answer
             && *status < 400
         {
-            let took = duty.clock.now().since(now);
+            let took = MicroTime(u64::from(*ran_us));
             let bytes = call.body.len() as u64 + length.unwrap_or_default();
             duty.course_book.borrow_mut().note(&call.terms.kind, took, load.slowness, bytes);
         }
@@ -190,6 +190,7 @@
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
         patience_ms,
+        work_us: duty.course_book.borrow().work_us(&call.terms.kind) as u32,
         repeatable: call.terms.repeatable,
         last,
         claim: call.claim.clone(),
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -539,6 +539,7 @@
             priority: head.priority,
             deadline: call.deadline,
             give_up: call.deadline.min(call.give_up),
+            work_us: head.work_us,
             last: head.last,
         };
         self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //!     priority: CallPriority { urgent: true, worth: 9 },
 //!     deadline: MicroTime::from_millis(100),
 //!     give_up: MicroTime::from_millis(100),
+//!     work_us: 0,
 //!     last: true,
 //! };
 //! queue.step(MicroTime(0), AdmissionEvent::Arrive(call), &mut actions);
--- a/src/served.rs
+++ b/src/served.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// Returns the time since the target got the call.
+    fn ran_for(&self) -> MicroTime {
+        let now = self.duty.clock.now();
+        self.dispatched.get().map_or(MicroTime(0), |since| now.since(since))
+    }
+
     /// Sends the call to the target and its answer back.
     pub(crate) async fn run(
         &self,
@@ -283,6 +289,7 @@
             status: answer.status.as_u16(),
             headers: headers::forward_answer(&answer.headers),
             length,
+            ran_us: self.call.ran_for().0 as u32,
             load: self.call.duty.load(&self.call.key),
         };
         let Some(mut rest) = answer.rest else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -124,6 +124,8 @@
     pub remaining_ms: u32,
     /// Longest time the call may wait for a slot, in milliseconds.
     pub patience_ms: u32,
+    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
+    pub work_us: u32,
     /// Whether a call that was dropped may be cancelled at the target.
     pub repeatable: bool,
     /// Whether the entry has no other target left to try.
@@ -203,6 +205,8 @@
         headers: Vec<(String, Vec<u8>)>,
         /// Length of the body in bytes, where the target said it.
         length: Option<u64>,
+        /// Time that the target took, in microseconds.
+        ran_us: u32,
         /// Load after this call.
         load: LoadWord,
     },
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -42,6 +42,7 @@
         priority,
         deadline,
         give_up: deadline,
+        work_us: 0,
         last: true,
     }
 }
