Join at once where the platform answers; tell changes at once; notice silence

Cause: after a power cut daemons stayed not ready for up to 3.5 s: a fresh one asked peers one after the other, 2 s each for a dark host, although the store had answered; its targets spread at the pace of gossip, and its record lost against that of its earlier life until chance told it so. Ruled out: the store (members read within 10 ms of the start), heartbeats (targets announced within 0.5 s). Change: the store's word is enough to serve; peers are asked side by side; a change of the own record goes to 24 daemons at once; an acknowledgement tells the sender of an earlier life's record. Connections between daemons break when nothing is acknowledged for 0.9 s; a guard that can't be reached is left alone.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -63,6 +63,8 @@
     sent: MicroTime,
     latency: Option<MicroTime>,
     failed: bool,
+    /// Whether the guard could not be reached at all.
+    unreachable: bool,
 }
 
 impl OutstandingCall {
@@ -78,6 +80,9 @@
         let targets = registry.services.get_mut(&self.service);
         if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
             record.finish(now, self.latency, self.failed);
+            if self.unreachable {
+                record.lose_contact(now);
+            }
         }
     }
 }
@@ -98,6 +103,7 @@
         sent: now,
         latency: None,
         failed: false,
+        unreachable: false,
     };
     let left = call.deadline.since(now).duration();
     if left.is_zero() {
@@ -107,7 +113,7 @@
     let deadline = Instant::now() + left;
     let head = make_head(duty, call, target, place, left, last);
     let Some(sender) = connect(duty, place, deadline).await else {
-        outstanding.failed = true;
+        outstanding.unreachable = true;
         return AttemptEnd::unreachable();
     };
     watching::watch_target(duty, &call.service, target, place);
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -24,6 +24,12 @@
 /// Daemons asked to probe on one's behalf.
 const INDIRECT: usize = 3;
 
+/// Daemons that are told at once of a change that a daemon makes itself.
+///
+/// Reaches all of a small fleet in one step; in a large one gossip does the
+/// rest, and the cost stays the same.
+const TOLD_AT_ONCE: usize = 24;
+
 /// How often an update is sent, as a multiple of log2 of the fleet's size.
 const SPREAD: u32 = 3;
 
@@ -135,6 +141,8 @@
     next_period: MicroTime,
     next_sync: MicroTime,
     digest: u64,
+    /// Set when the own record outbid another, until it was told at once.
+    outbid: bool,
 }
 
 impl MembershipState {
@@ -153,6 +161,7 @@
             period: 0,
             next_period: MicroTime(0),
             next_sync: MicroTime(0),
+            outbid: false,
         };
         state.own.state = MemberState::Alive;
         state
@@ -169,10 +178,15 @@
         match event {
             MembershipEvent::Tick => self.tick(now, rng, out),
             MembershipEvent::Message { from, message } => self.receive(now, from, message, out),
-            MembershipEvent::Local { targets, revision } => self.change_own(targets, revision, out),
-            MembershipEvent::Learn(records) => self.learn_whole(now, records, out),
+            MembershipEvent::Local { targets, revision } => {
+                self.change_own(targets, revision, rng, out);
+            }
+            MembershipEvent::Learn(records) => self.learn_whole(now, records, rng, out),
             MembershipEvent::Leave => self.leave(rng, out),
         }
+        if std::mem::take(&mut self.outbid) {
+            self.tell_some(rng, out);
+        }
     }
 
     /// Returns the own record.
@@ -354,12 +368,16 @@
         out: &mut Vec<MembershipAction>,
     ) {
         let GossipMessage { from: sender, kind, number, revision, digest, updates } = message;
+        let outdated = updates.iter().any(|record| self.is_outdated(&sender, record));
         for record in updates {
             self.learn(now, record, out);
         }
         match kind {
             GossipKind::Ping => {
-                let message = self.message(GossipKind::Ack, number);
+                let mut message = self.message(GossipKind::Ack, number);
+                if outdated && let Some(known) = self.members.get(&sender) {
+                    put_first(&mut message, &known.record);
+                }
                 out.push(MembershipAction::Send { to: from, message });
             }
             GossipKind::PingFor { peer, .. } => {
@@ -389,6 +407,14 @@
         }
     }
 
+    /// Tells whether a sender's own record loses against that of an earlier life,
+    /// which it has to hear of to outbid it.
+    fn is_outdated(&self, sender: &HostName, record: &MemberRecord) -> bool {
+        let Some(known) = self.members.get(sender) else { return false };
+        let earlier = known.record.incarnation != record.incarnation;
+        record.host == *sender && earlier && !record.beats(&known.record)
+    }
+
     fn acknowledge(&mut self, sender: &HostName, number: u64, out: &mut Vec<MembershipAction>) {
         self.close_probe(sender, number);
         let Some(index) = self.proxies.iter().position(|proxy| proxy.number == number) else {
@@ -415,16 +441,33 @@
         &mut self,
         now: MicroTime,
         records: Vec<MemberRecord>,
+        rng: &mut Pcg64Mcg,
         out: &mut Vec<MembershipAction>,
     ) {
+        let mut strangers = Vec::new();
         for record in records {
             let host = record.host.clone();
             let known = host == self.own.host || self.members.contains_key(&host);
+            let (up, peer) = (record.is_up(), record.peer);
             self.learn(now, record, out);
             if !known {
                 self.news.remove(&host);
+                strangers.extend(up.then_some(peer));
             }
         }
+        strangers.shuffle(rng);
+        strangers.truncate(TOLD_AT_ONCE);
+        self.tell(strangers, out);
+    }
+
+    /// Sends the own record to some daemons, without waiting for their turn.
+    fn tell(&mut self, peers: Vec<SocketAddr>, out: &mut Vec<MembershipAction>) {
+        for to in peers {
+            self.number += 1;
+            let mut message = self.message(GossipKind::Ping, self.number);
+            put_first(&mut message, &self.own);
+            out.push(MembershipAction::Send { to, message });
+        }
     }
 
     fn learn(&mut self, now: MicroTime, record: MemberRecord, out: &mut Vec<MembershipAction>) {
@@ -449,12 +492,14 @@
         let version = record.version + 1;
         self.update_own(|own| own.version = version);
         out.push(MembershipAction::Changed);
+        self.outbid = true;
     }
 
     fn change_own(
         &mut self,
         targets: Vec<TargetNotice>,
         revision: u64,
+        rng: &mut Pcg64Mcg,
         out: &mut Vec<MembershipAction>,
     ) {
         if self.own.targets == targets {
@@ -470,6 +515,13 @@
             own.version += 1;
         });
         out.push(MembershipAction::Changed);
+        self.tell_some(rng, out);
+    }
+
+    fn tell_some(&mut self, rng: &mut Pcg64Mcg, out: &mut Vec<MembershipAction>) {
+        let host = self.own.host.clone();
+        let peers = self.sample_up(TOLD_AT_ONCE, &host, rng);
+        self.tell(peers, out);
     }
 
     fn update_own(&mut self, change: impl FnOnce(&mut MemberRecord)) {
@@ -488,12 +540,7 @@
             }
         });
         out.push(MembershipAction::Changed);
-        let host = self.own.host.clone();
-        for to in self.sample_up(INDIRECT * 2, &host, rng) {
-            self.number += 1;
-            let message = self.message(GossipKind::Ping, self.number);
-            out.push(MembershipAction::Send { to, message });
-        }
+        self.tell_some(rng, out);
     }
 
     fn merge(&mut self, now: MicroTime, record: MemberRecord, out: &mut Vec<MembershipAction>) {
@@ -565,3 +612,11 @@
         self.members.get(host).map(|known| &known.record)
     }
 }
+
+/// Puts a record before all other news of a message.
+fn put_first(message: &mut GossipMessage, record: &MemberRecord) {
+    message.updates.retain(|update| update.host != record.host);
+    // The newest of the others make room, so that the datagram stays within bounds.
+    message.updates.truncate(2);
+    message.updates.insert(0, record.clone());
+}
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
@@ -231,25 +232,34 @@
         let mut peers: Vec<SocketAddr> =
             known.map(|member| member.peer).chain(self.seeds.iter().copied()).collect();
         peers.shuffle(&mut *self.rng.borrow_mut());
+        if platform_up {
+            // The platform has the newest revision; no peer can know a later one.
+            self.finish_join(0, 0);
+        }
         let mut asked = 0;
         let mut least = 0;
-        for peer in peers {
-            if let Some(revision) = Rc::clone(&self).meet(peer).await {
-                asked += 1;
-                least = least.max(revision);
-            }
+        let meetings = peers.into_iter().map(|peer| Rc::clone(&self).meet(peer));
+        let mut met = futures::stream::iter(meetings).buffer_unordered(JOIN_PEERS);
+        while let Some(revision) = met.next().await {
+            let Some(revision) = revision else { continue };
+            asked += 1;
+            least = least.max(revision);
+            self.finish_join(asked, least);
             if asked >= JOIN_PEERS {
                 break;
             }
         }
-        if !*self.joined.borrow() && (asked > 0 || platform_up) {
-            *self.joined.borrow_mut() = true;
-            info!(self.logger, "joined"; "peers" => asked, "least_revision" => least);
-            drop(self.rings.entry.push(EntryEvent::Joined { least_revision: least }));
-        }
         self.joining.replace(false);
     }
 
+    /// Lets the entry serve, by the given revision or a later one.
+    fn finish_join(&self, peers: usize, least_revision: u64) {
+        if !self.joined.replace(true) {
+            info!(self.logger, "joined"; "peers" => peers, "least_revision" => least_revision);
+            drop(self.rings.entry.push(EntryEvent::Joined { least_revision }));
+        }
+    }
+
     /// Exchanges everything with one peer; returns its revision.
     async fn meet(self: Rc<Self>, peer: SocketAddr) -> Option<u64> {
         let client = timeout(PEER_TIMEOUT, rpc::connect(peer)).await.ok()??;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -2,11 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use h2::client::SendRequest;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -14,8 +16,18 @@
 use crate::h2io;
 use crate::ids::DaemonIncarnation;
 
-/// Longest wait for a connection to a guard.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a connection to a guard; a host that has no power answers
+/// nothing, and a call that waits for it is late.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time after which bytes that nobody acknowledges break a connection: longer
+/// than two lost packets in a row take.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
+
+/// When an idle connection is asked whether its other end is there, and how
+/// often until it is given up.
+const KEEPALIVE: (Duration, Duration, u32) =
+    (Duration::from_secs(2), Duration::from_millis(500), 3);
 
 /// One `h2` connection for each guard life.
 #[derive(Debug, Default)]
@@ -56,7 +68,18 @@
 async fn dial(guard: SocketAddr) -> Option<SendRequest<Bytes>> {
     let socket = TcpStream::connect(guard).await.ok()?;
     socket.set_nodelay(true).ok()?;
+    notice_silence(&socket).ok()?;
     let (sender, connection) = h2io::client().handshake(socket).await.ok()?;
     spawn_local(async move { drop(connection.await) });
     Some(sender)
 }
+
+/// Lets a connection break soon when its other end has gone without a word.
+fn notice_silence(socket: &TcpStream) -> io::Result<()> {
+    let (idle, interval, retries) = KEEPALIVE;
+    let keepalive =
+        TcpKeepalive::new().with_time(idle).with_interval(interval).with_retries(retries);
+    let socket = SockRef::from(socket);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Leaves a target alone at once whose guard can't be reached.
+    pub fn lose_contact(&mut self, now: MicroTime) {
+        self.failures = self.failures.max(EJECT_AFTER - 1);
+        self.fail(now);
+    }
+
     fn fail(&mut self, now: MicroTime) {
         self.failures += 1;
         if self.failures >= EJECT_AFTER {
