--- a/src/pool.rs
+++ b/src/pool.rs
@@ -24,10 +24,9 @@
 /// than two lost packets in a row take.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
 
-/// When an idle connection is asked whether its other end is there, and how
-/// often until it is given up.
-const KEEPALIVE: (Duration, Duration, u32) =
-    (Duration::from_secs(2), Duration::from_millis(500), 3);
+/// When an idle connection is asked whether its other end is there, how often,
+/// and how many times until it is given up. Whole seconds: the system's unit.
+const KEEPALIVE: (Duration, Duration, u32) = (Duration::from_secs(2), Duration::from_secs(1), 2);
 
 /// One `h2` connection for each guard life.
 #[derive(Debug, Default)]
