--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -96,6 +96,15 @@
     in_time * sound - SPEED_PART * late.min(10.0) - crossing
 }
 
+/// Tells whether a call sent now would likely be in time, at a target that has
+/// slots to spare.
+pub(crate) fn is_promising(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> bool {
+    let load = &record.load;
+    let used = f64::from(load.in_flight + load.queued + 1) / f64::from(load.slots.max(1));
+    let spare = used <= CROWDED_FROM && record.ejected_until <= now;
+    spare && expected_us(record, now, outlook) < outlook.objective_us
+}
+
 /// Estimates when a call sent now would be answered, in microseconds.
 fn expected_us(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
     let load = &record.load;
--- a/src/config.rs
+++ b/src/config.rs
@@ -128,7 +128,19 @@
     /// Targets that one call may be sent to, at most.
     pub attempts: u32,
     /// Whether a slow call gets a second try beside the first.
-    pub hedge: bool,
+    pub hedge: HedgeRule,
+}
+
+/// Whether a slow call gets a second try beside the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HedgeRule {
+    /// Never.
+    Never,
+    /// When it takes long for its target, from the budget of hedges.
+    BesideSlow,
+    /// While the second can still be within the latency objective, from the
+    /// budget of all further tries.
+    WithinObjective,
 }
 
 const fn default_deadline() -> u32 {
@@ -271,7 +283,10 @@
             deadline_ms,
             objective_ms: deadline_ms,
             attempts: MAX_ATTEMPTS,
-            hedge: pick(own, base, |terms| terms.hedge).unwrap_or(false),
+            hedge: match pick(own, base, |terms| terms.hedge) {
+                Some(true) => HedgeRule::BesideSlow,
+                Some(false) | None => HedgeRule::Never,
+            },
         }
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,6 +22,7 @@
 use tokio::task::spawn_local;
 
 use crate::attempt::{self, AttemptEnd};
+use crate::benefit;
 use crate::clock::{MicroTime, ProcessClock};
 use crate::config::FleetConfig;
 use crate::consts::SLOW_SENDER;
@@ -423,6 +424,16 @@
         })
     }
 
+    /// Tells whether a further try beside the present one would likely be in time.
+    pub(crate) fn can_be_in_time(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
+        let now = self.clock.now();
+        let outlook = self.course_book.borrow().outlook(call, now, self.crossing_cost);
+        let registry = self.registry.borrow();
+        let Some(service) = registry.services.get(&call.service) else { return false };
+        let mut untried = service.targets.iter().filter(|target| !tried.contains(&target.name));
+        untried.any(|target| benefit::is_promising(target, now, &outlook))
+    }
+
     /// Notes whether a target is watched; `false` if that was known already.
     pub(crate) fn mark_watched(
         &self,
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -4,13 +4,22 @@
 use std::rc::Rc;
 
 use futures::future::{Either, select};
+use slog::info;
 use tokio::time::timeout;
 
 use crate::attempt::{self, AttemptEnd};
+use crate::clock::MicroTime;
+use crate::config::HedgeRule;
 use crate::entry::{ChosenTarget, EntryDuty};
 use crate::ids::TargetName;
 use crate::intake::CallerCall;
-use crate::retry::hedge_after;
+use crate::retry::{RetryBudget, hedge_after};
+
+/// How much longer than usual a try may take before it is hedged.
+const USUAL_FACTOR: f64 = 1.5;
+
+/// Least time before a hedge; shorter calls gain nothing over the network.
+const LEAST_PATIENCE: MicroTime = MicroTime::from_millis(15);
 
 /// Tries a call at a target, and at a second one if the first is slow.
 ///
@@ -26,11 +35,11 @@
     tried: &mut Vec<TargetName>,
 ) -> AttemptEnd {
     let mut first = pin!(attempt::run(duty, call, &chosen.name, &chosen.place, last));
-    if last || !call.terms.hedge || !call.terms.repeatable {
+    if last || !call.terms.repeatable || call.terms.hedge == HedgeRule::Never {
         return first.await;
     }
-    let patience = hedge_after(chosen.service_us).duration();
-    if let Ok(end) = timeout(patience, &mut first).await {
+    let patience = patience(duty, call, chosen);
+    if let Ok(end) = timeout(patience.duration(), &mut first).await {
         return end;
     }
     let Some(second) = choose_second(duty, call, tried) else { return first.await };
@@ -42,17 +51,34 @@
     }
 }
 
+/// Returns how long the first try may take before a second one starts.
+fn patience(duty: &EntryDuty, call: &CallerCall, chosen: &ChosenTarget) -> MicroTime {
+    if call.terms.hedge == HedgeRule::BesideSlow {
+        return hedge_after(chosen.service_us);
+    }
+    let work_us = duty.course_book.borrow().work_us(&call.terms.kind);
+    MicroTime((work_us * USUAL_FACTOR) as u64).max(LEAST_PATIENCE)
+}
+
 fn choose_second(
     duty: &EntryDuty,
     call: &CallerCall,
     tried: &mut Vec<TargetName>,
 ) -> Option<ChosenTarget> {
-    if !duty.hedge_budget.borrow_mut().take() {
+    let granted = match call.terms.hedge {
+        HedgeRule::Never => false,
+        HedgeRule::BesideSlow => duty.hedge_budget.borrow_mut().take(),
+        HedgeRule::WithinObjective => {
+            duty.can_be_in_time(call, tried) && duty.with_budget(&call.service, RetryBudget::take)
+        }
+    };
+    if !granted {
         return None;
     }
     let second = duty.choose(call, tried)?;
     tried.push(second.name.clone());
     duty.metrics.retries.with_label_values(&["hedge"]).inc();
+    info!(duty.logger, "hedged"; "id" => &*call.id, "target" => %second.name);
     Some(second)
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,7 +88,7 @@
 pub use cli::run_command;
 pub use clock::MicroTime;
 pub use config::{
-    AccountParameters, CallTerms, FleetConfig, KindParameters, KindTerms, RequestKind,
+    AccountParameters, CallTerms, FleetConfig, HedgeRule, KindParameters, KindTerms, RequestKind,
     ServiceTemplate,
 };
 pub use consts::*;
--- a/src/route.rs
+++ b/src/route.rs
@@ -4,7 +4,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-use crate::config::{CallTerms, FleetConfig};
+use crate::config::{CallTerms, FleetConfig, HedgeRule};
 use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
 use crate::ids::ServiceName;
 use crate::wire::CallPriority;
@@ -101,6 +101,7 @@
     pub(crate) fn terms(&self, asked_ms: Option<u32>) -> CallTerms {
         let limit_ms = self.timeout_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(MAX_DEADLINE_MS);
         let deadline_ms = asked_ms.unwrap_or(limit_ms).min(limit_ms);
+        let attempts = self.attempts.unwrap_or(MAX_ATTEMPTS);
         CallTerms {
             kind: self.name.clone(),
             priority: CallPriority {
@@ -110,8 +111,12 @@
             repeatable: self.repeatable,
             deadline_ms,
             objective_ms: self.objective_ms.unwrap_or(deadline_ms),
-            attempts: self.attempts.unwrap_or(MAX_ATTEMPTS),
-            hedge: false,
+            attempts,
+            hedge: if self.repeatable && attempts > 1 {
+                HedgeRule::WithinObjective
+            } else {
+                HedgeRule::Never
+            },
         }
     }
 }
