Ask targets for their slowness; find the own target at the start

Cause: a target whose work has become slow answers late, so the word of it came late; a restarted daemon waited for a heartbeat before it served its target. Change: a guard asks its target's health path, which answers at once, when no word came for 100 ms and calls run; at its start it asks who the target is.

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
 use crate::findings::{FindingList, nearest};
 use crate::ids::{AccountName, ServiceName};
-use crate::route::{CallerLimits, RouteRule};
+use crate::route::{CallerLimits, HealthCheck, RouteRule};
 use crate::schema::{CheckedText, FieldKind, FieldRule};
 use crate::selection::{self, SelectionPolicy};
 use crate::wire::CallPriority;
@@ -28,6 +28,9 @@
     /// Where requests go that name no account, by host and path.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub routes: Vec<RouteRule>,
+    /// How the health of routed services' targets is asked for.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub checks: Vec<HealthCheck>,
     /// What callers may send, and how long they may take.
     #[serde(default, skip_serializing_if = "CallerLimits::is_unset")]
     pub limits: CallerLimits,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -226,6 +226,8 @@
         host: settings.host.clone(),
         incarnation,
         names,
+        own_service: deployment.map(|deployment| deployment.service.clone()),
+        own_target: deployment.and_then(|deployment| deployment.target_address),
         target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
         max_body: if terms.is_some() { MAX_DEPLOYED_BODY } else { MAX_REQUEST_BODY },
         address: addresses.guard,
@@ -381,6 +383,7 @@
             platform: platform.sender(RING_CAPACITY),
         },
         from_platform: PlatformRings {
+            guard: guard.sender(RING_CAPACITY),
             entry: entry.sender(RING_CAPACITY),
             peers: peers.sender(RING_CAPACITY),
             admin: admin.sender(RING_CAPACITY),
--- a/src/durable.rs
+++ b/src/durable.rs
@@ -19,6 +19,7 @@
 use crate::clock::ProcessClock;
 use crate::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
 use crate::entry::EntryEvent;
+use crate::guard::GuardEvent;
 use crate::member::MemberRecord;
 use crate::metrics::DaemonMetrics;
 use crate::pace::CommitPace;
@@ -66,6 +67,7 @@
 /// Where this duty's news go.
 #[derive(Debug)]
 pub(crate) struct PlatformRings {
+    pub(crate) guard: RingSender<GuardEvent>,
     pub(crate) entry: RingSender<EntryEvent>,
     pub(crate) peers: RingSender<PeersEvent>,
     pub(crate) admin: RingSender<AdminEvent>,
@@ -324,7 +326,8 @@
         let entry = rings.entry.push(EntryEvent::Config(active.clone())).is_ok();
         let peers = rings.peers.push(PeersEvent::Config(active.clone())).is_ok();
         let admin = rings.admin.push(AdminEvent::Config(active.head.clone())).is_ok();
-        if !(entry && peers && admin) {
+        let guard = rings.guard.push(GuardEvent::Config(Arc::clone(&active.config))).is_ok();
+        if !(entry && peers && admin && guard) {
             self.metrics.shed.with_label_values(&["platform"]).inc();
         }
     }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -24,10 +24,12 @@
 use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 use crate::claim::{ClaimReply, ClaimRequest};
 use crate::clock::{MicroTime, ProcessClock};
+use crate::config::FleetConfig;
 use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, SLOW_SENDER};
 use crate::durable::PlatformEvent;
 use crate::h2io::{self, HeadReader, StreamError};
 use crate::headers::HeaderNames;
+use crate::health;
 use crate::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::lease::{TargetCondition, TargetLease};
 use crate::member::TargetNotice;
@@ -76,6 +78,8 @@
     Announce(TargetAnnouncement),
     /// The platform's target told of itself; answered once acted upon.
     Report { report: TargetReport, reply: oneshot::Sender<()> },
+    /// A revision came in force.
+    Config(Arc<FleetConfig>),
     /// A target's word stays valid for this long from now on.
     Lease(Duration),
     /// An operator drains a target, or takes that back.
@@ -99,6 +103,9 @@
     pub(crate) host: HostName,
     pub(crate) incarnation: DaemonIncarnation,
     pub(crate) names: &'static HeaderNames,
+    /// The service and the address of the host's target, where settings tell.
+    pub(crate) own_service: Option<ServiceName>,
+    pub(crate) own_target: Option<SocketAddr>,
     /// Time a target's word stays valid without a further one.
     pub(crate) target_lease: Duration,
     /// Longest body of a call, in bytes.
@@ -118,6 +125,22 @@
     pub(crate) claiming: usize,
     /// The load that watchers were told last.
     told: LoadWord,
+    /// When a call last came.
+    pub(crate) used: MicroTime,
+    /// When the target last told its slowness, or was asked for it.
+    pub(crate) slowness_heard: MicroTime,
+}
+
+impl LocalTarget {
+    /// Returns how many calls run in the target.
+    pub(crate) fn running(&self) -> usize {
+        self.door.running()
+    }
+
+    /// Tells whether the target takes new work.
+    pub(crate) const fn is_open(&self) -> bool {
+        !self.door.is_leaving()
+    }
 }
 
 type StartSignal = Result<(), (RefusalReason, u32)>;
@@ -135,6 +158,9 @@
     stopping: watch::Sender<bool>,
     pub(crate) pool: Rc<TargetPool>,
     pub(crate) names: &'static HeaderNames,
+    own_service: Option<ServiceName>,
+    /// Where the host's target tells its health, once a configuration says so.
+    pub(crate) check_path: RefCell<Option<String>>,
     target_lease: Cell<Duration>,
     max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
@@ -170,6 +196,8 @@
         word_budget: RefCell::new(ProbeBudget::open(u32::MAX, WORD_BYTES_PER_S)),
         pool: Rc::default(),
         names: parts.names,
+        own_service: parts.own_service,
+        check_path: RefCell::default(),
         target_lease: Cell::new(parts.target_lease),
         max_body: parts.max_body,
         metrics,
@@ -179,6 +207,9 @@
     spawn_local(Rc::clone(&duty).accept(listener));
     spawn_local(Rc::clone(&duty).answer_probes(socket));
     spawn_local(Rc::clone(&duty).tick());
+    if let (Some(service), Some(address)) = (duty.own_service.clone(), parts.own_target) {
+        spawn_local(health::find_target(Rc::clone(&duty), service, address));
+    }
     loop {
         duty.handle(inbox.next().await);
     }
@@ -188,6 +219,11 @@
     fn handle(self: &Rc<Self>, event: GuardEvent) {
         match event {
             GuardEvent::Announce(announcement) => self.announce(announcement, None),
+            GuardEvent::Config(config) => {
+                let own = self.own_service.as_ref();
+                let path = own.and_then(|service| config.check_path(service));
+                *self.check_path.borrow_mut() = path.map(str::to_owned);
+            }
             GuardEvent::Lease(lasts) => {
                 self.target_lease.set(lasts);
                 let mut targets = self.targets.borrow_mut();
@@ -207,7 +243,7 @@
         }
     }
 
-    fn take_report(&self, report: TargetReport) {
+    pub(crate) fn take_report(&self, report: TargetReport) {
         match report {
             TargetReport::Alive { announcement, sequence, .. } => {
                 self.announce(announcement, Some(sequence));
@@ -242,6 +278,8 @@
                 sequence,
                 claiming: 0,
                 told: LoadWord::default(),
+                used: now,
+                slowness_heard: MicroTime(0),
             };
             targets.insert(key, target);
         }
@@ -346,6 +384,7 @@
             self.carry_out(actions);
             self.check_leases();
             self.tell_watchers(now);
+            health::ask_stale(&self, now);
         }
     }
 
@@ -542,6 +581,9 @@
             work_us: head.work_us,
             last: head.last,
         };
+        if let Some(target) = self.targets.borrow_mut().get_mut(&call.key) {
+            target.used = self.clock.now();
+        }
         self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
         signal
     }
@@ -603,6 +645,7 @@
     pub(crate) fn note_slowness(&self, key: &(ServiceName, TargetName), percent: u16) {
         if let Some(target) = self.targets.borrow_mut().get_mut(key) {
             target.door.note_slowness(percent);
+            target.slowness_heard = self.clock.now();
         }
     }
 
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,123 @@
+//! A guard's questions to its own target: who are you, and how slow is work now?
+//!
+//! Answers carry the same word, but a target whose work has just become slow
+//! answers late. A question is asked only when no word came for a while and
+//! calls run or came lately; it is answered at once and costs little, but not
+//! nothing.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+use slog::info;
+use tokio::time::timeout;
+
+use crate::adapter::TargetReport;
+use crate::clock::MicroTime;
+use crate::guard::{GuardDuty, TargetAnnouncement};
+use crate::headers;
+use crate::ids::{ServiceName, TargetName};
+use crate::lease::TargetCondition;
+use crate::target_call;
+
+/// Age of a word of slowness from which on the target is asked.
+const ASK_AFTER: MicroTime = MicroTime::from_millis(100);
+
+/// Time after its last call that a target counts as in use.
+const IN_USE: MicroTime = MicroTime::from_millis(1_000);
+
+/// Longest wait for the answer; it comes at once or is of no use.
+const ANSWER_WITHIN: Duration = Duration::from_millis(300);
+
+/// Time between two questions to a target that was not heard of since the start.
+const FIND_EVERY: Duration = Duration::from_millis(100);
+
+/// Questions at the start, until heartbeats are waited for instead.
+const FIND_TRIES: u32 = 30;
+
+/// Asks targets in use whose slowness is not known any more.
+pub(crate) fn ask_stale(duty: &Rc<GuardDuty>, now: MicroTime) {
+    let Some(path) = duty.check_path.borrow().clone() else { return };
+    let mut targets = duty.targets.borrow_mut();
+    for (key, target) in targets.iter_mut() {
+        let used = now.since(target.used) < IN_USE || target.running() > 0;
+        let stale = now.since(target.slowness_heard) >= ASK_AFTER;
+        if !(used && stale && target.is_open()) {
+            continue;
+        }
+        // Counts as heard, so that the next question comes after the answer.
+        target.slowness_heard = now;
+        let address = target.announcement.address;
+        tokio::task::spawn_local(ask_one(Rc::clone(duty), key.clone(), address, path.clone()));
+    }
+}
+
+async fn ask_one(
+    duty: Rc<GuardDuty>,
+    key: (ServiceName, TargetName),
+    address: SocketAddr,
+    path: String,
+) {
+    let Some(answer) = ask(&duty, address, &path).await else { return };
+    if let Some(percent) = target_call::slowness(&answer, duty.names) {
+        duty.note_slowness(&key, percent);
+    }
+}
+
+/// Finds the target of this host at the daemon's start, before its heartbeat.
+pub(crate) async fn find_target(duty: Rc<GuardDuty>, service: ServiceName, address: SocketAddr) {
+    for _ in 0..FIND_TRIES {
+        if !duty.targets.borrow().is_empty() {
+            return;
+        }
+        let path = duty.check_path.borrow().clone();
+        if let Some(path) = path
+            && let Some(answer) = ask(&duty, address, &path).await
+            && let Some(announcement) = read_announcement(&duty, &answer, &service, address)
+            && duty.targets.borrow().is_empty()
+        {
+            info!(duty.logger, "target found"; "target" => %announcement.target);
+            let cold = Duration::ZERO;
+            duty.take_report(TargetReport::Alive { announcement, sequence: 0, cold });
+            return;
+        }
+        tokio::time::sleep(FIND_EVERY).await;
+    }
+}
+
+fn read_announcement(
+    duty: &GuardDuty,
+    answer: &HeaderMap,
+    service: &ServiceName,
+    address: SocketAddr,
+) -> Option<TargetAnnouncement> {
+    let name = headers::text(answer, duty.names.running_target?)?;
+    let slots = target_call::slots(answer, duty.names)?;
+    Some(TargetAnnouncement {
+        service: service.clone(),
+        target: TargetName::from(name),
+        address,
+        slots,
+        condition: TargetCondition::Ready,
+    })
+}
+
+/// Asks a target for its health; returns the headers of a good answer.
+async fn ask(duty: &GuardDuty, address: SocketAddr, path: &str) -> Option<HeaderMap> {
+    duty.metrics.health_asks.inc();
+    let request = Request::get(path)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let asked = async {
+        let (response, connection) = duty.pool.send(address, request, true).await.ok()?;
+        let (parts, body) = response.into_parts();
+        body.collect().await.ok()?;
+        connection.release(&parts.headers);
+        parts.status.is_success().then_some(parts.headers)
+    };
+    timeout(ANSWER_WITHIN, asked).await.ok()?
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod guard;
 mod h2io;
 mod headers;
+mod health;
 mod hedge;
 mod httpd;
 mod ids;
@@ -112,7 +113,7 @@
 pub use reply::CallOutcome;
 pub use retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
-pub use route::{CallerLimits, RouteRule, RouteTarget};
+pub use route::{CallerLimits, HealthCheck, RouteRule, RouteTarget};
 pub use selection::{
     DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
     TargetRegistry, default_policy, policy, policy_names,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) platform: IntCounterVec,
     /// Claims written, and the transactions that carried them.
     pub(crate) claims: IntCounterVec,
+    /// Questions for a target's health.
+    pub(crate) health_asks: IntCounter,
     /// Log lines dropped because nobody took them in time.
     pub(crate) log_dropped: IntCounter,
     /// Messages shed because a ring was full, by duty.
@@ -72,6 +74,7 @@
             sync_records: counter("railspan_sync_records_total", "Records handed out whole")?,
             platform: family("railspan_platform_total", "Calls to the platform", "end")?,
             claims: family("railspan_claims_total", "Claims and their transactions", "kind")?,
+            health_asks: counter("railspan_health_asks_total", "Questions for health")?,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             shed: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/route.rs
+++ b/src/route.rs
@@ -51,6 +51,15 @@
     pub weight: u32,
 }
 
+/// How the health of a service's targets is asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HealthCheck {
+    /// The service.
+    pub service: ServiceName,
+    /// Path at its targets.
+    pub path: String,
+}
+
 /// What callers may send, and how long they may take; unset where unlimited.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -72,6 +81,13 @@
 }
 
 impl FleetConfig {
+    /// Returns the path at which a service's targets tell their health.
+    #[must_use]
+    pub fn check_path(&self, service: &ServiceName) -> Option<&str> {
+        let check = self.checks.iter().find(|check| check.service == *service);
+        check.map(|check| check.path.as_str())
+    }
+
     /// Returns the route of a request: the longest prefix of its host.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,9 @@
 pub struct DeploymentSettings {
     /// The service of the host's target.
     pub service: ServiceName,
+    /// Where the host's target listens.
+    #[serde(default)]
+    pub target_address: Option<SocketAddr>,
     /// Where the platform asks for readiness, by HTTP.
     pub ready_address: SocketAddr,
     /// Where the host's target reports, by HTTP.
@@ -84,6 +87,7 @@
 
 const DEPLOYMENT_RULES: &[FieldRule] = &[
     FieldRule { name: "service", kind: FieldKind::Name, required: true },
+    FieldRule { name: "target_address", kind: FieldKind::Address, required: false },
     FieldRule { name: "ready_address", kind: FieldKind::Address, required: true },
     FieldRule { name: "control_address", kind: FieldKind::Address, required: true },
     FieldRule { name: "crossing_cost", kind: FieldKind::Whole(0, 100_000), required: false },
--- a/src/target_call.rs
+++ b/src/target_call.rs
@@ -100,6 +100,12 @@
     text.split(',').nth(LOAD_PARTS - 1)?.trim().parse().ok()
 }
 
+/// Reads how many calls the target runs at once.
+pub(crate) fn slots(answer: &HeaderMap, names: &HeaderNames) -> Option<u16> {
+    let text = headers::text(answer, names.load?)?;
+    text.split(',').nth(LOAD_PARTS - 2)?.trim().parse().ok()
+}
+
 /// Reads the start of an answer, so that a short one is known to be whole.
 pub(crate) async fn read_start(
     response: Response<Incoming>,
