--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use h2::client::{ResponseFuture, SendRequest};
 use http::{Request, Response};
+use slog::info;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::clock::MicroTime;
@@ -79,10 +80,16 @@
         let mut registry = self.duty.registry.borrow_mut();
         let targets = registry.services.get_mut(&self.service);
         if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
+            let before = record.ejected_until;
             record.finish(now, self.latency, self.failed);
             if self.unreachable {
                 record.lose_contact(now);
             }
+            if record.ejected_until > before {
+                info!(self.duty.logger, "target left alone"; "target" => %self.target,
+                    "failures" => record.failures, "reached" => !self.unreachable,
+                    "for_us" => record.ejected_until.since(now).0);
+            }
         }
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,6 +15,7 @@
 use crate::platform::open_store;
 use crate::publish::{self, PublishError};
 use crate::settings::{DaemonSettings, is_settings};
+use crate::story::RequestStory;
 
 /// How a command ended, as its exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     Drain(DrainOptions),
     #[options(help = "list all targets")]
     Targets(DaemonOptions),
+    #[options(help = "tell the story of one request from daemons' logs")]
+    Trace(TraceOptions),
 }
 
 #[derive(Debug, Options)]
@@ -128,6 +131,21 @@
     target: String,
 }
 
+#[derive(Debug, Options)]
+struct TraceOptions {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(no_short, help = "print the story as JSON")]
+    json: bool,
+
+    #[options(free, required, help = "the request's id")]
+    id: String,
+
+    #[options(free, help = "log files of any daemons")]
+    files: Vec<String>,
+}
+
 /// Runs the command that the process was started with.
 #[must_use]
 pub fn run_command() -> ExitCode {
@@ -173,9 +191,26 @@
             }
         }
         OperatorCommand::Targets(options) => targets(&options).await,
+        OperatorCommand::Trace(options) => trace(&options),
     }
 }
 
+fn trace(options: &TraceOptions) -> CommandOutput {
+    let files = match read_files(&options.files) {
+        Ok(files) => files,
+        Err(findings) => return report(&findings, options.json),
+    };
+    let story = RequestStory::read(&options.id, &files);
+    for finding in &story.findings {
+        eprintln!("{finding}");
+    }
+    if story.lines.is_empty() {
+        return output(CommandEnd::Refused, format!("no line tells of `{}`", options.id));
+    }
+    let text = if options.json { pretty(&story) } else { story.render().trim_end().to_owned() };
+    output(CommandEnd::Done, text)
+}
+
 fn check(options: &CheckOptions) -> CommandOutput {
     let files = match read_files(&options.files) {
         Ok(files) => files,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -280,6 +280,7 @@
         let since = self.clock.now();
         let id = self.names.request_id.and_then(|name| headers::text(request.headers(), name));
         let id: Arc<str> = Arc::from(id.unwrap_or_default());
+        let open = OpenCall { duty: &self, id: &id, since, answered: Cell::new(false) };
         let mut response = match intake::receive(&self, request, &id).await {
             Ok(call) => self.route(call).await,
             Err(refusal) => refusal,
@@ -289,6 +290,7 @@
         self.metrics.calls.with_label_values(&[outcome]).inc();
         let took = self.clock.now().since(since);
         self.metrics.latency.observe(took.duration().as_secs_f64());
+        open.answered.set(true);
         self.log_answer(&id, &response, took);
         self.finish_head(&mut response);
         response
@@ -523,6 +525,23 @@
     }
 }
 
+/// A call that is being served; dropped before its answer, its caller has left.
+struct OpenCall<'a> {
+    duty: &'a EntryDuty,
+    id: &'a str,
+    since: MicroTime,
+    answered: Cell<bool>,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        if !self.answered.get() {
+            let after = self.duty.clock.now().since(self.since);
+            info!(self.duty.logger, "caller left"; "id" => self.id, "after_us" => after.0);
+        }
+    }
+}
+
 /// Makes the final answer of a call that no target answered.
 fn give_up(step: NextStep, refusal: (&str, u32)) -> Response<EntryBody> {
     if step == NextStep::TellUnknown {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 mod selection;
 mod served;
 mod settings;
+mod story;
 mod table;
 mod target_call;
 mod target_pool;
@@ -119,6 +120,7 @@
     TargetRegistry, default_policy, policy, policy_names,
 };
 pub use settings::{BudgetSettings, DaemonSettings, DeploymentSettings, is_settings};
+pub use story::{RequestStory, StoryLine};
 pub use table::{
     CommitReply, ConfigNews, ObjectWrite, OperatorConfig, PlatformClient, PlatformError, StoreCall,
     StoreCalls, StoreFuture, TableRow, TableWrite,
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -85,6 +85,11 @@
     },
     /// The view changed.
     Changed,
+    /// Something else is believed of a member than before.
+    Believed {
+        /// The member as it is believed to be now.
+        record: MemberRecord,
+    },
     /// A peer has a newer revision than this daemon.
     NewerRevision {
         /// Where the peer hands it out.
@@ -551,6 +556,13 @@
         if let Some(known) = known {
             self.digest ^= known.record.digest();
         }
+        let differs = |known: &KnownMember| {
+            let before = &known.record;
+            before.state != record.state || before.incarnation != record.incarnation
+        };
+        if known.is_none_or(differs) {
+            out.push(MembershipAction::Believed { record: record.clone() });
+        }
         self.digest ^= record.digest();
         let host = record.host.clone();
         self.news.insert(host.clone(), 0);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -160,6 +160,11 @@
         for action in actions {
             match action {
                 MembershipAction::Send { to, message } => self.send(to, &message),
+                MembershipAction::Believed { record } => {
+                    info!(self.logger, "member"; "member" => %record.host,
+                        "state" => ?record.state, "version" => record.version,
+                        "incarnation" => record.incarnation.0);
+                }
                 MembershipAction::Changed => *self.dirty.borrow_mut() = true,
                 MembershipAction::NewerRevision { peer } => self.fetch_revision(peer),
                 MembershipAction::Sync { peer } => {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -173,3 +173,39 @@
         }
     }
 }
+
+/// What a slot's wait is foreseen from: the calls that run, and those ahead.
+#[test]
+fn a_call_that_cannot_start_in_time_is_refused_at_once() {
+    let mut queue = AdmissionQueue::open(1);
+    let priority = CallPriority { urgent: false, worth: 1 };
+    let offer = |queue: &mut AdmissionQueue, id: u128, now_ms: u64, give_up_ms: u64| {
+        let mut call = waiting_call(id, 0, priority, MicroTime::from_millis(1_000));
+        call.give_up = MicroTime::from_millis(give_up_ms);
+        call.work_us = 50_000;
+        let mut out = Vec::new();
+        queue.step(MicroTime::from_millis(now_ms), AdmissionEvent::Arrive(call), &mut out);
+        out
+    };
+    assert_eq!(offer(&mut queue, 1, 0, 100), [AdmissionAction::Start(CallId(1))]);
+    // The slot comes free at 50 ms; this one would have to start by 40.
+    let refused = offer(&mut queue, 2, 10, 40);
+    assert!(matches!(
+        refused[..],
+        [AdmissionAction::Refuse { reason: RefusalReason::TooLate, .. }]
+    ));
+    // By 60 it can, and the next one behind it can't.
+    assert!(offer(&mut queue, 3, 10, 60).is_empty());
+    let refused = offer(&mut queue, 4, 10, 90);
+    assert!(matches!(
+        refused[..],
+        [AdmissionAction::Refuse { reason: RefusalReason::TooLate, .. }]
+    ));
+    // On a host that is four times slower than usual a call takes 200 ms.
+    queue.note_slowness(400);
+    let refused = offer(&mut queue, 5, 10, 200);
+    assert!(matches!(
+        refused[..],
+        [AdmissionAction::Refuse { reason: RefusalReason::TooLate, .. }]
+    ));
+}
--- /dev/null
+++ b/tests/story.rs
@@ -0,0 +1,41 @@
+//! The story of a request, from logs that may be cut or mixed.
+
+use railspan::RequestStory;
+
+const ENTRY: &str = r#"
+12.1 host-a {"msg":"chosen","level":"INFO","ts":"2026-07-16T13:00:00.100Z","host":"host-a","target":"i-1","id":"abc"}
+12.2 host-a {"msg":"chosen","level":"INFO","ts":"2026-07-16T13:00:00.150Z","host":"host-a","target":"i-9","id":"abcd"}
+12.3 host-a {"msg":"answered","level":"INFO","ts":"2026-07-16T13:00:00.300Z","host":"host-a","status":200,"id":"abc"}
+12.4 host-a {"msg":"answered","level":"INFO","ts":"2026-07-1"#;
+
+const GUARD: &str = r#"{"msg":"sent","ts":"2026-07-16T13:00:00.110Z","host":"host-b","waited_us":40,"id":"abc"}
+no brace at all
+{"msg":"chosen","ts":"2026-07-16T13:00:00.200Z","host":"host-b","target":"i-5","id":"abc.1"}
+"#;
+
+fn logs() -> Vec<(String, String)> {
+    vec![("a.log".into(), ENTRY.into()), ("b.log".into(), GUARD.into())]
+}
+
+#[test]
+fn lines_of_several_daemons_are_joined_in_order() {
+    let story = RequestStory::read("abc", &logs());
+    let told: Vec<_> = story.lines.iter().map(|line| (&*line.host, &*line.msg)).collect();
+    let expected =
+        [("host-a", "chosen"), ("host-b", "sent"), ("host-b", "chosen"), ("host-a", "answered")];
+    assert_eq!(told, expected);
+    assert!(story.render().contains("host-b chosen call=abc.1 target=i-5"), "{}", story.render());
+}
+
+#[test]
+fn a_cut_line_is_named_and_passed_over() {
+    let story = RequestStory::read("abc", &logs());
+    let places: Vec<_> =
+        story.findings.iter().map(|finding| (&*finding.file, finding.place.line)).collect();
+    assert_eq!(places, [("a.log", 5)]);
+}
+
+#[test]
+fn an_unknown_request_has_no_story() {
+    assert!(RequestStory::read("nobody", &logs()).lines.is_empty());
+}
