--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -24,9 +24,6 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 type Outcome<T> = Result<T, Box<dyn Error + Send + Sync>>;
 
 /// Longest wait for the fleet to come up.
--- a/src/bin/railspan.rs
+++ b/src/bin/railspan.rs
@@ -2,9 +2,6 @@
 
 use std::process::ExitCode;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 fn main() -> ExitCode {
     railspan::run_command()
 }
--- a/src/bin/railspand.rs
+++ b/src/bin/railspand.rs
@@ -6,9 +6,6 @@
 use gumdrop::Options;
 use railspan::{DaemonParts, DaemonSettings};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Exit code for bad settings or arguments.
 const BAD_INPUT: u8 = 2;
 
--- a/src/consts.rs
+++ b/src/consts.rs
@@ -75,7 +75,7 @@
 pub const MAX_CLAIM_BATCH: usize = 64;
 
 /// Messages that a ring between two duties holds.
-pub const RING_CAPACITY: usize = 4_096;
+pub const RING_CAPACITY: usize = 512;
 
 /// Part of its budget an attempt leaves for a confirmed revocation.
 ///
