Hedge by how far a try has come; send no header that only the guard reads

Cause: a second try started at one and a half times the usual time, when a call with half of its objective gone was no longer promising. Change: every 25 ms the entry reckons how far the try has come from the speed it was told of, and starts a second one as soon as the first will be late, where another target has room and the service's budget allows. Calls of a route that nothing is known of are not hedged. Load and identity of a target stop at its guard.

--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -109,7 +109,7 @@
 fn expected_us(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
     let load = &record.load;
     let age = now.since(record.heard).0 as f64;
-    let slowness = slowness(load.slowness, age);
+    let slowness = slowness_now(record, now);
     let work = if outlook.work_us > 0.0 { outlook.work_us } else { record.service_us() };
     let slots = f64::from(load.slots.max(1));
     let told = f64::from(load.in_flight + load.queued);
@@ -123,6 +123,11 @@
     work * slowness * start * (1.0 + CROWDED_FACTOR * crowded + wait)
 }
 
+/// Returns the factor by which work is slower than usual at a target now.
+pub(crate) fn slowness_now(record: &TargetRecord, now: MicroTime) -> f64 {
+    slowness(record.load.slowness, now.since(record.heard).0 as f64)
+}
+
 /// Returns the factor by which work is slower than usual, as far as known.
 fn slowness(told: u16, age_us: f64) -> f64 {
     let told = if told == 0 { USUAL_SLOWNESS } else { f64::from(told) };
--- a/src/course.rs
+++ b/src/course.rs
@@ -57,8 +57,7 @@
         now: MicroTime,
         crossing_cost: f64,
     ) -> CallOutlook {
-        let objective = MicroTime::from_millis(u64::from(call.terms.objective_ms));
-        let left = (call.arrived + objective).since(now);
+        let left = call.objective().since(now);
         let known = self.routes.get(&call.terms.kind);
         let bytes = known.map_or(0.0, |known| known.bytes) + HEAD_BYTES;
         CallOutlook {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -436,6 +436,14 @@
         untried.any(|target| benefit::is_promising(target, now, &outlook))
     }
 
+    /// Returns the factor by which a target's host is slower than usual now.
+    pub(crate) fn slowness_of(&self, service: &ServiceName, target: &TargetName) -> f64 {
+        let mut registry = self.registry.borrow_mut();
+        let targets = registry.services.get_mut(service);
+        let record = targets.and_then(|targets| targets.find(target));
+        record.map_or(1.0, |record| benefit::slowness_now(record, self.clock.now()))
+    }
+
     /// Notes whether a target is watched; `false` if that was known already.
     pub(crate) fn mark_watched(
         &self,
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -121,9 +121,13 @@
     list
 }
 
-/// Returns the answer headers that travel to the caller.
-pub(crate) fn forward_answer(headers: &HeaderMap) -> HeaderList {
-    forward(headers)
+/// Returns the answer headers that travel to the caller: not what the target
+/// tells only its guard.
+pub(crate) fn forward_answer(headers: &HeaderMap, names: &HeaderNames) -> HeaderList {
+    let mut list = forward(headers);
+    let private = [names.load, names.running_target];
+    list.retain(|(name, _)| !private.contains(&Some(name.as_str())));
+    list
 }
 
 fn forward(headers: &HeaderMap) -> HeaderList {
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -1,7 +1,8 @@
 //! A second try beside a slow first one, for calls that may run twice.
 
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::future::{Either, select};
 use slog::info;
@@ -18,6 +19,10 @@
 /// How much longer than usual a try may take before it is hedged.
 const USUAL_FACTOR: f64 = 1.5;
 
+/// Time between two looks at a try that has not ended: a part of the time for
+/// which a host stays slow.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
 /// Least time before a hedge; shorter calls gain nothing over the network.
 const LEAST_PATIENCE: MicroTime = MicroTime::from_millis(15);
 
@@ -38,8 +43,7 @@
     if last || !call.terms.repeatable || call.terms.hedge == HedgeRule::Never {
         return first.await;
     }
-    let patience = patience(duty, call, chosen);
-    if let Ok(end) = timeout(patience.duration(), &mut first).await {
+    if let Some(end) = wait_for_first(duty, call, chosen, &mut first).await {
         return end;
     }
     let Some(second) = choose_second(duty, call, tried) else { return first.await };
@@ -51,13 +55,63 @@
     }
 }
 
-/// Returns how long the first try may take before a second one starts.
-fn patience(duty: &EntryDuty, call: &CallerCall, chosen: &ChosenTarget) -> MicroTime {
+/// Waits for the first try; nothing once a second one should start beside it.
+async fn wait_for_first(
+    duty: &EntryDuty,
+    call: &CallerCall,
+    chosen: &ChosenTarget,
+    first: &mut Pin<&mut impl Future<Output = AttemptEnd>>,
+) -> Option<AttemptEnd> {
     if call.terms.hedge == HedgeRule::BesideSlow {
-        return hedge_after(chosen.service_us);
+        let patience = hedge_after(chosen.service_us).duration();
+        return timeout(patience, first.as_mut()).await.ok();
     }
     let work_us = duty.course_book.borrow().work_us(&call.terms.kind);
-    MicroTime((work_us * USUAL_FACTOR) as u64).max(LEAST_PATIENCE)
+    if work_us <= 0.0 {
+        // Nothing is known of the route yet, so nothing tells that it is late.
+        return Some(first.await);
+    }
+    let mut course = TryCourse::open(duty.clock.now(), work_us);
+    loop {
+        if let Ok(end) = timeout(LOOK_EVERY, first.as_mut()).await {
+            return Some(end);
+        }
+        let now = duty.clock.now();
+        let slowness = duty.slowness_of(&call.service, &chosen.name);
+        let late = course.step(now, slowness) > call.objective();
+        if late || course.is_overdue(now) {
+            return None;
+        }
+    }
+}
+
+/// How far a try has come, as far as its target's speed tells.
+struct TryCourse {
+    work_us: f64,
+    done_us: f64,
+    since: MicroTime,
+    looked: MicroTime,
+}
+
+impl TryCourse {
+    const fn open(now: MicroTime, work_us: f64) -> Self {
+        Self { work_us, done_us: 0.0, since: now, looked: now }
+    }
+
+    /// Takes the slowness since the last look, as a factor; returns when the try
+    /// is expected to end if it stays like that.
+    fn step(&mut self, now: MicroTime, slowness: f64) -> MicroTime {
+        self.done_us += now.since(self.looked).0 as f64 / slowness;
+        self.looked = now;
+        let left = (self.work_us - self.done_us).max(0.0) * slowness;
+        now + MicroTime(left as u64)
+    }
+
+    /// Tells whether a try takes longer than usual, for whatever reason.
+    fn is_overdue(&self, now: MicroTime) -> bool {
+        let usual = MicroTime((self.work_us * USUAL_FACTOR) as u64).max(LEAST_PATIENCE);
+        now.since(self.since) > usual
+    }
 }
 
 fn choose_second(
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -48,6 +48,13 @@
     pub(crate) claim: Option<KeyClaim>,
 }
 
+impl CallerCall {
+    /// Returns when the latency objective ends.
+    pub(crate) fn objective(&self) -> MicroTime {
+        self.arrived + MicroTime::from_millis(u64::from(self.terms.objective_ms))
+    }
+}
+
 /// Reads and checks a call; `Err` is the answer to a bad one.
 pub(crate) async fn receive(
     duty: &EntryDuty,
--- a/src/served.rs
+++ b/src/served.rs
@@ -287,7 +287,7 @@
         let answered = AnswerHead::Answered {
             call: self.call.call,
             status: answer.status.as_u16(),
-            headers: headers::forward_answer(&answer.headers),
+            headers: headers::forward_answer(&answer.headers, self.call.duty.names),
             length,
             ran_us: self.call.ran_for().0 as u32,
             load: self.call.duty.load(&self.call.key),
