--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -488,6 +488,9 @@
     info!(logger, "planned stop"; "bound_ms" => bound.as_millis() as u64);
     let (said, goodbye) = oneshot::channel();
     let leave = rings.peers.push(PeersEvent::Leave(said)).is_ok();
+    // Beside the rest: a platform that is away must not hold up the end.
+    let (withdrawn, gone) = oneshot::channel();
+    let withdraw = rings.platform.push(PlatformEvent::Leave(withdrawn)).is_ok();
     if rings.entry.push(EntryEvent::Withdraw).is_ok() {
         tokio::time::sleep(linger).await;
     }
@@ -503,11 +506,10 @@
     }
     if leave {
         drop(tokio::time::timeout(GOODBYE, goodbye).await);
-        tokio::time::sleep(GOODBYE).await;
+        tokio::time::sleep(GOODBYE.saturating_sub(linger)).await;
     }
-    let (withdrawn, done) = oneshot::channel();
-    if rings.platform.push(PlatformEvent::Leave(withdrawn)).is_ok() {
-        drop(tokio::time::timeout(WITHDRAW, done).await);
+    if withdraw {
+        drop(tokio::time::timeout(WITHDRAW.saturating_sub(linger), gone).await);
     }
     info!(logger, "stopped"; "entry" => entry, "guard" => guard, "in_time" => in_time);
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -376,7 +376,8 @@
                 }
                 AttemptEnd::Refused { reason, retry_after_ms } => {
                     refusal = (reason.label(), retry_after_ms);
-                    if !reason.is_load() {
+                    // Only a short queue may be joined after all, on the last try.
+                    if reason != RefusalReason::Full {
                         gone.push(chosen.name);
                     }
                     let declined = reason == RefusalReason::Declined;
@@ -472,7 +473,7 @@
         let load = chosen.load;
         info!(self.logger, "chosen"; "id" => &*call.id, "route" => &*call.terms.kind, "worth" => call.terms.priority.worth,
             "objective_ms" => call.terms.objective_ms, "service" => %call.service,
-            "target" => %chosen.name, "host" => %chosen.place.host, "revision" => revision,
+            "target" => %chosen.name, "at" => %chosen.place.host, "revision" => revision,
             "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
             "service_us" => load.service_us, "slowness" => load.slowness,
             "load_age_us" => chosen.load_age.0, "left_us" => call.deadline.since(self.clock.now()).0);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -168,12 +168,6 @@
 }
 
 impl RefusalReason {
-    /// Tells whether the target would take the call when it is less busy.
-    #[must_use]
-    pub const fn is_load(self) -> bool {
-        matches!(self, Self::Full | Self::TooLate | Self::Outranked)
-    }
-
     /// Returns the reason as a metric label.
     #[must_use]
     pub const fn label(self) -> &'static str {
