Write the last log lines at the end of a daemon

Cause: the line `stopped` never stood in a log: the writer gathers for 100 ms and the process had ended. Needed to trace processes said to be killed at the end of their grace time: they are those that a power cut met while they stopped.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::guard::{self, GuardEvent, GuardParts, GuardRings};
 use crate::headers::OWN_NAMES;
 use crate::ids::{DaemonIncarnation, HostName};
-use crate::log;
+use crate::log::{self, LogTail};
 use crate::member::{MemberRecord, MemberState};
 use crate::metrics::DaemonMetrics;
 use crate::peers::{self, PeersEvent, PeersParts, PeersRings};
@@ -112,6 +112,7 @@
     addresses: DaemonAddresses,
     stop: Option<oneshot::Sender<()>>,
     admin: JoinHandle<()>,
+    log_tail: LogTail,
 }
 
 impl RunningDaemon {
@@ -133,6 +134,7 @@
     pub fn wait(self) {
         // Fails only when the thread panicked, which was reported then.
         drop(self.admin.join());
+        self.log_tail.write();
     }
 }
 
@@ -191,7 +193,7 @@
 /// running then but threads that end with the process.
 pub fn spawn(settings: &DaemonSettings, parts: DaemonParts) -> Result<RunningDaemon, StartError> {
     let metrics = Arc::new(DaemonMetrics::open().context(MetricsSnafu)?);
-    let logger = log::open(settings.host.as_str(), &metrics).context(ThreadSnafu)?;
+    let (logger, log_tail) = log::open(settings.host.as_str(), &metrics).context(ThreadSnafu)?;
     let seed = settings.seed.unwrap_or_else(|| DaemonIncarnation::random().0);
     let DaemonParts { client, adapter, reload } = parts;
     let deployment = settings.deployment.as_ref();
@@ -280,7 +282,7 @@
     };
     bodies.push(("admin", duty::body(body)));
     let admin = duty::spawn_all(bodies, settings.one_thread).context(ThreadSnafu)?;
-    Ok(RunningDaemon { addresses, stop: Some(stop), admin })
+    Ok(RunningDaemon { addresses, stop: Some(stop), admin, log_tail })
 }
 
 impl DeployedListeners {
--- a/src/log.rs
+++ b/src/log.rs
@@ -73,21 +73,32 @@
     }
 }
 
-/// Opens a logger that writes to standard output.
+/// What still has to be written when the daemon ends.
+#[derive(Clone, Debug)]
+pub(crate) struct LogTail(Arc<SharedBuffer>);
+
+impl LogTail {
+    /// Writes the lines that were gathered last.
+    pub(crate) fn write(&self) {
+        write_gathered(&self.0);
+    }
+}
+
+/// Opens a logger that writes to standard output, and its tail.
 ///
 /// # Errors
 ///
 /// Fails when the writing thread can't be had.
-pub(crate) fn open(host: &str, metrics: &DaemonMetrics) -> io::Result<Logger> {
+pub(crate) fn open(host: &str, metrics: &DaemonMetrics) -> io::Result<(Logger, LogTail)> {
     let shared: Arc<SharedBuffer> = Arc::default();
-    let writer = Arc::clone(&shared);
-    std::thread::Builder::new().name("log".to_owned()).spawn(move || write_all(&writer))?;
+    let (writer, tail) = (Arc::clone(&shared), LogTail(Arc::clone(&shared)));
+    std::thread::Builder::new().name("log".to_owned()).spawn(move || write_always(&writer))?;
     let drain = BufferDrain { shared, dropped: metrics.log_dropped.clone() };
-    Ok(Logger::root(drain, o!("host" => host.to_owned())))
+    Ok((Logger::root(drain, o!("host" => host.to_owned())), tail))
 }
 
 /// Writes what was gathered, for as long as the process runs.
-fn write_all(shared: &SharedBuffer) {
+fn write_always(shared: &SharedBuffer) {
     loop {
         let mut buffer = shared.lock();
         while buffer.bytes.is_empty() {
@@ -95,12 +106,16 @@
         }
         drop(buffer);
         std::thread::sleep(GATHER);
-        let LogBuffer { mut bytes, dropped } = std::mem::take(&mut *shared.lock());
-        if dropped > 0 {
-            let line = format!("{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}\n");
-            bytes.extend_from_slice(line.as_bytes());
-        }
-        // Nobody may read; there is no other place to tell that.
-        drop(io::stdout().write_all(&bytes));
+        write_gathered(shared);
+    }
+}
+
+fn write_gathered(shared: &SharedBuffer) {
+    let LogBuffer { mut bytes, dropped } = std::mem::take(&mut *shared.lock());
+    if dropped > 0 {
+        let line = format!("{{\"msg\":\"log lines dropped\",\"count\":{dropped}}}\n");
+        bytes.extend_from_slice(line.as_bytes());
     }
+    // Nobody may read; there is no other place to tell that.
+    drop(io::stdout().write_all(&bytes));
 }
