Remember targets that ended; split the daemon and the guard

Cause: a target's leave was forgotten if the daemon had not known it, as after a restart, and a late heartbeat brought it back; a target whose address another one has was tried again and again. Found by reading. Change: the names of ended targets are kept; 421 ends a target. No other change of behaviour.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -5,9 +5,9 @@
 use http::{Method, StatusCode};
 
 use crate::consts::TARGET_LEASE;
-use crate::guard::TargetAnnouncement;
 use crate::headers::HeaderNames;
 use crate::ids::TargetName;
+use crate::local_target::TargetAnnouncement;
 
 /// The adapter of one kind of platform; a table that never changes.
 #[derive(Debug)]
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -16,9 +16,10 @@
 
 use crate::durable::PlatformEvent;
 use crate::entry::EntryEvent;
-use crate::guard::{GuardEvent, TargetAnnouncement};
+use crate::guard::GuardEvent;
 use crate::httpd;
 use crate::ids::{HostName, TargetName};
+use crate::local_target::TargetAnnouncement;
 use crate::member::FleetView;
 use crate::metrics::DaemonMetrics;
 use crate::peers::PeersEvent;
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -1,7 +1,7 @@
 //! The duty beside the targets: admits calls, and alone speaks to the targets.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +12,6 @@
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Request, Response};
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -21,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::adapter::TargetReport;
-use crate::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+use crate::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
 use crate::claim::{ClaimReply, ClaimRequest};
 use crate::clock::{MicroTime, ProcessClock};
 use crate::config::FleetConfig;
@@ -31,7 +30,7 @@
 use crate::headers::HeaderNames;
 use crate::health;
 use crate::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
-use crate::lease::{TargetCondition, TargetLease};
+use crate::local_target::{LocalTarget, TargetAnnouncement};
 use crate::member::TargetNotice;
 use crate::metrics::DaemonMetrics;
 use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
@@ -50,27 +49,15 @@
 /// How often leases and deadlines are looked at.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Ended targets remembered; a host has one target at a time.
+const MAX_ENDED: usize = 64;
+
 /// When to come back to a target that is leaving or gone, in milliseconds.
 pub(crate) const LEAVING_RETRY_MS: u32 = 200;
 
 /// When to come back after the table did not accept a claim, in milliseconds.
 const PLATFORM_RETRY_MS: u32 = 1_000;
 
-/// A target's announcement, and its heartbeat.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct TargetAnnouncement {
-    /// The service it offers.
-    pub service: ServiceName,
-    /// Its name, unique within the service.
-    pub target: TargetName,
-    /// Where it listens, on this host.
-    pub address: SocketAddr,
-    /// Calls it runs at once.
-    pub slots: u16,
-    /// Whether it takes new work.
-    pub condition: TargetCondition,
-}
-
 /// What others tell this duty.
 #[derive(Debug)]
 pub(crate) enum GuardEvent {
@@ -115,34 +102,6 @@
     pub(crate) socket: std::net::UdpSocket,
 }
 
-pub(crate) struct LocalTarget {
-    pub(crate) announcement: TargetAnnouncement,
-    lease: TargetLease,
-    door: AdmissionQueue,
-    /// The newest report that was acted upon.
-    sequence: u64,
-    /// Calls that wait for the table while they hold a slot.
-    pub(crate) claiming: usize,
-    /// The load that watchers were told last.
-    told: LoadWord,
-    /// When a call last came.
-    pub(crate) used: MicroTime,
-    /// When the target last told its slowness, or was asked for it.
-    pub(crate) slowness_heard: MicroTime,
-}
-
-impl LocalTarget {
-    /// Returns how many calls run in the target.
-    pub(crate) fn running(&self) -> usize {
-        self.door.running()
-    }
-
-    /// Tells whether the target takes new work.
-    pub(crate) const fn is_open(&self) -> bool {
-        !self.door.is_leaving()
-    }
-}
-
 type StartSignal = Result<(), (RefusalReason, u32)>;
 
 pub(crate) struct GuardDuty {
@@ -151,6 +110,8 @@
     incarnation: DaemonIncarnation,
     address: SocketAddr,
     pub(crate) targets: RefCell<HashMap<(ServiceName, TargetName), LocalTarget>>,
+    /// Targets that ended, the newest last, to know their late heartbeats.
+    ended: RefCell<VecDeque<TargetName>>,
     pub(crate) ledger: RefCell<CallLedger>,
     waiters: RefCell<HashMap<CallId, oneshot::Sender<StartSignal>>>,
     /// Streams of calls that have not ended.
@@ -188,6 +149,7 @@
         incarnation: parts.incarnation,
         address: parts.address,
         targets: RefCell::default(),
+        ended: RefCell::default(),
         ledger: RefCell::default(),
         waiters: RefCell::default(),
         open: watch::Sender::new(0),
@@ -254,41 +216,35 @@
 
     /// Takes a target's word; one with a number is ignored if it is late.
     fn announce(&self, announcement: TargetAnnouncement, sequence: Option<u64>) {
+        if self.ended.borrow().contains(&announcement.target) {
+            return;
+        }
         let now = self.clock.now();
         let key = (announcement.service.clone(), announcement.target.clone());
         let mut targets = self.targets.borrow_mut();
         if let Some(target) = targets.get_mut(&key) {
-            if sequence.is_some_and(|sequence| sequence <= target.sequence) {
+            if !target.renew(now, announcement, sequence) {
                 return;
             }
-            target.sequence = sequence.unwrap_or_default();
-            target.lease.renew(now, announcement.condition);
-            target.door.resize(announcement.slots);
-            target.announcement = announcement;
         } else {
             info!(self.logger, "target announced"; "target" => %announcement.target);
-            let mut door = AdmissionQueue::open(announcement.slots);
-            door.leave(&mut Vec::new());
-            let lease = TargetLease::open(now, announcement.condition, self.target_lease.get());
-            let sequence = sequence.unwrap_or_default();
-            let target = LocalTarget {
-                announcement,
-                lease,
-                door,
-                sequence,
-                claiming: 0,
-                told: LoadWord::default(),
-                used: now,
-                slowness_heard: MicroTime(0),
-            };
-            targets.insert(key, target);
+            let lasts = self.target_lease.get();
+            targets.insert(key, LocalTarget::open(now, announcement, sequence, lasts));
         }
         drop(targets);
         self.check_leases();
     }
 
     /// Ends a target for good: what it said earlier may still arrive, late.
-    fn end_target(&self, name: &TargetName) {
+    pub(crate) fn end_target(&self, name: &TargetName) {
+        let mut ended = self.ended.borrow_mut();
+        if !ended.contains(name) {
+            ended.push_back(name.clone());
+            if ended.len() > MAX_ENDED {
+                ended.pop_front();
+            }
+        }
+        drop(ended);
         for target in self.targets.borrow_mut().values_mut() {
             if target.announcement.target == *name {
                 target.lease.end();
@@ -679,20 +635,7 @@
     fn dump(&self) -> Value {
         let targets = self.targets.borrow();
         let now = self.clock.now();
-        let targets: Vec<Value> = targets
-            .values()
-            .map(|target| {
-                json!({
-                    "announcement": target.announcement,
-                    "lease": target.lease,
-                    "ready": target.lease.is_ready(now),
-                    "running": target.door.running(),
-                    "waiting": target.door.waiting(),
-                    "claiming": target.claiming,
-                    "retry_after_ms": target.door.retry_after_ms(),
-                })
-            })
-            .collect();
+        let targets: Vec<Value> = targets.values().map(|target| target.dump(now)).collect();
         json!({
             "targets": targets,
             "calls_remembered": self.ledger.borrow().len(),
--- a/src/health.rs
+++ b/src/health.rs
@@ -17,10 +17,11 @@
 
 use crate::adapter::TargetReport;
 use crate::clock::MicroTime;
-use crate::guard::{GuardDuty, TargetAnnouncement};
+use crate::guard::GuardDuty;
 use crate::headers;
 use crate::ids::{ServiceName, TargetName};
 use crate::lease::TargetCondition;
+use crate::local_target::TargetAnnouncement;
 use crate::target_call;
 
 /// Age of a word of slowness from which on the target is asked.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,8 @@
 mod ids;
 mod intake;
 mod lease;
+mod listen;
+mod local_target;
 mod log;
 mod measure;
 mod member;
@@ -67,6 +69,7 @@
 mod pool;
 mod probe;
 mod publish;
+mod reload;
 mod reply;
 mod retry;
 mod revision;
@@ -77,6 +80,7 @@
 mod selection;
 mod served;
 mod settings;
+mod stop;
 mod story;
 mod table;
 mod target_call;
@@ -94,14 +98,15 @@
     ServiceTemplate,
 };
 pub use consts::*;
-pub use daemon::{DaemonAddresses, DaemonParts, RunningDaemon, StartError, spawn};
+pub use daemon::{DaemonAddresses, DaemonParts, RunningDaemon, spawn};
 pub use findings::{FileFinding, FindingList, TextPlace, nearest};
-pub use guard::TargetAnnouncement;
 pub use headers::*;
 pub use ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName,
 };
 pub use lease::{TargetCondition, TargetLease};
+pub use listen::StartError;
+pub use local_target::TargetAnnouncement;
 pub use member::{
     FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
--- /dev/null
+++ b/src/local_target.rs
@@ -0,0 +1,110 @@
+//! A target of this host as its guard knows it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::admission::AdmissionQueue;
+use crate::clock::MicroTime;
+use crate::ids::{ServiceName, TargetName};
+use crate::lease::{TargetCondition, TargetLease};
+use crate::wire::LoadWord;
+
+/// A target's announcement, and its heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TargetAnnouncement {
+    /// The service it offers.
+    pub service: ServiceName,
+    /// Its name, unique within the service.
+    pub target: TargetName,
+    /// Where it listens, on this host.
+    pub address: SocketAddr,
+    /// Calls it runs at once.
+    pub slots: u16,
+    /// Whether it takes new work.
+    pub condition: TargetCondition,
+}
+
+/// A target of this host.
+///
+/// Invariant: the door takes calls only while the lease is ready.
+pub(crate) struct LocalTarget {
+    pub(crate) announcement: TargetAnnouncement,
+    pub(crate) lease: TargetLease,
+    pub(crate) door: AdmissionQueue,
+    /// The newest report that was acted upon; zero where reports have no number.
+    sequence: u64,
+    /// Calls that wait for the table while they hold a slot.
+    pub(crate) claiming: usize,
+    /// The load that watchers were told last.
+    pub(crate) told: LoadWord,
+    /// When a call last came.
+    pub(crate) used: MicroTime,
+    /// When the target last told its slowness, or was asked for it.
+    pub(crate) slowness_heard: MicroTime,
+}
+
+impl LocalTarget {
+    /// Takes up a target that was not known, with its door shut.
+    pub(crate) fn open(
+        now: MicroTime,
+        announcement: TargetAnnouncement,
+        sequence: Option<u64>,
+        lasts: Duration,
+    ) -> Self {
+        let mut door = AdmissionQueue::open(announcement.slots);
+        door.leave(&mut Vec::new());
+        Self {
+            lease: TargetLease::open(now, announcement.condition, lasts),
+            announcement,
+            door,
+            sequence: sequence.unwrap_or_default(),
+            claiming: 0,
+            told: LoadWord::default(),
+            used: now,
+            slowness_heard: MicroTime(0),
+        }
+    }
+
+    /// Takes the target's newer word; `false` if it is one that came late.
+    pub(crate) fn renew(
+        &mut self,
+        now: MicroTime,
+        announcement: TargetAnnouncement,
+        sequence: Option<u64>,
+    ) -> bool {
+        if sequence.is_some_and(|sequence| sequence <= self.sequence) {
+            return false;
+        }
+        self.sequence = sequence.unwrap_or_default();
+        self.lease.renew(now, announcement.condition);
+        self.door.resize(announcement.slots);
+        self.announcement = announcement;
+        true
+    }
+
+    /// Returns how many calls run in the target.
+    pub(crate) fn running(&self) -> usize {
+        self.door.running()
+    }
+
+    /// Tells whether the target takes new work.
+    pub(crate) const fn is_open(&self) -> bool {
+        !self.door.is_leaving()
+    }
+
+    /// Returns what decisions about the target are made on.
+    pub(crate) fn dump(&self, now: MicroTime) -> Value {
+        json!({
+            "announcement": self.announcement,
+            "lease": self.lease,
+            "ready": self.lease.is_ready(now),
+            "running": self.door.running(),
+            "waiting": self.door.waiting(),
+            "claiming": self.claiming,
+            "retry_after_ms": self.door.retry_after_ms(),
+        })
+    }
+}
--- a/src/served.rs
+++ b/src/served.rs
@@ -250,7 +250,11 @@
         let reason = match target_call::meaning(self.head, answer.status, &answer.headers, names) {
             AnswerMeaning::Answer => return self.forward_answer(answer).await,
             AnswerMeaning::NotRun => RefusalReason::Declined,
-            AnswerMeaning::OtherTarget => RefusalReason::Absent,
+            AnswerMeaning::OtherTarget => {
+                // Its address is another target's now: it is gone for good.
+                self.call.duty.end_target(&self.call.key.1);
+                RefusalReason::Absent
+            }
             AnswerMeaning::Foreign => {
                 // What follows on this connection is out of step: it is closed.
                 self.lose().await;
--- a/tests/hosted_life.rs
+++ b/tests/hosted_life.rs
@@ -7,7 +7,7 @@
 
 use common::eventually;
 use common::hosted::{HostedFleet, SAFE, UNSAFE, config};
-use railspan_standins::PlatformFaults;
+use railspan_standins::{HostedMood, HostedTarget, PlatformFaults};
 
 const WORK: Duration = Duration::from_millis(5);
 
@@ -137,3 +137,24 @@
         fleet.told_slowness(0, "i-1") == Some(400)
     });
 }
+
+#[test]
+fn a_target_that_left_before_it_was_known_stays_gone() {
+    let fleet = HostedFleet::spawn(1, WORK);
+    let stranger = HostedTarget::spawn("grillas", "i-stranger", WORK).expect("target");
+    assert_eq!(stranger.leave(fleet.control(0)).expect("leave"), 200);
+    assert_eq!(stranger.send_late_beat(fleet.control(0)).expect("beat"), 200);
+    let state = fleet.state(0);
+    let known = state["guard"]["targets"].as_array().expect("targets");
+    assert_eq!(known.len(), 1, "the late heartbeat brought it back: {known:?}");
+}
+
+#[test]
+fn a_target_whose_address_is_anothers_is_given_up() {
+    let fleet = HostedFleet::spawn(1, WORK);
+    fleet.targets[0].set_mood(HostedMood::OtherTarget);
+    assert_eq!(fleet.call(0, SAFE, "moved").expect("answer").status, 503);
+    eventually("no target is left", || {
+        fleet.state(0)["entry"]["services"][common::hosted::SERVICE].is_null()
+    });
+}
