Name the figures of routes and the progress of a try for what they are

Read as a newcomer: three things were called a course, and three constants of the policy told their effect in a riddle. No change of behaviour.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -161,7 +161,7 @@
         {
             let took = MicroTime(u64::from(*ran_us));
             let bytes = call.body.len() as u64 + length.unwrap_or_default();
-            duty.course_book.borrow_mut().note(&call.terms.kind, took, load.slowness, bytes);
+            duty.route_book.borrow_mut().note(&call.terms.kind, took, load.slowness, bytes);
         }
         return conclude(outstanding, head.call, &answer, reader);
     }
@@ -178,7 +178,7 @@
         return call.deadline.since(now);
     }
     let objective = f64::from(call.terms.objective_ms) * 1_000.0;
-    let work = duty.course_book.borrow().work_us(&call.terms.kind) * WORK_MARGIN;
+    let work = duty.route_book.borrow().work_us(&call.terms.kind) * WORK_MARGIN;
     let (least, most) = PATIENCE_PARTS;
     let wait = (objective - work).clamp(objective * least, objective * most);
     (call.arrived + MicroTime(wait as u64)).since(now)
@@ -203,7 +203,7 @@
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
         patience_ms,
-        work_us: duty.course_book.borrow().work_us(&call.terms.kind) as u32,
+        work_us: duty.route_book.borrow().work_us(&call.terms.kind) as u32,
         repeatable: call.terms.repeatable,
         last,
         claim: call.claim.clone(),
--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -25,7 +25,8 @@
 /// Slowness where the target never told any, in percent.
 const USUAL_SLOWNESS: f64 = 100.0;
 
-/// Slowness expected of a host that was not heard of for long, in percent.
+/// Slowness expected of a host that was not heard of for long, in percent: the
+/// mean of hosts that are four times slower a fifth of the time.
 const UNHEARD_SLOWNESS: f64 = 160.0;
 
 /// Part of the slots in use from which on each call takes longer.
@@ -38,10 +39,15 @@
 /// time around its expected time: at 4, half the objective means 94 of 100.
 const STEEPNESS: i32 = 4;
 
-/// Part of the benefit that speeds up beyond the objective are still worth.
+/// What an expected time of the whole objective takes off, as a part of the
+/// benefit: of two targets that are both in time, the faster one is better.
 const SPEED_PART: f64 = 0.1;
 
-/// Share of failures, as a part of the benefit, that costs nothing extra.
+/// Multiple of the objective from which on later makes no difference.
+const MOST_LATE: f64 = 10.0;
+
+/// Targets whose benefits differ by less are drawn among, so that entries which
+/// see the same words do not all choose the same one.
 const DRAWN_WITHIN: f64 = 0.005;
 
 /// Time over which a target that joined gets its full part, in microseconds.
@@ -89,11 +95,11 @@
 /// Estimates what a call sent to a target now would be worth.
 fn benefit(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
     let expected = expected_us(record, now, outlook);
-    let late = expected / outlook.objective_us.max(1.0);
-    let in_time = 1.0 / (1.0 + late.powi(STEEPNESS));
+    let part_used = expected / outlook.objective_us.max(1.0);
+    let in_time = 1.0 / (1.0 + part_used.powi(STEEPNESS));
     let sound = 1.0 - f64::from(record.load.failing) / 1_000.0;
     let crossing = if record.far { outlook.crossing_cost } else { 0.0 };
-    in_time * sound - SPEED_PART * late.min(10.0) - crossing
+    in_time * sound - SPEED_PART * part_used.min(MOST_LATE) - crossing
 }
 
 /// Tells whether a call sent now would likely be in time, at a target that has
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -27,7 +27,6 @@
 use crate::config::FleetConfig;
 use crate::consts::SLOW_SENDER;
 use crate::control::DaemonReadiness;
-use crate::course::CourseBook;
 use crate::headers::{self, HeaderNames};
 use crate::hedge;
 use crate::ids::{CentreName, ServiceName, TargetName};
@@ -41,6 +40,7 @@
 use crate::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd};
 use crate::revision::ActiveRevision;
 use crate::ring::RingInbox;
+use crate::route_book::RouteBook;
 use crate::selection::{TargetPlace, TargetRegistry};
 use crate::settings::BudgetSettings;
 use crate::wire::{LoadWord, RefusalReason};
@@ -87,7 +87,7 @@
     /// What a thousand bytes between data centres cost, in benefits of a call.
     crossing_cost: f64,
     /// Times and sizes of calls, by route.
-    pub(crate) course_book: RefCell<CourseBook>,
+    pub(crate) route_book: RefCell<RouteBook>,
     /// Targets whose load this entry is told.
     pub(crate) watched: Cell<usize>,
     /// The service of the host's target.
@@ -158,7 +158,7 @@
         names: parts.names,
         data_centre: parts.data_centre,
         crossing_cost: parts.crossing_cost,
-        course_book: RefCell::default(),
+        route_book: RefCell::default(),
         watched: Cell::new(0),
         own_service: parts.own_service,
         readiness: parts.readiness,
@@ -412,7 +412,7 @@
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
-        let outlook = self.course_book.borrow().outlook(call, now, self.crossing_cost);
+        let outlook = self.route_book.borrow().outlook(call, now, self.crossing_cost);
         let mut rng = self.rng.borrow_mut();
         let index = targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?;
         let record = &targets.targets[index];
@@ -430,7 +430,7 @@
     /// Tells whether a further try beside the present one would likely be in time.
     pub(crate) fn can_be_in_time(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
         let now = self.clock.now();
-        let outlook = self.course_book.borrow().outlook(call, now, self.crossing_cost);
+        let outlook = self.route_book.borrow().outlook(call, now, self.crossing_cost);
         let registry = self.registry.borrow();
         let Some(service) = registry.services.get(&call.service) else { return false };
         let mut untried = service.targets.iter().filter(|target| !tried.contains(&target.name));
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -66,34 +66,34 @@
         let patience = hedge_after(chosen.service_us).duration();
         return timeout(patience, first.as_mut()).await.ok();
     }
-    let work_us = duty.course_book.borrow().work_us(&call.terms.kind);
+    let work_us = duty.route_book.borrow().work_us(&call.terms.kind);
     if work_us <= 0.0 {
         // Nothing is known of the route yet, so nothing tells that it is late.
         return Some(first.await);
     }
-    let mut course = TryCourse::open(duty.clock.now(), work_us);
+    let mut progress = TryProgress::open(duty.clock.now(), work_us);
     loop {
         if let Ok(end) = timeout(LOOK_EVERY, first.as_mut()).await {
             return Some(end);
         }
         let now = duty.clock.now();
         let slowness = duty.slowness_of(&call.service, &chosen.name);
-        let late = course.step(now, slowness) > call.objective();
-        if late || course.is_overdue(now) {
+        let late = progress.step(now, slowness) > call.objective();
+        if late || progress.is_overdue(now) {
             return None;
         }
     }
 }
 
 /// How far a try has come, as far as its target's speed tells.
-struct TryCourse {
+struct TryProgress {
     work_us: f64,
     done_us: f64,
     since: MicroTime,
     looked: MicroTime,
 }
 
-impl TryCourse {
+impl TryProgress {
     const fn open(now: MicroTime, work_us: f64) -> Self {
         Self { work_us, done_us: 0.0, since: now, looked: now }
     }
--- a/src/course.rs
+++ b/src/route_book.rs
@@ -17,7 +17,7 @@
 
 /// The figures of one route.
 #[derive(Clone, Copy, Debug)]
-struct RouteCourse {
+struct RouteFigures {
     /// Time at a target of usual speed, in microseconds.
     work_us: f64,
     /// Bytes of a request and its answer, without heads.
@@ -26,15 +26,15 @@
 
 /// The figures of all routes that this entry served.
 #[derive(Debug, Default)]
-pub(crate) struct CourseBook {
-    routes: HashMap<String, RouteCourse>,
+pub(crate) struct RouteBook {
+    routes: HashMap<String, RouteFigures>,
 }
 
-impl CourseBook {
+impl RouteBook {
     /// Notes an answered call; `slowness` of its target in percent, or zero.
     pub(crate) fn note(&mut self, route: &str, took: MicroTime, slowness: u16, bytes: u64) {
         let factor = if slowness == 0 { 1.0 } else { f64::from(slowness) / 100.0 };
-        let newest = RouteCourse { work_us: took.0 as f64 / factor, bytes: bytes as f64 };
+        let newest = RouteFigures { work_us: took.0 as f64 / factor, bytes: bytes as f64 };
         if let Some(known) = self.routes.get_mut(route) {
             known.work_us += NEWEST * (newest.work_us - known.work_us);
             known.bytes += NEWEST * (newest.bytes - known.bytes);
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -35,6 +35,7 @@
     pub(crate) bound: Duration,
 }
 
+/// Returns how long a stop may take, by the deployment's terms or the settings.
 pub(crate) fn stop_plan(settings: &DaemonSettings, terms: Option<DeploymentTerms>) -> StopPlan {
     match terms {
         Some(terms) => StopPlan {
