--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -78,8 +78,7 @@
     fn drop(&mut self) {
         let now = self.duty.clock.now();
         let mut registry = self.duty.registry.borrow_mut();
-        let targets = registry.services.get_mut(&self.service);
-        if let Some(record) = targets.and_then(|targets| targets.find(&self.target)) {
+        if let Some(record) = registry.find(&self.service, &self.target) {
             let before = record.ejected_until;
             record.finish(now, self.latency, self.failed);
             if self.unreachable {
@@ -173,12 +172,12 @@
 ///
 /// As long as it can still be in time; then it is refused, while another try
 /// may be. A call without an objective of its own waits to its deadline.
-fn patience(duty: &EntryDuty, call: &CallerCall, now: MicroTime) -> MicroTime {
+fn patience(call: &CallerCall, work_us: f64, now: MicroTime) -> MicroTime {
     if call.terms.objective_ms >= call.terms.deadline_ms {
         return call.deadline.since(now);
     }
     let objective = f64::from(call.terms.objective_ms) * 1_000.0;
-    let work = duty.route_book.borrow().work_us(&call.terms.kind) * WORK_MARGIN;
+    let work = work_us * WORK_MARGIN;
     let (least, most) = PATIENCE_PARTS;
     let wait = (objective - work).clamp(objective * least, objective * most);
     (call.arrived + MicroTime(wait as u64)).since(now)
@@ -192,7 +191,8 @@
     left: Duration,
     last: bool,
 ) -> CallHead {
-    let patience_ms = patience(duty, call, duty.clock.now()).ceil_millis() as u32;
+    let work_us = duty.route_book.borrow().work_us(&call.terms.kind);
+    let patience_ms = patience(call, work_us, duty.clock.now()).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
         incarnation: place.incarnation,
@@ -203,7 +203,7 @@
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
         patience_ms,
-        work_us: duty.route_book.borrow().work_us(&call.terms.kind) as u32,
+        work_us: work_us as u32,
         repeatable: call.terms.repeatable,
         last,
         claim: call.claim.clone(),
@@ -328,12 +328,8 @@
     incarnation: DaemonIncarnation,
     call: CallId,
 ) -> Option<CallFate> {
-    let mut sender = duty.pool.connect(guard, incarnation).await?;
-    let request = Request::post("http://guard/revoke").body(()).ok()?;
-    let (response, mut stream) = sender.send_request(request, false).ok()?;
-    let bytes = h2io::frame(&RevokeHead { call, incarnation }).ok()?;
-    h2io::send_all(&mut stream, bytes, true).await.ok()?;
-    let mut reader = HeadReader::open(response.await.ok()?.into_body());
+    let head = RevokeHead { call, incarnation };
+    let mut reader = duty.pool.ask(guard, incarnation, "/revoke", &head).await?;
     let reply: RevokeReply = reader.head().await.ok()?;
     Some(reply.fate)
 }
--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -114,13 +114,10 @@
 /// Estimates when a call sent now would be answered, in microseconds.
 fn expected_us(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
     let load = &record.load;
-    let age = now.since(record.heard).0 as f64;
     let slowness = slowness_now(record, now);
     let work = if outlook.work_us > 0.0 { outlook.work_us } else { record.service_us() };
     let slots = f64::from(load.slots.max(1));
-    let told = f64::from(load.in_flight + load.queued);
-    let others = (told - f64::from(record.outstanding_then)).max(0.0);
-    let ahead = others * half_life(age, OTHERS_HALF_LIFE_US) + f64::from(record.outstanding);
+    let ahead = record.ahead(now, OTHERS_HALF_LIFE_US);
     let used = (ahead + 1.0) / slots;
     let crowded = ((used - CROWDED_FROM) / (1.0 - CROWDED_FROM)).clamp(0.0, 1.0);
     let wait = (ahead + 1.0 - slots).max(0.0) / slots;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -440,8 +440,7 @@
     /// Returns the factor by which a target's host is slower than usual now.
     pub(crate) fn slowness_of(&self, service: &ServiceName, target: &TargetName) -> f64 {
         let mut registry = self.registry.borrow_mut();
-        let targets = registry.services.get_mut(service);
-        let record = targets.and_then(|targets| targets.find(target));
+        let record = registry.find(service, target);
         record.map_or(1.0, |record| benefit::slowness_now(record, self.clock.now()))
     }
 
@@ -453,8 +452,7 @@
         watched: bool,
     ) -> bool {
         let mut registry = self.registry.borrow_mut();
-        let targets = registry.services.get_mut(service);
-        let record = targets.and_then(|targets| targets.find(target));
+        let record = registry.find(service, target);
         record.is_some_and(|record| std::mem::replace(&mut record.watched, watched) != watched)
     }
 
@@ -462,8 +460,7 @@
     pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadWord) {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
-        let targets = registry.services.get_mut(service);
-        if let Some(record) = targets.and_then(|targets| targets.find(target)) {
+        if let Some(record) = registry.find(service, target) {
             record.hear(now, load);
         }
     }
--- a/src/health.rs
+++ b/src/health.rs
@@ -41,7 +41,8 @@
 
 /// Asks targets in use whose slowness is not known any more.
 pub(crate) fn ask_stale(duty: &Rc<GuardDuty>, now: MicroTime) {
-    let Some(path) = duty.check_path.borrow().clone() else { return };
+    let path = duty.check_path.borrow();
+    let Some(path) = path.as_ref() else { return };
     let mut targets = duty.targets.borrow_mut();
     for (key, target) in targets.iter_mut() {
         let used = now.since(target.used) < IN_USE || target.running() > 0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -113,7 +113,7 @@
 pub use membership::{MembershipAction, MembershipEvent, MembershipState};
 pub use outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer, RowVerdict};
 pub use pace::CommitPace;
-pub use platform::{ManifestError, adapter, open_store};
+pub use platform::{ConfigurationError, adapter, open_store};
 pub use probe::ProbeBudget;
 pub use publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use reply::CallOutcome;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -8,12 +8,14 @@
 
 use bytes::Bytes;
 use h2::client::SendRequest;
+use http::Request;
+use serde::Serialize;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::h2io;
+use crate::h2io::{self, HeadReader};
 use crate::ids::DaemonIncarnation;
 
 /// Longest wait for a connection to a guard; a host that has no power answers
@@ -53,6 +55,21 @@
         fresh.ready().await.ok()
     }
 
+    /// Asks a guard something other than a call; returns the reader of its answer.
+    pub(crate) async fn ask<T: Serialize>(
+        &self,
+        guard: SocketAddr,
+        incarnation: DaemonIncarnation,
+        path: &str,
+        head: &T,
+    ) -> Option<HeadReader> {
+        let mut sender = self.connect(guard, incarnation).await?;
+        let request = Request::post(format!("http://guard{path}")).body(()).ok()?;
+        let (response, mut stream) = sender.send_request(request, false).ok()?;
+        h2io::send_all(&mut stream, h2io::frame(head).ok()?, true).await.ok()?;
+        Some(HeadReader::open(response.await.ok()?.into_body()))
+    }
+
     /// Drops the connections to guards that are gone.
     pub(crate) fn retain(&self, alive: impl Fn(&(SocketAddr, DaemonIncarnation)) -> bool) {
         self.connections.borrow_mut().retain(|key, _| alive(key));
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -169,6 +169,15 @@
         }
     }
 
+    /// Estimates how many calls a call sent now would find there: the own ones,
+    /// and of the others what was told, halved every `half_life_us` since.
+    pub(crate) fn ahead(&self, now: MicroTime, half_life_us: f64) -> f64 {
+        let age = now.since(self.heard).0 as f64;
+        let told = f64::from(self.load.in_flight + self.load.queued);
+        let others = (told - f64::from(self.outstanding_then)).max(0.0);
+        others * half_life(age, half_life_us) + f64::from(self.outstanding)
+    }
+
     /// Estimates when a call sent now would be answered, in microseconds.
     ///
     /// `best_us` is the least service time of all candidates: what was slow long
@@ -179,10 +188,7 @@
         let known = half_life(age, SERVICE_HALF_LIFE_US);
         let hoped = HOPE * best_us;
         let service = hoped + (self.service_us() - hoped) * known;
-        let weight = half_life(age, LOAD_HALF_LIFE_US);
-        let told = f64::from(self.load.in_flight + self.load.queued);
-        let others = (told - f64::from(self.outstanding_then)).max(0.0) * weight;
-        let ahead = others + f64::from(self.outstanding);
+        let ahead = self.ahead(now, LOAD_HALF_LIFE_US);
         let wait = (ahead + 1.0 - slots).max(0.0) / slots;
         let crowding = ahead / slots;
         let failing = f64::from(self.load.failing) / 1_000.0;
@@ -389,6 +395,11 @@
 }
 
 impl TargetRegistry {
+    /// Finds a target of a service by name.
+    pub fn find(&mut self, service: &ServiceName, name: &TargetName) -> Option<&mut TargetRecord> {
+        self.services.get_mut(service)?.find(name)
+    }
+
     /// Takes over who is there, keeping what is known of those that stay.
     ///
     /// `centre` is the entry's own data centre.
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use h2::server::SendResponse;
-use http::{Request, Response};
+use http::Response;
 use slog::info;
 use tokio::task::spawn_local;
 
@@ -78,13 +78,8 @@
     target: &TargetName,
     place: &TargetPlace,
 ) -> Option<()> {
-    let mut sender = duty.pool.connect(place.guard, place.incarnation).await?;
-    let request = Request::post("http://guard/watch").body(()).ok()?;
-    let (response, mut stream) = sender.send_request(request, false).ok()?;
     let head = WatchHead { service: service.clone(), target: target.clone() };
-    let bytes = h2io::frame(&head).ok()?;
-    h2io::send_all(&mut stream, bytes, true).await.ok()?;
-    let mut reader = HeadReader::open(response.await.ok()?.into_body());
+    let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
     loop {
         let word: LoadWord = reader.head().await.ok()?;
         duty.hear_load(service, target, word);
