--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -286,7 +286,7 @@
             ModelEvent::Hedge { call, attempt } => self.hedge(call, attempt),
             ModelEvent::Cancel { attempt } => self.cancel(attempt),
             ModelEvent::Probe { entry, target } => {
-                let load = OrderedLoad(self.targets[target].door.load());
+                let load = OrderedLoad(self.targets[target].door.load(self.now));
                 let at = self.now + self.hop();
                 self.schedule(at, ModelEvent::ProbeReply { entry, target, load });
             }
@@ -477,7 +477,7 @@
             match action {
                 AdmissionAction::Start(call) => self.start(target, call.0 as u64),
                 AdmissionAction::Refuse { call, .. } => {
-                    let load = OrderedLoad(self.targets[target].door.load());
+                    let load = OrderedLoad(self.targets[target].door.load(self.now));
                     let leaving = self.targets[target].door.is_leaving();
                     self.reply(call.0 as u64, AttemptEnd::Refused { load, leaving });
                 }
@@ -566,7 +566,7 @@
         };
         self.free_slot(target);
         self.step_door(target, event);
-        let load = OrderedLoad(self.targets[target].door.load());
+        let load = OrderedLoad(self.targets[target].door.load(self.now));
         self.reply(attempt, AttemptEnd::Answered { failed, load });
     }
 
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -177,9 +177,9 @@
     }
 
     /// Returns the load for the next message to an entry.
-    pub fn load(&mut self) -> LoadWord {
+    pub fn load(&mut self, now: MicroTime) -> LoadWord {
         self.sequence += 1;
-        self.peek()
+        LoadWord { told: now, ..self.peek() }
     }
 
     /// Returns the load as the last message told it, or newer.
@@ -193,6 +193,7 @@
             slowness: self.slowness,
             failing: (self.failing * 1_000.0) as u16,
             sequence: self.sequence,
+            told: self.now,
         }
     }
 
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -193,6 +193,7 @@
 ) -> CallHead {
     let work_us = duty.route_book.borrow().work_us(&call.terms.kind);
     let patience_ms = patience(call, work_us, duty.clock.now()).ceil_millis() as u32;
+    let sent = duty.time_at_guard(&call.service, target);
     CallHead {
         call: CallId::random(),
         incarnation: place.incarnation,
@@ -202,6 +203,7 @@
         share: call.share,
         priority: call.terms.priority,
         remaining_ms: left.as_millis() as u32,
+        sent,
         patience_ms,
         work_us: work_us as u32,
         repeatable: call.terms.repeatable,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -444,6 +444,17 @@
         record.map_or(1.0, |record| benefit::slowness_now(record, self.clock.now()))
     }
 
+    /// Returns the time by the clock of a target's guard, as far as it is known.
+    pub(crate) fn time_at_guard(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+    ) -> Option<MicroTime> {
+        let mut registry = self.registry.borrow_mut();
+        let lead = registry.find(service, target)?.clock_lead?;
+        Some(lead.theirs(self.clock.now()))
+    }
+
     /// Notes whether a target is watched; `false` if that was known already.
     pub(crate) fn mark_watched(
         &self,
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -366,7 +366,8 @@
             if request.incarnation != self.incarnation {
                 continue;
             }
-            let load = self.targets.borrow_mut().get_mut(&key).map(|target| target.door.load());
+            let now = self.clock.now();
+            let load = self.targets.borrow_mut().get_mut(&key).map(|target| target.door.load(now));
             let Some(load) = load else { continue };
             let (service, target) = key;
             let reply = ProbeReply { service, target, load };
@@ -607,7 +608,8 @@
 
     pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadWord {
         let mut targets = self.targets.borrow_mut();
-        targets.get_mut(key).map(|target| target.door.load()).unwrap_or_default()
+        let now = self.clock.now();
+        targets.get_mut(key).map(|target| target.door.load(now)).unwrap_or_default()
     }
 
     pub(crate) fn refusal(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 mod claim;
 mod cli;
 mod clock;
+mod clock_lead;
 mod config;
 mod consts;
 mod control;
@@ -94,6 +95,7 @@
 pub use benefit::{BENEFIT_POLICY, CallOutlook};
 pub use cli::run_command;
 pub use clock::MicroTime;
+pub use clock_lead::ClockLead;
 pub use config::{
     AccountParameters, CallTerms, FleetConfig, HedgeRule, KindParameters, KindTerms, RequestKind,
     ServiceTemplate,
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -11,6 +11,7 @@
 
 use crate::benefit::CallOutlook;
 use crate::clock::MicroTime;
+use crate::clock_lead::ClockLead;
 use crate::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::member::FleetView;
 use crate::wire::LoadWord;
@@ -94,6 +95,8 @@
     pub far: bool,
     /// Whether its guard tells this entry each change of its load.
     pub watched: bool,
+    /// The lead of its guard's clock; nothing before the first word.
+    pub clock_lead: Option<ClockLead>,
 }
 
 impl TargetRecord {
@@ -118,6 +121,7 @@
             joined,
             far: false,
             watched: false,
+            clock_lead: None,
         }
     }
 
@@ -126,8 +130,16 @@
         if load.sequence <= self.load.sequence {
             return;
         }
+        let held_up = match &mut self.clock_lead {
+            Some(lead) => lead.note(now, load.told),
+            None => {
+                self.clock_lead = Some(ClockLead::open(now, load.told));
+                MicroTime(0)
+            }
+        };
         self.load = load;
-        self.heard = now;
+        // Held up on its way, a word is as old as that.
+        self.heard = now - held_up;
         self.outstanding_then = self.outstanding;
     }
 
--- a/src/served.rs
+++ b/src/served.rs
@@ -105,14 +105,16 @@
         let id = duty.names.request_id.and_then(|name| headers::find(&head.headers, name));
         let now = duty.clock.now();
         let remaining = u64::from(head.remaining_ms.min(MAX_DEADLINE_MS));
+        // Its time began to run when it was sent, not when it came.
+        let sent = head.sent.map_or(now, |sent| sent.min(now));
         Self {
             duty: Rc::clone(duty),
             call: head.call,
             id: id.unwrap_or_default().to_owned(),
             key: (head.service.clone(), head.target.clone()),
             arrived: now,
-            deadline: now + MicroTime::from_millis(remaining),
-            give_up: now + MicroTime::from_millis(u64::from(head.patience_ms)),
+            deadline: sent + MicroTime::from_millis(remaining),
+            give_up: sent + MicroTime::from_millis(u64::from(head.patience_ms)),
             entered: Cell::default(),
             started: Cell::default(),
             dispatched: Cell::default(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::clock::MicroTime;
 use crate::consts::MAX_HEAD;
 use crate::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
 use crate::outcome::{CallFate, ClaimRow};
@@ -81,6 +82,8 @@
     pub failing: u16,
     /// Grows with every word of one guard incarnation.
     pub sequence: u64,
+    /// When the guard said it, by its own clock.
+    pub told: MicroTime,
 }
 
 /// How a call competes for a slot: urgent ones first, then by worth.
@@ -122,6 +125,9 @@
     pub priority: CallPriority,
     /// Time left to the caller's deadline, in milliseconds.
     pub remaining_ms: u32,
+    /// When the entry sent it, by the guard's clock as far as the entry knows it:
+    /// what a held-up call lost on its way is no longer left to it.
+    pub sent: Option<MicroTime>,
     /// Longest time the call may wait for a slot, in milliseconds.
     pub patience_ms: u32,
     /// Time a target at its usual speed takes, in microseconds; zero if unknown.
--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -40,6 +40,7 @@
 
 fn head(fleet: &TestFleet, call: u128, incarnation: DaemonIncarnation) -> CallHead {
     CallHead {
+        sent: None,
         call: CallId(call),
         incarnation,
         service: fleet.plan.service.into(),
