Count a hedge among the targets that a call may reach

Ruled out: refusals of guards (they reach no target). Change: a hedge takes one of the call's targets before it is sent, and is not sent where the present try may be the last.

--- a/src/clock_lead.rs
+++ b/src/clock_lead.rs
@@ -28,7 +28,7 @@
     /// Takes the first word, sent at `told` by the other clock, come at `now`.
     #[must_use]
     pub const fn open(now: MicroTime, told: MicroTime) -> Self {
-        Self { lead_us: told.0 as i64 - now.0 as i64, noted: now }
+        Self { lead_us: told.0.cast_signed() - now.0.cast_signed(), noted: now }
     }
 
     /// Takes a further word; returns how much longer it was on its way than the
@@ -46,7 +46,7 @@
     /// Returns what the other clock shows at the least when the own one shows `now`.
     #[must_use]
     pub fn theirs(&self, now: MicroTime) -> MicroTime {
-        MicroTime((now.0 as i64 + self.lead_at(now)).max(0) as u64)
+        MicroTime((now.0.cast_signed() + self.lead_at(now)).max(0) as u64)
     }
 
     fn lead_at(&self, now: MicroTime) -> i64 {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -361,42 +361,43 @@
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
             let last = course.is_last_try() || chosen.others == 0;
-            let (end, cause) = match hedge::run(self, &call, &chosen, last, &mut tried).await {
-                AttemptEnd::Answered(response) if response.status().is_server_error() => {
-                    gone.push(chosen.name);
-                    failure = Some(response);
-                    (TryEnd::Failed, "failed")
-                }
-                AttemptEnd::Answered(response) => {
-                    self.with_budget(&call.service, |budget| {
-                        course.step(TryEnd::Answered, true, budget)
-                    });
-                    self.hedge_budget.borrow_mut().succeed();
-                    return response;
-                }
-                AttemptEnd::Refused { reason, retry_after_ms } => {
-                    refusal = (reason.label(), retry_after_ms);
-                    // Only a short queue may be joined after all, on the last try.
-                    if reason != RefusalReason::Full {
+            let (end, cause) =
+                match hedge::run(self, &call, &chosen, &mut course, last, &mut tried).await {
+                    AttemptEnd::Answered(response) if response.status().is_server_error() => {
                         gone.push(chosen.name);
+                        failure = Some(response);
+                        (TryEnd::Failed, "failed")
                     }
-                    let declined = reason == RefusalReason::Declined;
-                    let end = if declined { TryEnd::Declined } else { TryEnd::Refused };
-                    (end, reason.label())
-                }
-                AttemptEnd::Lost => {
-                    gone.push(chosen.name);
-                    (TryEnd::Lost, "lost")
-                }
-                AttemptEnd::Claimed { row, version } => {
-                    if let Some(response) = self.settle(&call, &row).await {
+                    AttemptEnd::Answered(response) => {
+                        self.with_budget(&call.service, |budget| {
+                            course.step(TryEnd::Answered, true, budget)
+                        });
+                        self.hedge_budget.borrow_mut().succeed();
                         return response;
                     }
-                    take_over(&mut call, version);
-                    tried.clear();
-                    (TryEnd::TakeOver, "take_over")
-                }
-            };
+                    AttemptEnd::Refused { reason, retry_after_ms } => {
+                        refusal = (reason.label(), retry_after_ms);
+                        // Only a short queue may be joined after all, on the last try.
+                        if reason != RefusalReason::Full {
+                            gone.push(chosen.name);
+                        }
+                        let declined = reason == RefusalReason::Declined;
+                        let end = if declined { TryEnd::Declined } else { TryEnd::Refused };
+                        (end, reason.label())
+                    }
+                    AttemptEnd::Lost => {
+                        gone.push(chosen.name);
+                        (TryEnd::Lost, "lost")
+                    }
+                    AttemptEnd::Claimed { row, version } => {
+                        if let Some(response) = self.settle(&call, &row).await {
+                            return response;
+                        }
+                        take_over(&mut call, version);
+                        tried.clear();
+                        (TryEnd::TakeOver, "take_over")
+                    }
+                };
             let in_time = self.clock.now() < call.deadline;
             let next = self.with_budget(&call.service, |budget| course.step(end, in_time, budget));
             if next != NextStep::TryAgain {
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -14,7 +14,7 @@
 use crate::entry::{ChosenTarget, EntryDuty};
 use crate::ids::TargetName;
 use crate::intake::CallerCall;
-use crate::retry::{RetryBudget, hedge_after};
+use crate::retry::{CallCourse, RetryBudget, hedge_after};
 
 /// How much longer than usual a try may take before it is hedged.
 const USUAL_FACTOR: f64 = 1.5;
@@ -37,6 +37,7 @@
     duty: &Rc<EntryDuty>,
     call: &CallerCall,
     chosen: &ChosenTarget,
+    course: &mut CallCourse,
     last: bool,
     tried: &mut Vec<TargetName>,
 ) -> AttemptEnd {
@@ -47,7 +48,7 @@
     if let Some(end) = wait_for_first(duty, call, chosen, &mut first).await {
         return end;
     }
-    let Some(second) = choose_second(duty, call, tried) else { return first.await };
+    let Some(second) = choose_second(duty, call, course, tried) else { return first.await };
     let last = second.others == 0;
     let second = pin!(attempt::run(duty, call, &second.name, &second.place, last));
     match select(first, second).await {
@@ -118,6 +119,7 @@
 fn choose_second(
     duty: &EntryDuty,
     call: &CallerCall,
+    course: &mut CallCourse,
     tried: &mut Vec<TargetName>,
 ) -> Option<ChosenTarget> {
     let granted = match call.terms.hedge {
@@ -127,7 +129,7 @@
             duty.can_be_in_time(call, tried) && duty.with_budget(&call.service, RetryBudget::take)
         }
     };
-    if !granted {
+    if !granted || !course.take_beside() {
         return None;
     }
     let second = duty.choose(call, tried)?;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -130,8 +130,8 @@
 
 /// The course of one call over its tries.
 ///
-/// Invariants: at most [`MAX_ATTEMPTS`] tries, of which at most `attempts`
-/// reach a target; after a lost try it never says `TellNotRun`, and a call
+/// Invariants: at most [`MAX_ATTEMPTS`] tries one after the other, and at most
+/// `attempts` that reach a target, those beside others included; after a lost try it never says `TellNotRun`, and a call
 /// that must not repeat is not tried again.
 #[derive(Clone, Debug)]
 pub struct CallCourse {
@@ -179,6 +179,15 @@
         self.give_up()
     }
 
+    /// Takes a target for a try beside the present one; `false` if the present
+    /// one may be the last that the call reaches.
+    pub fn take_beside(&mut self) -> bool {
+        // The present try has not ended, so it is not counted yet.
+        let granted = self.repeatable && self.reached + 1 < self.attempts;
+        self.reached += u32::from(granted);
+        granted
+    }
+
     /// Tells whether no try may follow the next one.
     #[must_use]
     pub const fn is_last_try(&self) -> bool {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -130,13 +130,8 @@
         if load.sequence <= self.load.sequence {
             return;
         }
-        let held_up = match &mut self.clock_lead {
-            Some(lead) => lead.note(now, load.told),
-            None => {
-                self.clock_lead = Some(ClockLead::open(now, load.told));
-                MicroTime(0)
-            }
-        };
+        let clock = self.clock_lead.get_or_insert_with(|| ClockLead::open(now, load.told));
+        let held_up = clock.note(now, load.told);
         self.load = load;
         // Held up on its way, a word is as old as that.
         self.heard = now - held_up;
--- a/tests/hosted_calls.rs
+++ b/tests/hosted_calls.rs
@@ -110,3 +110,19 @@
     let answer = fleet.call(0, "/none/", "nowhere").expect("answer");
     assert_eq!(answer.status, 404);
 }
+
+#[test]
+fn a_hedged_read_reaches_no_more_targets_than_its_route_allows() {
+    let fleet = HostedFleet::spawn(4, WORK);
+    for number in 0..40 {
+        assert_eq!(fleet.call(0, SAFE, &format!("warm{number}")).expect("answer").status, 200);
+    }
+    for target in &fleet.targets {
+        target.set_work(Duration::from_millis(250));
+        target.set_mood(HostedMood::LoseAnswer);
+    }
+    let answer = fleet.call(0, SAFE, "lost").expect("answer");
+    assert_eq!(answer.status, 504);
+    let reached = fleet.runs("lost");
+    assert!((1..=2).contains(&reached), "reached {reached} targets; the route allows 2");
+}
