--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -147,6 +147,12 @@
                     retry_after_ms: UNREACHABLE_RETRY_MS,
                 };
             }
+            if fate.is_none() {
+                // Neither the call nor the question got a word: it may be the
+                // connection alone that fell silent.
+                duty.pool.forget(place.guard, place.incarnation);
+                info!(duty.logger, "guard silent"; "id" => &*call.id, "at" => %place.host);
+            }
             let Ok(answered) = timeout_at(deadline, &mut answer).await else {
                 outstanding.failed = fate.is_none();
                 return AttemptEnd::Lost;
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -248,6 +248,7 @@
         for target in self.targets.borrow_mut().values_mut() {
             if target.announcement.target == *name {
                 target.lease.end();
+                self.pool.forget(target.announcement.address);
             }
         }
         self.check_leases();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,6 +82,7 @@
 mod selection;
 mod served;
 mod settings;
+mod silence;
 mod stop;
 mod story;
 mod table;
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,25 +9,22 @@
 use h2::client::SendRequest;
 use http::Request;
 use serde::Serialize;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::h2io::{self, HeadReader};
 use crate::ids::DaemonIncarnation;
+use crate::silence::{SilenceLimits, notice_silence};
 
 /// Longest wait for a connection to a guard; a host that has no power answers
 /// nothing, and a call that waits for it is late.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Time after which bytes that nobody acknowledges break a connection: longer
-/// than two lost packets in a row take.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(900);
-
-/// When an idle connection is asked whether its other end is there, how often,
-/// and how many times until it is given up. Whole seconds: the system's unit.
-const KEEPALIVE: (Duration, Duration, u32) = (Duration::from_secs(2), Duration::from_secs(1), 2);
+/// Longer than two lost packets in a row take; a call to a silent host is late
+/// all the same, the next one is not.
+const SILENCE: SilenceLimits =
+    SilenceLimits { unacknowledged: Duration::from_millis(900), idle: Duration::from_secs(2) };
 
 /// One `h2` connection for each guard life.
 #[derive(Debug, Default)]
@@ -70,6 +66,11 @@
         Some(HeadReader::open(response.await.ok()?.into_body()))
     }
 
+    /// Drops the connection to a guard that gives no sign of life on it.
+    pub(crate) fn forget(&self, guard: SocketAddr, incarnation: DaemonIncarnation) {
+        self.connections.borrow_mut().remove(&(guard, incarnation));
+    }
+
     /// Drops the connections to guards that are gone.
     pub(crate) fn retain(&self, alive: impl Fn(&(SocketAddr, DaemonIncarnation)) -> bool) {
         self.connections.borrow_mut().retain(|key, _| alive(key));
@@ -84,18 +85,8 @@
 async fn dial(guard: SocketAddr) -> Option<SendRequest<Bytes>> {
     let socket = TcpStream::connect(guard).await.ok()?;
     socket.set_nodelay(true).ok()?;
-    notice_silence(&socket).ok()?;
+    notice_silence(&socket, &SILENCE).ok()?;
     let (sender, connection) = h2io::client().handshake(socket).await.ok()?;
     spawn_local(async move { drop(connection.await) });
     Some(sender)
 }
-
-/// Lets a connection break soon when its other end has gone without a word.
-fn notice_silence(socket: &TcpStream) -> io::Result<()> {
-    let (idle, interval, retries) = KEEPALIVE;
-    let keepalive =
-        TcpKeepalive::new().with_time(idle).with_interval(interval).with_retries(retries);
-    let socket = SockRef::from(socket);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
-}
--- /dev/null
+++ b/src/silence.rs
@@ -0,0 +1,37 @@
+//! Connections whose other end may go without a word.
+//!
+//! A host without power, or a path that swallows everything, resets nothing. The
+//! system notices when it is told how long to wait for acknowledgements.
+
+use std::io;
+use std::time::Duration;
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// How soon a connection breaks when nothing comes back on it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SilenceLimits {
+    /// Time after which bytes that nobody acknowledges break it.
+    pub(crate) unacknowledged: Duration,
+    /// Time unused after which the other end is asked whether it is there; in
+    /// whole seconds, the system's unit.
+    pub(crate) idle: Duration,
+}
+
+/// Time between two such questions, and how many stay unanswered at most.
+const QUESTIONS: (Duration, u32) = (Duration::from_secs(1), 2);
+
+/// Lets a connection break soon when its other end has gone without a word.
+///
+/// # Errors
+///
+/// Fails when the system does not take the limits.
+pub(crate) fn notice_silence(socket: &TcpStream, limits: &SilenceLimits) -> io::Result<()> {
+    let (interval, retries) = QUESTIONS;
+    let keepalive =
+        TcpKeepalive::new().with_time(limits.idle).with_interval(interval).with_retries(retries);
+    let socket = SockRef::from(socket);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(limits.unacknowledged))
+}
--- a/src/target_pool.rs
+++ b/src/target_pool.rs
@@ -16,6 +16,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::silence::{SilenceLimits, notice_silence};
+
 /// Longest wait for a connection to a target on the same host.
 const TARGET_CONNECT: Duration = Duration::from_millis(300);
 
@@ -31,6 +33,11 @@
 /// can tell whether the call ran; a new connection costs about a millisecond.
 const FRESH_FOR: Duration = Duration::from_secs(1);
 
+/// On one host nothing is lost on the way: what is not acknowledged at once never
+/// will be.
+const SILENCE: SilenceLimits =
+    SilenceLimits { unacknowledged: Duration::from_millis(300), idle: Duration::from_secs(1) };
+
 /// Unused connections kept for one target.
 const MAX_IDLE: usize = 64;
 
@@ -93,6 +100,12 @@
         }
     }
 
+    /// Closes the unused connections to a target that ended: its address may be
+    /// another target's next.
+    pub(crate) fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     fn take(&self, address: SocketAddr, longest: Duration) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -135,6 +148,7 @@
 async fn dial(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let socket = timeout(TARGET_CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
     socket.set_nodelay(true).ok()?;
+    notice_silence(&socket, &SILENCE).ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
     // How it ends shows in the call that it carries.
     spawn_local(async move { drop(connection.await) });
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -65,6 +65,8 @@
     slowness: AtomicU64,
     ended: AtomicBool,
     crashed: AtomicBool,
+    /// Connections that are open; they end with the target.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// A running target; its threads end with it.
@@ -110,6 +112,7 @@
             slowness: AtomicU64::new(100),
             ended: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
+            open: Mutex::default(),
         });
         let shared = Arc::clone(&state);
         std::thread::spawn(move || accept(&listener, &shared));
@@ -137,6 +140,10 @@
     pub fn crash(&self) {
         self.state.ended.store(true, Ordering::Relaxed);
         self.state.crashed.store(true, Ordering::Relaxed);
+        for socket in lock(&self.state.open).drain(..) {
+            // One that its peer closed can't be shut down any more.
+            drop(socket.shutdown(Shutdown::Both));
+        }
     }
 
     /// Returns the service it offers.
@@ -238,6 +245,7 @@
 fn accept(listener: &TcpListener, state: &Arc<HostedState>) {
     for socket in listener.incoming().flatten() {
         let state = Arc::clone(state);
+        lock(&state.open).extend(socket.try_clone());
         std::thread::spawn(move || {
             // A connection that breaks is the daemon's affair.
             drop(serve(&socket, &state));
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -64,6 +64,18 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
+    /// Starts a daemon that others reach at other addresses than its own.
+    pub fn start_daemon_behind(
+        &self,
+        index: usize,
+        guard: SocketAddr,
+        peer: SocketAddr,
+    ) -> DaemonProcess {
+        let mut spec = self.daemon_spec(index);
+        spec.advertised = Some((guard, peer));
+        DaemonProcess::spawn(&spec).expect("daemon")
+    }
+
     /// Returns the slowness that an entry was told of a target, in percent.
     pub fn told_slowness(&self, index: usize, name: &str) -> Option<u64> {
         let state = self.state(index);
