Remember a call that may repeat until its entry can't ask any more

Cause: a guard forgot such a call at its end. Ruled out: the order of the question and the call (the call had ended 1.5 s before). Change: the ledger keeps the fate until two seconds after the deadline; a heap by time lets calls of different keeping stand in one memory.

--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -1,6 +1,7 @@
 //! At most once: what became of each call, in a guard and in the table.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,10 @@
 use crate::consts::{LEDGER_CAPACITY, LEDGER_RETENTION};
 use crate::ids::{CallId, DaemonIncarnation, HostName};
 
+/// Time after the deadline of a call that may run twice in which its entry may
+/// still ask for its fate: longer than such a question waits for its answer.
+const ASKED_LATE: MicroTime = MicroTime::from_millis(2_000);
+
 /// The answer of a call that ran, kept for repeats.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordedAnswer {
@@ -123,7 +128,7 @@
 pub struct CallLedger {
     entries: HashMap<CallId, LedgerEntry>,
     /// Calls by the time they may be forgotten, oldest first.
-    ended: VecDeque<(MicroTime, CallId)>,
+    ended: BinaryHeap<Reverse<(MicroTime, CallId)>>,
 }
 
 impl CallLedger {
@@ -166,17 +171,20 @@
         }
     }
 
-    /// Forgets a call that was dispatched, ended, and may run twice.
+    /// Notes the end of a call that may run twice.
     ///
-    /// Nobody asks for its fate, and to keep each one would fill the memory.
-    pub fn release(&mut self, call: CallId) {
-        self.entries.remove(&call);
+    /// Its fate is asked for by an entry that did not get the answer, until the
+    /// deadline; to keep each call for longer would fill the memory.
+    pub fn release(&mut self, now: MicroTime, call: CallId, fate: CallFate, deadline: MicroTime) {
+        let until = deadline.max(now) + ASKED_LATE;
+        self.entries.insert(call, LedgerEntry::Done(Box::new(fate)));
+        self.ended.push(Reverse((until, call)));
     }
 
     /// Notes the end of a call that was dispatched, for repeats that ask.
     pub fn finish(&mut self, now: MicroTime, call: CallId, fate: CallFate) {
         self.entries.insert(call, LedgerEntry::Done(Box::new(fate)));
-        self.ended.push_back((now + LEDGER_RETENTION.into(), call));
+        self.ended.push(Reverse((now + LEDGER_RETENTION.into(), call)));
     }
 
     /// Tells whether a call waits to be dispatched.
@@ -199,16 +207,16 @@
 
     fn bury(&mut self, now: MicroTime, call: CallId) -> CallFate {
         self.entries.insert(call, LedgerEntry::Dead);
-        self.ended.push_back((now + LEDGER_RETENTION.into(), call));
+        self.ended.push(Reverse((now + LEDGER_RETENTION.into(), call)));
         CallFate::NotRun
     }
 
     fn forget(&mut self, now: MicroTime) {
-        while let Some(&(until, call)) = self.ended.front() {
+        while let Some(&Reverse((until, call))) = self.ended.peek() {
             if until > now {
                 return;
             }
-            self.ended.pop_front();
+            self.ended.pop();
             self.entries.remove(&call);
         }
     }
--- a/src/served.rs
+++ b/src/served.rs
@@ -175,7 +175,7 @@
         self.record(claim, &fate);
         let mut ledger = duty.ledger.borrow_mut();
         if head.repeatable {
-            ledger.release(self.call);
+            ledger.release(duty.clock.now(), self.call, fate, self.deadline);
         } else {
             ledger.finish(duty.clock.now(), self.call, fate);
         }
--- a/tests/outcomes.rs
+++ b/tests/outcomes.rs
@@ -91,7 +91,8 @@
         let call = u128::from(number) * 3;
         assert!(ledger.arrive(now, CallId(call)), "full after {} s", now.0 / 1_000_000);
         assert!(ledger.dispatch(CallId(call)));
-        ledger.release(CallId(call));
+        let deadline = now + MicroTime::from_millis(2_000);
+        ledger.release(now, CallId(call), CallFate::Unknown, deadline);
         for denied in 1..3 {
             assert!(ledger.arrive(now, CallId(call + denied)));
             assert_eq!(ledger.revoke(now, CallId(call + denied)), CallFate::NotRun);
@@ -306,3 +307,17 @@
         state: ClaimState::Started,
     }
 }
+
+/// An entry that did not get the answer asks at the deadline: the call ran.
+#[test]
+fn a_call_that_may_repeat_is_not_said_not_to_have_run_after_it_ran() {
+    let mut ledger = CallLedger::default();
+    let deadline = MicroTime::from_millis(1_500);
+    assert!(ledger.arrive(MicroTime(0), CallId(1)));
+    assert!(ledger.dispatch(CallId(1)));
+    ledger.release(MicroTime::from_millis(10), CallId(1), CallFate::Unknown, deadline);
+    assert_ne!(ledger.revoke(MicroTime::from_millis(1_460), CallId(1)), CallFate::NotRun);
+    // Long after the deadline nobody asks, and nothing is kept.
+    assert_eq!(ledger.revoke(MicroTime::from_millis(60_000), CallId(2)), CallFate::NotRun);
+    assert_eq!(ledger.len(), 1);
+}
