--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -64,6 +64,7 @@
     /// What it tells of its host, in percent of the usual time.
     slowness: AtomicU64,
     ended: AtomicBool,
+    draining: AtomicBool,
     crashed: AtomicBool,
     /// Connections that are open; they end with the target.
     open: Mutex<Vec<TcpStream>>,
@@ -111,6 +112,7 @@
             sequence: AtomicU64::new(0),
             slowness: AtomicU64::new(100),
             ended: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
             open: Mutex::default(),
         });
@@ -165,6 +167,7 @@
     /// Fails when the daemon can't be reached.
     pub fn drain(&self, control: SocketAddr) -> io::Result<u16> {
         self.state.ended.store(true, Ordering::Relaxed);
+        self.state.draining.store(true, Ordering::Relaxed);
         beat(&self.state, self.address, control, "draining")
     }
 
@@ -289,8 +292,10 @@
 /// Makes the answer to a question for health, which is no run.
 fn health(state: &HostedState) -> String {
     let slowness = state.slowness.load(Ordering::Relaxed);
+    let status =
+        if state.draining.load(Ordering::Relaxed) { "503 Service Unavailable" } else { "200 OK" };
     format!(
-        "HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,4,{slowness}\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 {status}\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,4,{slowness}\r\nContent-Length: 0\r\n\r\n",
         state.name
     )
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -33,6 +33,11 @@
 /// Time a target stays after its drain was acknowledged.
 const DRAIN: Duration = Duration::from_secs(1);
 
+/// Time after which a target ends though nobody acknowledged its drain, and the
+/// time between two words of it.
+const DRAIN_LIMIT: Duration = Duration::from_secs(6);
+const DRAIN_EVERY: Duration = Duration::from_millis(100);
+
 /// Work of a target for one request, and while it is slow.
 const WORK: Duration = Duration::from_millis(8);
 const SLOW_WORK: Duration = Duration::from_millis(250);
@@ -289,13 +294,19 @@
     fn replace_target(&self, host: &SoakHost) {
         let mut present = lock(&host.target);
         let control = host.place.control.expect("control");
-        if present.drain(control).is_ok_and(|status| status == 200) {
-            let note =
-                DrainNote { target: present.name().to_owned(), acknowledged: Instant::now() };
-            lock(&self.drains).push(note);
+        let until = Instant::now() + DRAIN_LIMIT;
+        let mut end = until;
+        // A target repeats its word, so that a daemon's next life hears it, too.
+        while Instant::now() < end {
+            let acknowledged = present.drain(control).is_ok_and(|status| status == 200);
+            if acknowledged && end == until {
+                end = Instant::now() + DRAIN;
+                let target = present.name().to_owned();
+                lock(&self.drains).push(DrainNote { target, acknowledged: Instant::now() });
+            }
+            std::thread::sleep(DRAIN_EVERY);
         }
-        std::thread::sleep(DRAIN);
-        // A daemon that is away can't hear of it; its successor never knew it.
+        // A daemon that is away can't hear of it; its next life never knew it.
         drop(present.leave(control));
         present.crash();
         *present = self.spawn_target(host.service, &host.links.target);
