--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -19,7 +19,7 @@
     /// Reads a call of the host's target; `Err` is the answer to a bad one.
     pub read_report: for<'a> fn(&ControlRequest<'a>) -> Result<TargetReport, ControlReply>,
     /// Reads the terms that the platform sets for all daemons.
-    pub read_terms: fn(&str) -> DeploymentTerms,
+    pub read_terms: fn(&str) -> ReadTerms,
 }
 
 /// A call of the host's target to its daemon.
@@ -71,6 +71,15 @@
     pub grace: Duration,
 }
 
+/// Terms as they were read; what could not be read is left at its default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadTerms {
+    /// The terms.
+    pub terms: DeploymentTerms,
+    /// What is wrong with the text, a line each, for a person.
+    pub faults: Vec<String>,
+}
+
 impl Default for DeploymentTerms {
     /// Returns terms that suit a platform which sets none.
     fn default() -> Self {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -220,8 +220,10 @@
         files.into_iter().partition(|(_, text)| is_settings(text));
     let mut findings: Vec<FileFinding> = Vec::new();
     for (file, text) in &settings {
-        findings
-            .extend(DaemonSettings::parse(file, text).err().into_iter().flat_map(|list| list.0));
+        match DaemonSettings::parse(file, text) {
+            Ok(settings) => findings.extend(check_terms(file, text, &settings)),
+            Err(list) => findings.extend(list.0),
+        }
     }
     findings.extend(FleetConfig::parse_all(&templates).err().into_iter().flat_map(|list| list.0));
     if findings.is_empty() {
@@ -231,6 +233,15 @@
     report(&FindingList(findings), options.json)
 }
 
+/// Finds what the platform's adapter can't read in a deployment's terms.
+fn check_terms(file: &str, text: &str, settings: &DaemonSettings) -> Vec<FileFinding> {
+    let Some(deployment) = &settings.deployment else { return Vec::new() };
+    let place = TextPlace::of(text, text.find("\"terms\"").unwrap_or_default());
+    let faults = (crate::platform::adapter().read_terms)(&deployment.terms).faults;
+    let finding = |text| FileFinding { file: file.to_owned(), place, text };
+    faults.into_iter().map(finding).collect()
+}
+
 /// Reads all files; a file that can't be read is a finding.
 fn read_files(names: &[String]) -> Result<Vec<(String, String)>, FindingList> {
     let mut files = Vec::new();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -133,7 +133,7 @@
     let DaemonParts { client, adapter, reload } = parts;
     let deployment = settings.deployment.as_ref();
     let names = if deployment.is_some() { adapter.headers } else { &OWN_NAMES };
-    let terms = deployment.map(|deployment| (adapter.read_terms)(&deployment.terms));
+    let terms = deployment.map(|set| reload::read_terms(adapter, &set.terms, &logger));
 
     let listeners = listen::bind_all(settings)?;
     let addresses = listen::bound_addresses(settings, &listeners)?;
@@ -208,7 +208,7 @@
             warn!(logger, "can't serve the platform"; "error" => %error);
             return;
         }
-        info!(logger, "started"; "incarnation" => incarnation.0);
+        info!(logger, "started"; "incarnation" => incarnation.0, "terms" => ?terms);
         let reloading = Reloading { reload, adapter, in_force: terms };
         tokio::select! {
             () = stop::wait_for_stop(stopped) => {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -91,7 +91,9 @@
 mod watching;
 mod wire;
 
-pub use adapter::{ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, TargetReport};
+pub use adapter::{
+    ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, ReadTerms, TargetReport,
+};
 pub use admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 pub use benefit::{BENEFIT_POLICY, CallOutlook};
 pub use cli::run_command;
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -29,6 +29,19 @@
     })
 }
 
+/// Reads the terms of a deployment; what can't be read is told and left out.
+pub(crate) fn read_terms(
+    adapter: &DeploymentAdapter,
+    text: &str,
+    logger: &Logger,
+) -> DeploymentTerms {
+    let read = (adapter.read_terms)(text);
+    for fault in &read.faults {
+        warn!(logger, "term unreadable"; "why" => fault);
+    }
+    read.terms
+}
+
 /// What a reload needs.
 pub(crate) struct Reloading {
     pub(crate) reload: Box<dyn Fn() -> Result<DaemonSettings, FindingList> + Send>,
@@ -62,7 +75,7 @@
             }
         };
         let deployment = settings.deployment.as_ref();
-        let terms = deployment.map(|deployment| (reloading.adapter.read_terms)(&deployment.terms));
+        let terms = deployment.map(|set| read_terms(reloading.adapter, &set.terms, logger));
         let changed = terms != reloading.in_force;
         if changed || signalled {
             info!(logger, "settings reloaded"; "signalled" => signalled, "changed" => changed);
