--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod hosted;
 mod http;
+mod link;
 mod platform;
 mod process;
 mod target;
@@ -11,6 +12,7 @@
 pub use hosted::{
     HostedAnswer, HostedConnection, HostedMood, HostedRun, HostedTarget, hosted_call,
 };
+pub use link::{FaultyLink, LinkWay};
 pub use platform::{PlatformFaults, PlatformLimits, PlatformStandin};
 pub use process::{DaemonPlace, DaemonProcess, DaemonSpec};
 pub use target::{TargetBehaviour, TargetOptions, TargetRun, TargetStandin, expected_body};
--- a/tests/soak/link.rs
+++ b/standins/src/link.rs
@@ -69,6 +69,10 @@
 
 impl FaultyLink {
     /// Binds a link that carries nothing until [`Self::lead_to`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
     pub fn bind(runtime: &Handle, datagrams: bool) -> io::Result<Self> {
         let (listener, socket) = runtime.block_on(bind_both(datagrams))?;
         let address = listener.local_addr()?;
@@ -87,6 +91,8 @@
         Ok(Self { address, state })
     }
 
+    /// Returns where others connect.
+    #[must_use]
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -1,15 +1,12 @@
 //! Connections between daemons that fall silent without a reset.
 
 mod common;
-#[path = "soak/link.rs"]
-#[allow(dead_code, reason = "the soak uses the rest")]
-mod link;
 
 use std::time::Duration;
 
 use common::eventually;
 use common::hosted::{HostedFleet, SAFE};
-use link::FaultyLink;
+use railspan_standins::FaultyLink;
 
 const WORK: Duration = Duration::from_millis(5);
 
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -8,13 +8,12 @@
 use std::time::{Duration, Instant};
 
 use railspan_standins::{
-    DaemonPlace, DaemonProcess, DaemonSpec, HostedMood, HostedTarget, PlatformFaults,
-    PlatformLimits, PlatformStandin, hosted_call,
+    DaemonPlace, DaemonProcess, DaemonSpec, FaultyLink, HostedMood, HostedTarget, LinkWay,
+    PlatformFaults, PlatformLimits, PlatformStandin, hosted_call,
 };
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
 
-use super::link::{FaultyLink, LinkWay};
 use super::plan::{LinkKind, PlannedTrouble, Trouble};
 
 /// Services of the fleet; hosts take turns.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,7 +8,6 @@
 mod caller;
 mod check;
 mod fleet;
-mod link;
 mod plan;
 
 use std::path::PathBuf;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -2,12 +2,10 @@
 
 use std::time::Duration;
 
-use railspan_standins::HostedMood;
+use railspan_standins::{HostedMood, LinkWay};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::link::LinkWay;
-
 /// Mean time between two troubles, in milliseconds.
 const TROUBLE_EVERY_MS: u64 = 450;
 
