Find a request's route by its host

Cause: each request compared its host and path with every route; an operator may have more than a thousand. Change: an index by host, the longest prefix first, made when first asked.

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,7 +11,7 @@
 use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
 use crate::findings::{FindingList, nearest};
 use crate::ids::{AccountName, ServiceName};
-use crate::route::{CallerLimits, HealthCheck, RouteRule};
+use crate::route::{CallerLimits, HealthCheck, RouteIndex, RouteRule};
 use crate::schema::{CheckedText, FieldKind, FieldRule};
 use crate::selection::{self, SelectionPolicy};
 use crate::wire::CallPriority;
@@ -34,6 +34,10 @@
     /// What callers may send, and how long they may take.
     #[serde(default, skip_serializing_if = "CallerLimits::is_unset")]
     pub limits: CallerLimits,
+    /// Finds a request's route; made from `routes` when first asked, so these do
+    /// not change after that.
+    #[serde(skip)]
+    pub route_index: RouteIndex,
 }
 
 /// The template of one service.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -126,7 +126,7 @@
 pub use reply::CallOutcome;
 pub use retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
-pub use route::{CallerLimits, HealthCheck, RouteRule, RouteTarget};
+pub use route::{CallerLimits, HealthCheck, RouteIndex, RouteRule, RouteTarget};
 pub use selection::{
     DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
     TargetRegistry, default_policy, policy, policy_names,
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,5 +1,9 @@
 //! Routes of a deployment: where requests go by host and path.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::OnceLock;
+
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -74,6 +78,42 @@
     pub idle_timeout_ms: Option<u32>,
 }
 
+/// The routes of each host, the longest prefix first.
+///
+/// An operator may have more than a thousand routes, and each request looks for
+/// its own.
+#[derive(Clone, Debug, Default)]
+pub struct RouteIndex(OnceLock<HashMap<String, Vec<usize>>>);
+
+impl PartialEq for RouteIndex {
+    /// It follows from the routes, which are compared themselves.
+    fn eq(&self, _other: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for RouteIndex {}
+
+impl RouteIndex {
+    /// Returns the places of a host's routes in `routes`.
+    fn of_host(&self, routes: &[RouteRule], host: &str) -> &[usize] {
+        let hosts = self.0.get_or_init(|| Self::build(routes));
+        let found = hosts.get(host).or_else(|| hosts.get(&host.to_ascii_lowercase()));
+        found.map_or(&[], Vec::as_slice)
+    }
+
+    fn build(routes: &[RouteRule]) -> HashMap<String, Vec<usize>> {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for places in hosts.values_mut() {
+            places.sort_by_key(|index| Reverse(routes[*index].prefix.len()));
+        }
+        hosts
+    }
+}
+
 impl CallerLimits {
     pub(crate) fn is_unset(&self) -> bool {
         *self == Self::default()
@@ -92,10 +132,9 @@
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let fits = |route: &&RouteRule| {
-            route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
-        };
-        self.routes.iter().filter(fits).max_by_key(|route| route.prefix.len())
+        let of_host = self.route_index.of_host(&self.routes, host);
+        let mut routes = of_host.iter().map(|index| &self.routes[*index]);
+        routes.find(|route| path.starts_with(&route.prefix))
     }
 }
 
