Hear a target's first word before the first call to it

Ruled out: the clock lead itself (all later calls are right). Change: an entry hears one word first, for 200 ms at most; if none comes, the guard counts as out of reach and nothing was sent, so another target may be tried.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -117,12 +117,19 @@
         return AttemptEnd::Refused { reason, retry_after_ms: UNREACHABLE_RETRY_MS };
     }
     let deadline = Instant::now() + left;
-    let head = make_head(duty, call, target, place, left, last);
     let Some(sender) = connect(duty, place, deadline).await else {
         outstanding.unreachable = true;
         return AttemptEnd::unreachable();
     };
+    // Before the first word nobody could tell how long a call was on its way.
+    let known = duty.time_at_guard(&call.service, target).is_some();
+    if !known && !watching::hear_first(duty, &call.service, target, place).await {
+        outstanding.unreachable = true;
+        return AttemptEnd::unreachable();
+    }
     watching::watch_target(duty, &call.service, target, place);
+    let left = call.deadline.since(duty.clock.now()).duration();
+    let head = make_head(duty, call, target, place, left, last);
     let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -7,12 +7,14 @@
 
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::server::SendResponse;
 use http::Response;
 use slog::info;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use crate::entry::EntryDuty;
 use crate::guard::GuardDuty;
@@ -33,6 +35,10 @@
 /// Entries of large fleets hear of the rest on answers.
 const MAX_WATCHED: usize = 48;
 
+/// Longest wait for the first word of a target; a guard says it at once, so
+/// longer means that its host or the way there stands still.
+const FIRST_WORD: Duration = Duration::from_millis(200);
+
 /// Change of slowness, in percent of its value, that is worth a word.
 const SLOWNESS_STEP: u16 = 20;
 
@@ -71,6 +77,24 @@
     });
 }
 
+/// Hears one word of a target that nothing was heard of yet; `false` if none came
+/// in time.
+pub(crate) async fn hear_first(
+    duty: &EntryDuty,
+    service: &ServiceName,
+    target: &TargetName,
+    place: &TargetPlace,
+) -> bool {
+    let head = WatchHead { service: service.clone(), target: target.clone() };
+    let asked = async {
+        let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
+        reader.head::<LoadWord>().await.ok()
+    };
+    let Ok(Some(word)) = timeout(FIRST_WORD, asked).await else { return false };
+    duty.hear_load(service, target, word);
+    true
+}
+
 /// Takes over a target's load words until the stream ends.
 async fn hear_words(
     duty: &EntryDuty,
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -31,6 +31,8 @@
 
 #[test_case(1; "troubles of all kinds")]
 #[test_case(3; "planned work alone")]
+#[test_case(7; "answers held up past the question for a fate")]
+#[test_case(23; "hedges beside lost tries")]
 fn a_short_run_keeps_every_promise(seed: u64) {
     play(&SoakPlan::draw(seed, HOSTS, SHORT));
 }
