Hedge the first reads of a route, and look again where no target would be in time

Change: an unknown route counts as overdue at half of its objective; the look is repeated while the first try lasts, and takes from the budget only when it can be used.

--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -19,6 +19,10 @@
 /// How much longer than usual a try may take before it is hedged.
 const USUAL_FACTOR: f64 = 1.5;
 
+/// Usual time of a route that nothing is known of, as a part of its objective: so
+/// a try is overdue at half of it.
+const UNKNOWN_PART: f64 = 1.0 / 3.0;
+
 /// Time between two looks at a try that has not ended: a part of the time for
 /// which a host stays slow.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
@@ -42,13 +46,23 @@
     tried: &mut Vec<TargetName>,
 ) -> AttemptEnd {
     let mut first = pin!(attempt::run(duty, call, &chosen.name, &chosen.place, last));
-    if last || !call.terms.repeatable || call.terms.hedge == HedgeRule::Never {
+    if last || call.terms.hedge == HedgeRule::Never || !course.may_try_beside() {
         return first.await;
     }
-    if let Some(end) = wait_for_first(duty, call, chosen, &mut first).await {
-        return end;
-    }
-    let Some(second) = choose_second(duty, call, course, tried) else { return first.await };
+    let mut progress = TryProgress::open(duty, call);
+    let second = loop {
+        if let Some(end) = wait_for_first(duty, call, chosen, &mut progress, &mut first).await {
+            return end;
+        }
+        if let Some(second) = choose_second(duty, call, tried) {
+            break second;
+        }
+        if call.terms.hedge == HedgeRule::BesideSlow {
+            return first.await;
+        }
+        // No target would be in time now; one may be at the next look.
+    };
+    course.try_beside();
     let last = second.others == 0;
     let second = pin!(attempt::run(duty, call, &second.name, &second.place, last));
     match select(first, second).await {
@@ -62,18 +76,13 @@
     duty: &EntryDuty,
     call: &CallerCall,
     chosen: &ChosenTarget,
+    progress: &mut TryProgress,
     first: &mut Pin<&mut impl Future<Output = AttemptEnd>>,
 ) -> Option<AttemptEnd> {
     if call.terms.hedge == HedgeRule::BesideSlow {
         let patience = hedge_after(chosen.service_us).duration();
         return timeout(patience, first.as_mut()).await.ok();
     }
-    let work_us = duty.route_book.borrow().work_us(&call.terms.kind);
-    if work_us <= 0.0 {
-        // Nothing is known of the route yet, so nothing tells that it is late.
-        return Some(first.await);
-    }
-    let mut progress = TryProgress::open(duty.clock.now(), work_us);
     loop {
         if let Ok(end) = timeout(LOOK_EVERY, first.as_mut()).await {
             return Some(end);
@@ -96,7 +105,11 @@
 }
 
 impl TryProgress {
-    const fn open(now: MicroTime, work_us: f64) -> Self {
+    fn open(duty: &EntryDuty, call: &CallerCall) -> Self {
+        let known_us = duty.route_book.borrow().work_us(&call.terms.kind);
+        let objective_us = f64::from(call.terms.objective_ms) * 1_000.0;
+        let work_us = if known_us > 0.0 { known_us } else { objective_us * UNKNOWN_PART };
+        let now = duty.clock.now();
         Self { work_us, done_us: 0.0, since: now, looked: now }
     }
 
@@ -119,7 +132,6 @@
 fn choose_second(
     duty: &EntryDuty,
     call: &CallerCall,
-    course: &mut CallCourse,
     tried: &mut Vec<TargetName>,
 ) -> Option<ChosenTarget> {
     let granted = match call.terms.hedge {
@@ -129,7 +141,7 @@
             duty.can_be_in_time(call, tried) && duty.with_budget(&call.service, RetryBudget::take)
         }
     };
-    if !granted || !course.take_beside() {
+    if !granted {
         return None;
     }
     let second = duty.choose(call, tried)?;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -179,13 +179,16 @@
         self.give_up()
     }
 
-    /// Takes a target for a try beside the present one; `false` if the present
-    /// one may be the last that the call reaches.
-    pub fn take_beside(&mut self) -> bool {
-        // The present try has not ended, so it is not counted yet.
-        let granted = self.repeatable && self.reached + 1 < self.attempts;
-        self.reached += u32::from(granted);
-        granted
+    /// Tells whether a try beside the present one may reach a target; the present
+    /// one has not ended, so it is not counted yet.
+    #[must_use]
+    pub const fn may_try_beside(&self) -> bool {
+        self.repeatable && self.reached + 1 < self.attempts
+    }
+
+    /// Counts a try beside the present one.
+    pub const fn try_beside(&mut self) {
+        self.reached += 1;
     }
 
     /// Tells whether no try may follow the next one.
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -219,6 +219,14 @@
     }
 }
 
+impl Drop for HostedTarget {
+    /// A target that outlived its test would report to whoever listens at its
+    /// daemon's port next.
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
 fn beat(
     state: &HostedState,
     address: SocketAddr,
--- a/tests/hosted_calls.rs
+++ b/tests/hosted_calls.rs
@@ -126,3 +126,19 @@
     let reached = fleet.runs("lost");
     assert!((1..=2).contains(&reached), "reached {reached} targets; the route allows 2");
 }
+
+#[test]
+fn the_first_reads_of_a_route_do_not_wait_for_a_target_that_hangs() {
+    let fleet = HostedFleet::spawn(2, WORK);
+    fleet.targets[0].set_work(Duration::from_secs(5));
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..6)
+            .map(|number| {
+                let fleet = &fleet;
+                scope.spawn(move || fleet.call(0, SAFE, &format!("first{number}")))
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().expect("call").expect("answer").status).collect()
+    });
+    assert_eq!(statuses, [200; 6]);
+}
