Count a crossing by the choice that the near data centre offers

Cause: one crossing cost for all fleets was too low for large ones and too high for small ones. With one near target calls kept near wait for each other; with ten they don't, and less crosses. Ruled out: a flat value between (users of the small sites are served worse).

--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -78,10 +78,14 @@
     SelectionPolicy { name: BENEFIT_POLICY, choose: choose_worthwhile };
 
 fn choose_worthwhile(input: &SelectionInput<'_>, rng: &mut Pcg64Mcg) -> usize {
+    let outlook = CallOutlook {
+        crossing_cost: input.outlook.crossing_cost * near_choice(input),
+        ..*input.outlook
+    };
     let values: Vec<(usize, f64)> = input
         .eligible
         .iter()
-        .map(|&index| (index, benefit(&input.targets[index], input.now, input.outlook)))
+        .map(|&index| (index, benefit(&input.targets[index], input.now, &outlook)))
         .collect();
     let best = values.iter().fold(f64::NEG_INFINITY, |best, (_, value)| best.max(*value));
     let near: Vec<usize> = values
@@ -92,6 +96,13 @@
     near[rng.random_range(0..near.len())]
 }
 
+/// Returns how much of the crossing cost counts: little where the near data centre
+/// offers no choice, since calls kept there would wait for each other.
+fn near_choice(input: &SelectionInput<'_>) -> f64 {
+    let near = input.eligible.iter().filter(|&&index| !input.targets[index].far).count() as f64;
+    near / (near + 1.0)
+}
+
 /// Estimates what a call sent to a target now would be worth.
 fn benefit(record: &TargetRecord, now: MicroTime, outlook: &CallOutlook) -> f64 {
     let expected = expected_us(record, now, outlook);
--- a/tests/benefit.rs
+++ b/tests/benefit.rs
@@ -50,6 +50,15 @@
     assert_eq!(chosen(vec![near, record("far", true, 100, 0)], &outlook), "near");
 }
 
+#[test_case(1, "far"; "without a choice nearby")]
+#[test_case(5, "near"; "with a choice nearby")]
+fn a_crossing_counts_by_the_choice_nearby(near: usize, expected: &str) {
+    let outlook = CallOutlook { crossing_cost: 0.4, ..OUTLOOK };
+    let mut records: Vec<_> = (0..near).map(|_| record("near", false, 220, 0)).collect();
+    records.push(record("far", true, 100, 0));
+    assert_eq!(chosen(records, &outlook), expected);
+}
+
 proptest! {
     #![proptest_config(seeded(200))]
 
