Give a slot back when its caller leaves as the call starts

Cause: a guard that hears at once that a call has its slot and that its caller has left may take the second word first; it cancelled the call as one that waits, and the slot stayed taken for ever. Ruled out: the limit of the wait (a minute for what takes milliseconds). Change: a cancelled call leaves the running ones, too. Figures: the new test red before, green after.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -72,7 +72,7 @@
         /// Whether the target failed it.
         failed: bool,
     },
-    /// A waiting call was revoked or its caller left.
+    /// A call that was not dispatched was revoked or its caller left.
     Cancel(CallId),
     /// Time passed.
     Tick,
@@ -144,7 +144,11 @@
         match event {
             AdmissionEvent::Arrive(call) => self.arrive(call, out),
             AdmissionEvent::Finish { call, took, failed } => self.finish(call, took, failed),
-            AdmissionEvent::Cancel(call) => self.waiting.retain(|waiting| waiting.call != call),
+            AdmissionEvent::Cancel(call) => {
+                self.waiting.retain(|waiting| waiting.call != call);
+                // It may have been started at the very moment its caller left.
+                self.running.remove(&call);
+            }
             AdmissionEvent::Tick => {}
         }
         self.expire(out);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -209,3 +209,19 @@
         [AdmissionAction::Refuse { reason: RefusalReason::TooLate, .. }]
     ));
 }
+
+/// A caller may leave at the very moment its call gets a slot.
+#[test]
+fn a_call_that_is_cancelled_as_it_starts_gives_its_slot_back() {
+    let mut queue = AdmissionQueue::open(1);
+    let mut out = Vec::new();
+    let deadline = MicroTime::from_millis(100);
+    let call = |id| AdmissionEvent::Arrive(waiting_call(id, 0, CallPriority::default(), deadline));
+    queue.step(MicroTime(0), call(1), &mut out);
+    assert_eq!(out, [AdmissionAction::Start(CallId(1))]);
+    queue.step(MicroTime(1), AdmissionEvent::Cancel(CallId(1)), &mut out);
+    assert_eq!(queue.running(), 0);
+    out.clear();
+    queue.step(MicroTime(2), call(2), &mut out);
+    assert_eq!(out, [AdmissionAction::Start(CallId(2))]);
+}
