--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -122,14 +122,17 @@
         return AttemptEnd::unreachable();
     };
     // Before the first word nobody could tell how long a call was on its way.
-    let known = duty.time_at_guard(&call.service, target).is_some();
-    if !known && !watching::hear_first(duty, &call.service, target, place).await {
-        outstanding.unreachable = true;
-        return AttemptEnd::unreachable();
+    let mut guard_time = duty.time_at_guard(&call.service, target);
+    if guard_time.is_none() {
+        if !watching::hear_first(duty, &call.service, target, place).await {
+            outstanding.unreachable = true;
+            return AttemptEnd::unreachable();
+        }
+        guard_time = duty.time_at_guard(&call.service, target);
     }
     watching::watch_target(duty, &call.service, target, place);
     let left = call.deadline.since(duty.clock.now()).duration();
-    let head = make_head(duty, call, target, place, left, last);
+    let head = make_head(duty, call, target, place, guard_time, left, last);
     let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
     let response = match sent {
         Ok(Ok(response)) => response,
@@ -201,12 +204,12 @@
     call: &CallerCall,
     target: &TargetName,
     place: &TargetPlace,
+    sent: Option<MicroTime>,
     left: Duration,
     last: bool,
 ) -> CallHead {
     let work_us = duty.route_book.borrow().work_us(&call.terms.kind);
     let patience_ms = patience(call, work_us, duty.clock.now()).ceil_millis() as u32;
-    let sent = duty.time_at_guard(&call.service, target);
     CallHead {
         call: CallId::random(),
         incarnation: place.incarnation,
--- a/src/durable.rs
+++ b/src/durable.rs
@@ -268,8 +268,13 @@
                 () = self.poll_wake.notified() => {
                     let news = self.client.next_config(0).await;
                     self.count("read", &news);
-                    if let Ok(ConfigNews { config: Some(config), .. }) = news {
-                        self.adopt_operator(&config);
+                    match news {
+                        Ok(ConfigNews { config: Some(config), .. }) => self.adopt_operator(&config),
+                        Ok(_none_yet) => {}
+                        // Gossip asks again as long as a peer has a newer one.
+                        Err(error) => {
+                            warn!(self.logger, "configuration not read"; "error" => %error);
+                        }
                     }
                 }
             }
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -35,8 +35,8 @@
 /// Of a client account's calls only kinds whose template says so are hedged: a
 /// call that makes calls of its own would double them all, at every level. Reads
 /// of a route are, within the budget of all further tries. The first answer
-/// holds; the other try is cancelled. `tried` gets the second target. A last try, and a call that
-/// must not repeat, is never hedged.
+/// holds; the other try is cancelled. `tried` gets the second target. A last try,
+/// and a call that must not repeat, is never hedged.
 pub(crate) async fn run(
     duty: &Rc<EntryDuty>,
     call: &CallerCall,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -131,8 +131,9 @@
 /// The course of one call over its tries.
 ///
 /// Invariants: at most [`MAX_ATTEMPTS`] tries one after the other, and at most
-/// `attempts` that reach a target, those beside others included; after a lost try it never says `TellNotRun`, and a call
-/// that must not repeat is not tried again.
+/// `attempts` that reach a target, those beside others included; after a lost
+/// try it never says `TellNotRun`, and a call that must not repeat is not tried
+/// again.
 #[derive(Clone, Debug)]
 pub struct CallCourse {
     repeatable: bool,
--- a/src/silence.rs
+++ b/src/silence.rs
@@ -20,7 +20,7 @@
 }
 
 /// Time between two such questions, and how many stay unanswered at most.
-const QUESTIONS: (Duration, u32) = (Duration::from_secs(1), 2);
+pub(crate) const QUESTIONS: (Duration, u32) = (Duration::from_secs(1), 2);
 
 /// Lets a connection break soon when its other end has gone without a word.
 ///
