Take a call's work from its guard; wait no fixed part of the objective

Cause: an entry learned a route's usual work as the time at the target divided by its slowness at the end, which shifts several times within a call.

Cause: PATIENCE_PARTS let each call wait a fifth to six tenths of its objective, for a reason that is not the caller's. Change: a call waits until it is no longer likely to be in time; a free slot is given also to a late call.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -224,6 +224,14 @@
         self.slowness = percent;
     }
 
+    /// Returns the work that a running call has done, in microseconds at the
+    /// target's usual speed.
+    pub fn work_done_us(&mut self, now: MicroTime, call: CallId) -> Option<u32> {
+        self.pass(now);
+        let running = self.running.get(&call)?;
+        Some((self.speed.done_us() - running.done_then) as u32)
+    }
+
     /// Returns how many calls run.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -251,7 +259,12 @@
             return;
         }
         if self.running.len() < self.limit() && self.waiting.is_empty() {
-            self.waiting.push(call);
+            // A late answer is better than none where nobody waits for the slot.
+            if call.deadline > self.now {
+                self.begin(call, out);
+            } else {
+                out.push(self.refuse(call.call, RefusalReason::TooLate));
+            }
             return;
         }
         let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other));
@@ -330,18 +343,22 @@
                 }
             }
             let call = self.waiting.swap_remove(first);
-            let running = RunningCall {
-                account: call.account,
-                since: self.now,
-                work_us: call.work_us,
-                done_then: self.speed.done_us(),
-                crowd_then: self.crowd,
-            };
-            self.running.insert(call.call, running);
-            out.push(AdmissionAction::Start(call.call));
+            self.begin(call, out);
         }
     }
 
+    fn begin(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
+        let running = RunningCall {
+            account: call.account,
+            since: self.now,
+            work_us: call.work_us,
+            done_then: self.speed.done_us(),
+            crowd_then: self.crowd,
+        };
+        self.running.insert(call.call, running);
+        out.push(AdmissionAction::Start(call.call));
+    }
+
     fn goes_before(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
         if left.priority != right.priority {
             return left.priority > right.priority;
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -31,11 +31,8 @@
 /// Longest body that goes out in one piece with its head, in bytes.
 const MAX_JOINED_BODY: usize = 64 << 10;
 
-/// Least and greatest part of the latency objective that a call may wait for a
-/// slot. The users' accounting takes a refusal within a quarter for prompt.
-const PATIENCE_PARTS: (f64, f64) = (0.2, 0.6);
-
-/// Time left for the work itself, as a multiple of its usual time.
+/// Time that is left for the work, as a multiple of its usual time: hosts that
+/// are shared take about a quarter longer, and single calls spread by half.
 const WORK_MARGIN: f64 = 1.5;
 
 /// How a try ended.
@@ -171,12 +168,11 @@
         }
     };
     if let Some((answer, reader)) = answered {
-        if let AnswerHead::Answered { status, length, load, ran_us, .. } = &answer
+        if let AnswerHead::Answered { status, length, work_us, .. } = &answer
             && *status < 400
         {
-            let took = MicroTime(u64::from(*ran_us));
             let bytes = call.body.len() as u64 + length.unwrap_or_default();
-            duty.route_book.borrow_mut().note(&call.terms.kind, took, load.slowness, bytes);
+            duty.route_book.borrow_mut().note(&call.terms.kind, *work_us, bytes);
         }
         return conclude(outstanding, head.call, &answer, reader);
     }
@@ -186,17 +182,14 @@
 
 /// Returns how long a call may still wait for a slot.
 ///
-/// As long as it can still be in time; then it is refused, while another try
-/// may be. A call without an objective of its own waits to its deadline.
+/// As long as it is likely to be in time if it starts then; once it isn't, it is
+/// refused, while another target or a later try may serve it. A call without an
+/// objective of its own waits to its deadline.
 fn patience(call: &CallerCall, work_us: f64, now: MicroTime) -> MicroTime {
     if call.terms.objective_ms >= call.terms.deadline_ms {
         return call.deadline.since(now);
     }
-    let objective = f64::from(call.terms.objective_ms) * 1_000.0;
-    let work = work_us * WORK_MARGIN;
-    let (least, most) = PATIENCE_PARTS;
-    let wait = (objective - work).clamp(objective * least, objective * most);
-    (call.arrived + MicroTime(wait as u64)).since(now)
+    call.objective().since(now).since(MicroTime((work_us * WORK_MARGIN) as u64))
 }
 
 fn make_head(
--- a/src/route_book.rs
+++ b/src/route_book.rs
@@ -31,10 +31,9 @@
 }
 
 impl RouteBook {
-    /// Notes an answered call; `slowness` of its target in percent, or zero.
-    pub(crate) fn note(&mut self, route: &str, took: MicroTime, slowness: u16, bytes: u64) {
-        let factor = if slowness == 0 { 1.0 } else { f64::from(slowness) / 100.0 };
-        let newest = RouteFigures { work_us: took.0 as f64 / factor, bytes: bytes as f64 };
+    /// Notes an answered call: the work that its target did, and its bytes.
+    pub(crate) fn note(&mut self, route: &str, work_us: u32, bytes: u64) {
+        let newest = RouteFigures { work_us: f64::from(work_us), bytes: bytes as f64 };
         if let Some(known) = self.routes.get_mut(route) {
             known.work_us += NEWEST * (newest.work_us - known.work_us);
             known.bytes += NEWEST * (newest.bytes - known.bytes);
--- a/src/served.rs
+++ b/src/served.rs
@@ -122,10 +122,13 @@
         }
     }
 
-    /// Returns the time since the target got the call.
-    fn ran_for(&self) -> MicroTime {
+    /// Returns the work that the target has done for the call, in microseconds at
+    /// its usual speed.
+    fn work_done_us(&self) -> u32 {
         let now = self.duty.clock.now();
-        self.dispatched.get().map_or(MicroTime(0), |since| now.since(since))
+        let mut targets = self.duty.targets.borrow_mut();
+        let target = targets.get_mut(&self.key);
+        target.and_then(|target| target.door.work_done_us(now, self.call)).unwrap_or_default()
     }
 
     /// Sends the call to the target and its answer back.
@@ -295,7 +298,7 @@
             status: answer.status.as_u16(),
             headers: headers::forward_answer(&answer.headers, self.call.duty.names),
             length,
-            ran_us: self.call.ran_for().0 as u32,
+            work_us: self.call.work_done_us(),
             load: self.call.duty.load(&self.call.key),
         };
         let Some(mut rest) = answer.rest else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -205,8 +205,8 @@
         headers: Vec<(String, Vec<u8>)>,
         /// Length of the body in bytes, where the target said it.
         length: Option<u64>,
-        /// Time that the target took, in microseconds.
-        ran_us: u32,
+        /// Work that the target did for it, in microseconds at its usual speed.
+        work_us: u32,
         /// Load after this call.
         load: LoadWord,
     },
