Log what a refusal was decided on, and each change of a target's limit

Cause: a refusal's line had its reason alone; why a call was too late could not be told from it. Change: running and waiting calls, limit and slowness on the line, and a line for each change of the limit. No decision changes.

--- a/src/guard.rs
+++ b/src/guard.rs
@@ -288,7 +288,14 @@
     pub(crate) fn step_door(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
         let mut actions = Vec::new();
         if let Some(target) = self.targets.borrow_mut().get_mut(key) {
+            let before = target.door.limit();
             target.door.step(self.clock.now(), event, &mut actions);
+            let limit = target.door.limit();
+            if limit != before {
+                info!(self.logger, "limit"; "target" => %key.1, "limit" => limit,
+                    "before" => before, "running" => target.door.running(),
+                    "waiting" => target.door.waiting());
+            }
         }
         self.carry_out(actions);
     }
@@ -602,9 +609,12 @@
         retry_after_ms: u32,
     ) -> AnswerHead {
         self.metrics.refusals.with_label_values(&[reason.label()]).inc();
+        let load = self.load(&call.key);
         info!(self.logger, "refused"; "id" => &*call.id, "target" => %call.key.1,
-            "reason" => reason.label(), "retry_after_ms" => retry_after_ms);
-        AnswerHead::Refused { call: call.call, reason, retry_after_ms, load: self.load(&call.key) }
+            "reason" => reason.label(), "retry_after_ms" => retry_after_ms,
+            "running" => load.in_flight, "waiting" => load.queued, "limit" => load.slots,
+            "slowness" => load.slowness);
+        AnswerHead::Refused { call: call.call, reason, retry_after_ms, load }
     }
 
     /// Refuses new work at once and waits for the old to end.
