--- a/src/admission.rs
+++ b/src/admission.rs
@@ -3,10 +3,10 @@
 //! Pure: every event carries the time. As many calls run as the target answers
 //! fastest, which may be fewer than it has slots; a short queue holds the rest,
 //! ordered by priority, then by the account that is furthest below its share,
-//! then by deadline; in overload the newest first. While the host is in a slow spell, calls that would begin in
-//! it and be late wait until it is over, or are sent on to another target. What
-//! can't be served in time is refused at once, but for room that nobody else
-//! needs.
+//! then by deadline; in overload the newest first. While the host is in a slow
+//! spell, calls that would begin in it and be late wait until it is over, or are
+//! sent on to another target. What can't be served in time is refused at once,
+//! but for room that nobody else needs.
 
 use std::collections::HashMap;
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -71,7 +71,7 @@
     pub in_flight: u16,
     /// Calls waiting at the guard.
     pub queued: u16,
-    /// Calls the target runs at once.
+    /// Calls the target may run at once: its limit, at most its slots.
     pub slots: u16,
     /// Smoothed time the target takes for a call, in microseconds.
     pub service_us: u32,
