Move a guard's view of its targets, and a call's way, to files of their own

guard.rs had grown to 656 lines; a newcomer who looks for when a call is dispatched, or when a door shuts, had to read all of it. Pure moves to guarded_call.rs and target_life.rs; the usual slowness stands once. Behaviour as before.

--- a/src/benefit.rs
+++ b/src/benefit.rs
@@ -10,6 +10,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::clock::MicroTime;
+use crate::host_speed::USUAL_PERCENT;
 use crate::selection::{SelectionInput, SelectionPolicy, TargetRecord, half_life};
 
 /// Name of the policy.
@@ -22,9 +23,6 @@
 /// Age at which what others have under way says half as much, in microseconds.
 const OTHERS_HALF_LIFE_US: f64 = 300_000.0;
 
-/// Slowness where the target never told any, in percent.
-const USUAL_SLOWNESS: f64 = 100.0;
-
 /// Slowness expected of a host that was not heard of for long, in percent: the
 /// mean of hosts that are four times slower a fifth of the time.
 const UNHEARD_SLOWNESS: f64 = 160.0;
@@ -144,7 +142,7 @@
 
 /// Returns the factor by which work is slower than usual, as far as known.
 fn slowness(told: u16, age_us: f64) -> f64 {
-    let told = if told == 0 { USUAL_SLOWNESS } else { f64::from(told) };
+    let told = if told == 0 { USUAL_PERCENT } else { f64::from(told) };
     let known = half_life(age_us, SLOWNESS_HALF_LIFE_US);
-    (UNHEARD_SLOWNESS + (told - UNHEARD_SLOWNESS) * known) / 100.0
+    (UNHEARD_SLOWNESS + (told - UNHEARD_SLOWNESS) * known) / USUAL_PERCENT
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -2,16 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use h2::RecvStream;
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream};
-use http::{Request, Response};
+use http::Request;
 use serde_json::{Value, json};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -19,43 +18,31 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::adapter::TargetReport;
-use crate::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
-use crate::claim::{ClaimReply, ClaimRequest};
+use crate::admission::{AdmissionAction, AdmissionEvent};
 use crate::clock::{MicroTime, ProcessClock};
-use crate::consts::{CLAIM_TIMEOUT, MAX_DATAGRAM, SLOW_SENDER};
+use crate::consts::{MAX_DATAGRAM, SLOW_SENDER};
 use crate::events::{GuardEvent, PeersEvent, PlatformEvent};
-use crate::h2io::{self, HeadReader, StreamError};
+use crate::h2io::{self, HeadReader};
 use crate::headers::HeaderNames;
 use crate::health;
 use crate::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
-use crate::local_target::{LocalTarget, TargetAnnouncement};
-use crate::member::TargetNotice;
+use crate::local_target::LocalTarget;
 use crate::metrics::DaemonMetrics;
-use crate::outcome::{CallFate, CallLedger, ClaimRow, ClaimState};
+use crate::outcome::CallLedger;
 use crate::probe::ProbeBudget;
 use crate::ring::{RingInbox, RingSender};
-use crate::served::{ClaimPlace, HeldClaim, ServedCall};
+use crate::served::ServedCall;
 use crate::table::TableWrite;
 use crate::target_pool::TargetPool;
 use crate::watching::{self, WORD_BYTES, WORD_BYTES_PER_S, differs};
-use crate::wire::{
-    self, AnswerHead, CallHead, KeyClaim, LoadWord, ProbeReply, ProbeRequest, RefusalReason,
-    RevokeHead, RevokeReply,
-};
+use crate::wire::{self, AnswerHead, LoadWord, ProbeReply, ProbeRequest, RefusalReason};
 
 /// How often leases and deadlines are looked at.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Ended targets remembered; a host has one target at a time.
-const MAX_ENDED: usize = 64;
-
 /// When to come back to a target that is leaving or gone, in milliseconds.
 pub(crate) const LEAVING_RETRY_MS: u32 = 200;
 
-/// When to come back after the table did not accept a claim, in milliseconds.
-const PLATFORM_RETRY_MS: u32 = 1_000;
-
 /// Where this duty's news go.
 #[derive(Debug)]
 pub(crate) struct GuardRings {
@@ -81,30 +68,31 @@
     pub(crate) socket: std::net::UdpSocket,
 }
 
-type StartSignal = Result<(), (RefusalReason, u32)>;
+/// Word to a waiting call: it may start, or why not and when to come back.
+pub(crate) type StartSignal = Result<(), (RefusalReason, u32)>;
 
 pub(crate) struct GuardDuty {
     pub(crate) clock: ProcessClock,
-    host: HostName,
-    incarnation: DaemonIncarnation,
-    address: SocketAddr,
+    pub(crate) host: HostName,
+    pub(crate) incarnation: DaemonIncarnation,
+    pub(crate) address: SocketAddr,
     pub(crate) targets: RefCell<HashMap<(ServiceName, TargetName), LocalTarget>>,
     /// Targets that ended, the newest last, to know their late heartbeats.
-    ended: RefCell<VecDeque<TargetName>>,
+    pub(crate) ended: RefCell<VecDeque<TargetName>>,
     pub(crate) ledger: RefCell<CallLedger>,
-    waiters: RefCell<HashMap<CallId, oneshot::Sender<StartSignal>>>,
+    pub(crate) waiters: RefCell<HashMap<CallId, oneshot::Sender<StartSignal>>>,
     /// Streams of calls that have not ended.
     open: watch::Sender<usize>,
-    stopping: watch::Sender<bool>,
+    pub(crate) stopping: watch::Sender<bool>,
     pub(crate) pool: Rc<TargetPool>,
     pub(crate) names: &'static HeaderNames,
     own_service: Option<ServiceName>,
     /// Where the host's target tells its health, once a configuration says so.
     pub(crate) check_path: RefCell<Option<String>>,
-    target_lease: Cell<Duration>,
-    max_body: usize,
+    pub(crate) target_lease: Cell<Duration>,
+    pub(crate) max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
-    rings: GuardRings,
+    pub(crate) rings: GuardRings,
     /// Says that a target's load changed by more than a little.
     pub(crate) load_changes: watch::Sender<()>,
     word_budget: RefCell<ProbeBudget>,
@@ -184,106 +172,6 @@
         }
     }
 
-    pub(crate) fn take_report(&self, report: TargetReport) {
-        match report {
-            TargetReport::Alive { announcement, sequence, .. } => {
-                self.announce(announcement, Some(sequence));
-            }
-            TargetReport::Left(name) => self.end_target(&name),
-        }
-    }
-
-    /// Takes a target's word; one with a number is ignored if it is late.
-    fn announce(&self, announcement: TargetAnnouncement, sequence: Option<u64>) {
-        if self.ended.borrow().contains(&announcement.target) {
-            return;
-        }
-        let now = self.clock.now();
-        let key = (announcement.service.clone(), announcement.target.clone());
-        let mut targets = self.targets.borrow_mut();
-        if let Some(target) = targets.get_mut(&key) {
-            if !target.renew(now, announcement, sequence) {
-                return;
-            }
-        } else {
-            info!(self.logger, "target announced"; "target" => %announcement.target);
-            let lasts = self.target_lease.get();
-            targets.insert(key, LocalTarget::open(now, announcement, sequence, lasts));
-        }
-        drop(targets);
-        self.check_leases();
-    }
-
-    /// Ends a target for good: what it said earlier may still arrive, late.
-    pub(crate) fn end_target(&self, name: &TargetName) {
-        let mut ended = self.ended.borrow_mut();
-        if !ended.contains(name) {
-            ended.push_back(name.clone());
-            if ended.len() > MAX_ENDED {
-                ended.pop_front();
-            }
-        }
-        drop(ended);
-        for target in self.targets.borrow_mut().values_mut() {
-            if target.announcement.target == *name {
-                target.lease.end();
-                self.pool.forget(target.announcement.address);
-            }
-        }
-        self.check_leases();
-    }
-
-    fn drain(&self, name: &TargetName, drained: bool) -> bool {
-        let mut found = false;
-        for target in self.targets.borrow_mut().values_mut() {
-            if target.announcement.target == *name {
-                target.lease.drain(drained);
-                found = true;
-            }
-        }
-        self.check_leases();
-        found
-    }
-
-    /// Opens and shuts doors as the leases say, and tells the peers.
-    fn check_leases(&self) {
-        let now = self.clock.now();
-        let stopping = *self.stopping.borrow();
-        let mut actions = Vec::new();
-        let mut changed = false;
-        for target in self.targets.borrow_mut().values_mut() {
-            let ready = target.lease.is_ready(now) && !stopping;
-            if ready == target.door.is_leaving() {
-                changed = true;
-                info!(self.logger, "target"; "name" => %target.announcement.target, "ready" => ready);
-                if ready {
-                    target.door.rejoin();
-                } else {
-                    target.door.leave(&mut actions);
-                }
-            }
-        }
-        self.carry_out(actions);
-        if changed {
-            self.tell_peers();
-        }
-    }
-
-    fn tell_peers(&self) {
-        let targets = self.targets.borrow();
-        let notices = targets.values().map(|target| TargetNotice {
-            service: target.announcement.service.clone(),
-            name: target.announcement.target.clone(),
-            slots: target.announcement.slots,
-            ready: !target.door.is_leaving(),
-        });
-        let mut notices: Vec<TargetNotice> = notices.collect();
-        notices.sort_by(|a, b| a.name.cmp(&b.name));
-        if self.rings.peers.push(PeersEvent::Local(notices)).is_err() {
-            self.metrics.shed.with_label_values(&["peers"]).inc();
-        }
-    }
-
     /// Takes one event to a target's door.
     pub(crate) fn step_door(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
         let mut actions = Vec::new();
@@ -300,7 +188,7 @@
         self.carry_out(actions);
     }
 
-    fn carry_out(&self, actions: Vec<AdmissionAction>) {
+    pub(crate) fn carry_out(&self, actions: Vec<AdmissionAction>) {
         for action in actions {
             let (call, signal) = match action {
                 AdmissionAction::Start(call) => (call, Ok(())),
@@ -415,170 +303,6 @@
         self.open.send_modify(|open| *open -= 1);
     }
 
-    async fn serve_revoke(&self, mut reader: HeadReader, mut respond: SendResponse<Bytes>) {
-        let Ok(Ok(head)) = timeout(SLOW_SENDER, reader.head::<RevokeHead>()).await else { return };
-        let fate = if head.incarnation == self.incarnation {
-            self.revoke(head.call)
-        } else {
-            CallFate::Unknown
-        };
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        if let Ok(bytes) = h2io::frame(&RevokeReply { fate }) {
-            drop(h2io::send_all(&mut stream, bytes, true).await);
-        }
-    }
-
-    /// Makes sure that a call does not run, or tells what became of it.
-    fn revoke(&self, call: CallId) -> CallFate {
-        let fate = self.ledger.borrow_mut().revoke(self.clock.now(), call);
-        if fate == CallFate::NotRun {
-            let refusal = AdmissionAction::Refuse {
-                call,
-                reason: RefusalReason::Revoked,
-                retry_after_ms: LEAVING_RETRY_MS,
-            };
-            self.carry_out(vec![refusal]);
-        }
-        fate
-    }
-
-    async fn serve_call(self: &Rc<Self>, mut reader: HeadReader, mut respond: SendResponse<Bytes>) {
-        let received = timeout(SLOW_SENDER, receive_call(&mut reader, self.max_body)).await;
-        let Ok(Ok((head, body))) = received else {
-            respond.send_reset(Reason::PROTOCOL_ERROR);
-            return;
-        };
-        let call = ServedCall::open(self, &head);
-        let reply = match self.admit(&call, &head, &mut respond).await {
-            Ok(claim) => {
-                call.run(&head, body, claim, respond).await;
-                return;
-            }
-            Err(Some(reply)) => reply,
-            Err(None) => return,
-        };
-        drop(call);
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        if let Ok(bytes) = h2io::frame(&reply) {
-            drop(h2io::send_all(&mut stream, bytes, true).await);
-        }
-    }
-
-    /// Brings a call to the point of dispatch, or to an answer that it did not run.
-    ///
-    /// `Err(None)` is a caller that has gone.
-    async fn admit(
-        &self,
-        call: &ServedCall,
-        head: &CallHead,
-        respond: &mut SendResponse<Bytes>,
-    ) -> Result<Option<HeldClaim>, Option<AnswerHead>> {
-        if head.incarnation != self.incarnation || !self.targets.borrow().contains_key(&call.key) {
-            return Err(Some(self.refusal(call, RefusalReason::Absent, LEAVING_RETRY_MS)));
-        }
-        if !self.ledger.borrow_mut().arrive(self.clock.now(), head.call) {
-            return Err(Some(self.refusal(call, RefusalReason::Revoked, LEAVING_RETRY_MS)));
-        }
-        let signal = self.enqueue(call, head);
-        let started = tokio::select! {
-            signal = signal => signal.unwrap_or(Err((RefusalReason::Leaving, LEAVING_RETRY_MS))),
-            _ = poll_fn(|cx| respond.poll_reset(cx)) => {
-                self.bury(call);
-                return Err(None);
-            }
-        };
-        if let Err((reason, retry_after_ms)) = started {
-            self.bury(call);
-            return Err(Some(self.refusal(call, reason, retry_after_ms)));
-        }
-        call.started.set(Some(self.clock.now()));
-        let claim = match &head.claim {
-            Some(claim) => Some(self.claim(call, head, claim).await.map_err(|reply| {
-                self.bury(call);
-                Some(reply)
-            })?),
-            None => None,
-        };
-        let in_time = self.clock.now() < call.deadline;
-        if in_time && self.ledger.borrow_mut().dispatch(head.call) {
-            return Ok(claim);
-        }
-        if let Some(claim) = claim {
-            self.write(TableWrite { key: claim.key, expect: Some(claim.version), value: None });
-        }
-        self.bury(call);
-        let reason = if in_time { RefusalReason::Revoked } else { RefusalReason::TooLate };
-        Err(Some(self.refusal(call, reason, LEAVING_RETRY_MS)))
-    }
-
-    fn enqueue(&self, call: &ServedCall, head: &CallHead) -> oneshot::Receiver<StartSignal> {
-        let (waiter, signal) = oneshot::channel();
-        self.waiters.borrow_mut().insert(head.call, waiter);
-        call.entered.set(true);
-        let waiting = WaitingCall {
-            call: head.call,
-            account: head.account.clone(),
-            share: head.share,
-            priority: head.priority,
-            deadline: call.deadline,
-            give_up: call.deadline.min(call.give_up),
-            work_us: head.work_us,
-            last: head.last,
-        };
-        if let Some(target) = self.targets.borrow_mut().get_mut(&call.key) {
-            target.used = self.clock.now();
-        }
-        self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
-        signal
-    }
-
-    /// Makes sure that a call that was not dispatched never will be.
-    fn bury(&self, call: &ServedCall) {
-        self.waiters.borrow_mut().remove(&call.call);
-        self.ledger.borrow_mut().revoke(self.clock.now(), call.call);
-    }
-
-    /// Writes the claim of a keyed call; the call holds its slot meanwhile.
-    async fn claim(
-        &self,
-        call: &ServedCall,
-        head: &CallHead,
-        claim: &KeyClaim,
-    ) -> Result<HeldClaim, AnswerHead> {
-        let Some(place) = ClaimPlace::take(call) else {
-            return Err(self.refusal(call, RefusalReason::Full, PLATFORM_RETRY_MS));
-        };
-        let row = ClaimRow {
-            call: head.call,
-            host: self.host.clone(),
-            guard: self.address,
-            incarnation: self.incarnation,
-            print: claim.print.clone(),
-            state: ClaimState::Started,
-        };
-        let (reply, answer) = oneshot::channel();
-        let request = ClaimRequest {
-            key: claim.row.clone(),
-            row: row.clone(),
-            expect: claim.takeover.unwrap_or(0),
-            reply,
-        };
-        let down = || self.refusal(call, RefusalReason::PlatformDown, PLATFORM_RETRY_MS);
-        self.rings.platform.push(PlatformEvent::Claim(request)).map_err(|_full| down())?;
-        let left = call.deadline.since(self.clock.now()).duration();
-        let answer = timeout(CLAIM_TIMEOUT.min(left), answer).await;
-        drop(place);
-        match answer {
-            Ok(Ok(ClaimReply::Held(version))) => {
-                Ok(HeldClaim { key: claim.row.clone(), version, row })
-            }
-            Ok(Ok(ClaimReply::Found { row, version })) => {
-                Err(AnswerHead::Claimed { call: head.call, row, version })
-            }
-            _ => Err(down()),
-        }
-    }
-
     pub(crate) fn write(&self, write: TableWrite) {
         if self.rings.platform.push(PlatformEvent::Write(write)).is_err() {
             self.metrics.shed.with_label_values(&["platform"]).inc();
@@ -639,16 +363,3 @@
         })
     }
 }
-
-async fn receive_call(
-    reader: &mut HeadReader,
-    max_body: usize,
-) -> Result<(CallHead, Bytes), StreamError> {
-    let head: CallHead = reader.head().await?;
-    let length = head.body_len as usize;
-    if length > max_body {
-        return Err(StreamError::Short);
-    }
-    let body = reader.body(length).await?;
-    Ok((head, body))
-}
--- a/src/host_speed.rs
+++ b/src/host_speed.rs
@@ -11,7 +11,7 @@
 use crate::clock::MicroTime;
 
 /// Slowness of a host at its usual speed, in percent.
-const USUAL_PERCENT: f64 = 100.0;
+pub(crate) const USUAL_PERCENT: f64 = 100.0;
 
 /// Slowness that is believed at most, in percent: a greater one says no more than
 /// that nothing will be in time.
