Reckon a half-life in one place; look a route up once

Second reading of the change. limit.rs wrote again what selection::half_life does; an outlook looked its route up twice, and the check for a hedge borrowed the book twice.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -420,8 +420,9 @@
     /// Tells whether a further try beside the present one would likely be in time.
     pub(crate) fn can_be_in_time(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
         let now = self.clock.now();
-        let mut outlook = self.route_book.borrow().outlook(call, now, self.crossing_cost);
-        if !self.route_book.borrow().knows(&call.terms.kind) {
+        let book = self.route_book.borrow();
+        let mut outlook = book.outlook(call, now, self.crossing_cost);
+        if !book.knows(&call.terms.kind) {
             // A guess is no reason to leave a read at a target that hangs.
             outlook.work_us = 0.0;
         }
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 
 use crate::clock::MicroTime;
+use crate::selection::half_life;
 
 /// Levels of crowding that are told apart, from [`LEAST_PART`] of the slots to
 /// all: steps of a sixteenth of the slots.
@@ -208,7 +209,7 @@
     fn age(&mut self, now: MicroTime) {
         let passed = now.since(self.aged).0 as f64;
         self.aged = self.aged.max(now);
-        let kept = (-passed / HALF_LIFE_US * std::f64::consts::LN_2).exp();
+        let kept = half_life(passed, HALF_LIFE_US);
         for figures in &mut self.levels {
             figures.answers *= kept;
             figures.stretch *= kept;
--- a/src/route_book.rs
+++ b/src/route_book.rs
@@ -52,8 +52,7 @@
     /// That of a route that nothing is known of, as after a restart, is guessed
     /// from its objective.
     pub(crate) fn work_us(&self, terms: &CallTerms) -> f64 {
-        let guess = || f64::from(terms.objective_ms) * 1_000.0 * UNKNOWN_PART;
-        self.routes.get(&terms.kind).map_or_else(guess, |known| known.work_us)
+        self.routes.get(&terms.kind).map_or_else(|| guess_us(terms), |known| known.work_us)
     }
 
     /// Tells whether calls of a route were answered before.
@@ -74,9 +73,15 @@
         let known = self.routes.get(&call.terms.kind);
         let bytes = known.map_or(0.0, |known| known.bytes) + HEAD_BYTES;
         CallOutlook {
-            work_us: self.work_us(&call.terms),
+            work_us: known.map_or_else(|| guess_us(&call.terms), |known| known.work_us),
             objective_us: left.0 as f64,
             crossing_cost: crossing_cost * bytes / 1_000.0,
         }
     }
 }
+
+/// Returns the usual work that is assumed of a call whose route is not known yet,
+/// in microseconds.
+fn guess_us(terms: &CallTerms) -> f64 {
+    f64::from(terms.objective_ms) * 1_000.0 * UNKNOWN_PART
+}
