Put src/ into folders by what the code does

Cause: 67 files lay flat in src/; nothing told a reader which of them decide and which move bytes. Pure moves: eight folders, each with a module page that says what lives there and what must hold; imports follow, nothing else changes.

--- a/src/log.rs
+++ b/src/base/log.rs
@@ -11,7 +11,7 @@
 use prometheus::IntCounter;
 use slog::{Drain, Level, Logger, OwnedKVList, Record, o};
 
-use crate::metrics::DaemonMetrics;
+use crate::base::metrics::DaemonMetrics;
 
 /// Bytes that wait to be written, at most; a burst's worth of a second or so.
 const MAX_WAITING: usize = 512 << 10;
--- a/src/wire.rs
+++ b/src/base/wire.rs
@@ -5,10 +5,10 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::clock::MicroTime;
-use crate::consts::MAX_HEAD;
-use crate::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
-use crate::outcome::{CallFate, ClaimRow};
+use crate::base::clock::MicroTime;
+use crate::base::consts::MAX_HEAD;
+use crate::base::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::decide::outcome::{CallFate, ClaimRow};
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug, Snafu)]
--- a/src/attempt.rs
+++ b/src/call/attempt.rs
@@ -10,17 +10,17 @@
 use slog::info;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::clock::MicroTime;
-use crate::consts::REVOKE_MARGIN;
-use crate::entry::EntryDuty;
-use crate::h2io::{self, HeadReader};
-use crate::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
-use crate::intake::CallerCall;
-use crate::outcome::{CallFate, ClaimRow};
-use crate::reply::{self, EntryBody, GuardBody};
-use crate::selection::TargetPlace;
-use crate::watching;
-use crate::wire::{AnswerHead, CallHead, LoadWord, RefusalReason, RevokeHead, RevokeReply};
+use crate::base::clock::MicroTime;
+use crate::base::consts::REVOKE_MARGIN;
+use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::base::wire::{AnswerHead, CallHead, LoadWord, RefusalReason, RevokeHead, RevokeReply};
+use crate::call::entry::EntryDuty;
+use crate::call::h2io::{self, HeadReader};
+use crate::call::intake::CallerCall;
+use crate::call::reply::{self, EntryBody, GuardBody};
+use crate::call::watching;
+use crate::decide::outcome::{CallFate, ClaimRow};
+use crate::decide::selection::TargetPlace;
 
 /// Wait told to a caller whose target could not be reached, in milliseconds.
 const UNREACHABLE_RETRY_MS: u32 = 100;
--- a/src/entry.rs
+++ b/src/call/entry.rs
@@ -21,30 +21,30 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 
-use crate::attempt::{self, AttemptEnd};
-use crate::benefit;
-use crate::clock::{MicroTime, ProcessClock};
-use crate::config::FleetConfig;
-use crate::consts::SLOW_SENDER;
-use crate::control::DaemonReadiness;
-use crate::events::EntryEvent;
-use crate::headers::{self, HeaderNames};
-use crate::hedge;
-use crate::ids::{CentreName, ServiceName, TargetName};
-use crate::intake::{self, CallerCall, NOT_READY_RETRY_MS};
-use crate::member::FleetView;
-use crate::metrics::DaemonMetrics;
-use crate::outcome::{CallFate, ClaimRow, RowVerdict};
-use crate::pool::GuardPool;
-use crate::probe::ProbeBudget;
-use crate::reply::{self, EntryBody};
-use crate::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd};
-use crate::revision::ActiveRevision;
-use crate::ring::RingInbox;
-use crate::route_book::RouteBook;
-use crate::selection::{TargetPlace, TargetRegistry};
-use crate::settings::BudgetSettings;
-use crate::wire::{LoadWord, RefusalReason};
+use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::consts::SLOW_SENDER;
+use crate::base::ids::{CentreName, ServiceName, TargetName};
+use crate::base::metrics::DaemonMetrics;
+use crate::base::ring::RingInbox;
+use crate::base::wire::{LoadWord, RefusalReason};
+use crate::call::attempt::{self, AttemptEnd};
+use crate::call::headers::{self, HeaderNames};
+use crate::call::hedge;
+use crate::call::intake::{self, CallerCall, NOT_READY_RETRY_MS};
+use crate::call::pool::GuardPool;
+use crate::call::reply::{self, EntryBody};
+use crate::call::route_book::RouteBook;
+use crate::decide::benefit;
+use crate::decide::outcome::{CallFate, ClaimRow, RowVerdict};
+use crate::decide::probe::ProbeBudget;
+use crate::decide::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd};
+use crate::decide::selection::{TargetPlace, TargetRegistry};
+use crate::fleet::member::FleetView;
+use crate::process::control::DaemonReadiness;
+use crate::process::events::EntryEvent;
+use crate::process::settings::BudgetSettings;
+use crate::rules::config::FleetConfig;
+use crate::rules::revision::ActiveRevision;
 
 /// When to come back while an earlier call with the key still runs.
 const RUNNING_RETRY_MS: u32 = 500;
@@ -152,7 +152,7 @@
         logger,
     });
     spawn_local(Rc::clone(&duty).accept(listener));
-    spawn_local(crate::measure::hear_replies(Rc::clone(&duty)));
+    spawn_local(crate::call::measure::hear_replies(Rc::clone(&duty)));
     loop {
         duty.handle(inbox.next().await);
     }
@@ -345,7 +345,7 @@
             let Some(chosen) = self.choose(&call, &tried) else {
                 return failure.unwrap_or_else(|| give_up(course.give_up(), refusal));
             };
-            crate::measure::probe_some(self, &call.service);
+            crate::call::measure::probe_some(self, &call.service);
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
             let last = course.is_last_try() || chosen.others == 0;
--- a/src/guarded_call.rs
+++ b/src/call/guarded_call.rs
@@ -13,17 +13,17 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
-use crate::claim::{ClaimReply, ClaimRequest};
-use crate::consts::{CLAIM_TIMEOUT, SLOW_SENDER};
-use crate::events::PlatformEvent;
-use crate::guard::{GuardDuty, LEAVING_RETRY_MS, StartSignal};
-use crate::h2io::{self, HeadReader, StreamError};
-use crate::ids::CallId;
-use crate::outcome::{CallFate, ClaimRow, ClaimState};
-use crate::served::{ClaimPlace, HeldClaim, ServedCall};
-use crate::table::TableWrite;
-use crate::wire::{AnswerHead, CallHead, KeyClaim, RefusalReason, RevokeHead, RevokeReply};
+use crate::base::consts::{CLAIM_TIMEOUT, SLOW_SENDER};
+use crate::base::ids::CallId;
+use crate::base::wire::{AnswerHead, CallHead, KeyClaim, RefusalReason, RevokeHead, RevokeReply};
+use crate::call::guard::{GuardDuty, LEAVING_RETRY_MS, StartSignal};
+use crate::call::h2io::{self, HeadReader, StreamError};
+use crate::call::served::{ClaimPlace, HeldClaim, ServedCall};
+use crate::decide::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
+use crate::decide::outcome::{CallFate, ClaimRow, ClaimState};
+use crate::process::events::PlatformEvent;
+use crate::store::claim::{ClaimReply, ClaimRequest};
+use crate::store::table::TableWrite;
 
 /// When to come back after the table did not accept a claim, in milliseconds.
 const PLATFORM_RETRY_MS: u32 = 1_000;
--- a/src/h2io.rs
+++ b/src/call/h2io.rs
@@ -12,8 +12,8 @@
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::consts::MAX_HEAD;
-use crate::wire::{self, WireError};
+use crate::base::consts::MAX_HEAD;
+use crate::base::wire::{self, WireError};
 
 /// Length of the number that precedes a head, in bytes.
 const PREFIX: usize = 4;
--- a/src/health.rs
+++ b/src/call/health.rs
@@ -15,14 +15,14 @@
 use slog::info;
 use tokio::time::timeout;
 
-use crate::adapter::TargetReport;
-use crate::clock::MicroTime;
-use crate::guard::GuardDuty;
-use crate::headers;
-use crate::ids::{ServiceName, TargetName};
-use crate::lease::TargetCondition;
-use crate::local_target::TargetAnnouncement;
-use crate::target_call;
+use crate::base::clock::MicroTime;
+use crate::base::ids::{ServiceName, TargetName};
+use crate::call::guard::GuardDuty;
+use crate::call::headers;
+use crate::call::local_target::TargetAnnouncement;
+use crate::call::target_call;
+use crate::decide::lease::TargetCondition;
+use crate::process::adapter::TargetReport;
 
 /// Time after its last call that a target counts as in use.
 const IN_USE: MicroTime = MicroTime::from_millis(1_000);
--- a/src/hedge.rs
+++ b/src/call/hedge.rs
@@ -8,13 +8,13 @@
 use slog::info;
 use tokio::time::timeout;
 
-use crate::attempt::{self, AttemptEnd};
-use crate::clock::MicroTime;
-use crate::config::HedgeRule;
-use crate::entry::{ChosenTarget, EntryDuty};
-use crate::ids::TargetName;
-use crate::intake::CallerCall;
-use crate::retry::{CallCourse, RetryBudget, hedge_after};
+use crate::base::clock::MicroTime;
+use crate::base::ids::TargetName;
+use crate::call::attempt::{self, AttemptEnd};
+use crate::call::entry::{ChosenTarget, EntryDuty};
+use crate::call::intake::CallerCall;
+use crate::decide::retry::{CallCourse, RetryBudget, hedge_after};
+use crate::rules::config::HedgeRule;
 
 /// How much longer than usual a try may take before it is hedged.
 const USUAL_FACTOR: f64 = 1.5;
--- a/src/intake.rs
+++ b/src/call/intake.rs
@@ -9,16 +9,16 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::benefit;
-use crate::clock::MicroTime;
-use crate::config::{CallTerms, FleetConfig};
-use crate::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
-use crate::entry::EntryDuty;
-use crate::headers;
-use crate::ids::{AccountName, ServiceName};
-use crate::reply::{self, EntryBody};
-use crate::selection::SelectionPolicy;
-use crate::wire::KeyClaim;
+use crate::base::clock::MicroTime;
+use crate::base::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
+use crate::base::ids::{AccountName, ServiceName};
+use crate::base::wire::KeyClaim;
+use crate::call::entry::EntryDuty;
+use crate::call::headers;
+use crate::call::reply::{self, EntryBody};
+use crate::decide::benefit;
+use crate::decide::selection::SelectionPolicy;
+use crate::rules::config::{CallTerms, FleetConfig};
 
 /// When to come back to a daemon that is not ready, in milliseconds.
 pub(crate) const NOT_READY_RETRY_MS: u32 = 500;
--- a/src/local_target.rs
+++ b/src/call/local_target.rs
@@ -6,11 +6,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::admission::AdmissionQueue;
-use crate::clock::MicroTime;
-use crate::ids::{ServiceName, TargetName};
-use crate::lease::{TargetCondition, TargetLease};
-use crate::wire::LoadWord;
+use crate::base::clock::MicroTime;
+use crate::base::ids::{ServiceName, TargetName};
+use crate::base::wire::LoadWord;
+use crate::decide::admission::AdmissionQueue;
+use crate::decide::lease::{TargetCondition, TargetLease};
 
 /// A target's announcement, and its heartbeat.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/src/measure.rs
+++ b/src/call/measure.rs
@@ -4,10 +4,10 @@
 
 use rand::RngExt;
 
-use crate::consts::MAX_DATAGRAM;
-use crate::entry::EntryDuty;
-use crate::ids::ServiceName;
-use crate::wire::{self, ProbeReply, ProbeRequest};
+use crate::base::consts::MAX_DATAGRAM;
+use crate::base::ids::ServiceName;
+use crate::base::wire::{self, ProbeReply, ProbeRequest};
+use crate::call::entry::EntryDuty;
 
 /// Bytes that a reply is longer than its request, at most.
 const REPLY_EXTRA: u32 = 32;
--- a/src/pool.rs
+++ b/src/call/pool.rs
@@ -13,9 +13,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::h2io::{self, HeadReader};
-use crate::ids::DaemonIncarnation;
-use crate::silence::{SilenceLimits, notice_silence};
+use crate::base::ids::DaemonIncarnation;
+use crate::call::h2io::{self, HeadReader};
+use crate::call::silence::{SilenceLimits, notice_silence};
 
 /// Longest wait for a connection to a guard; a host that has no power answers
 /// nothing, and a call that waits for it is late.
--- a/src/reply.rs
+++ b/src/call/reply.rs
@@ -8,10 +8,10 @@
 use http::{HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 
-use crate::h2io;
-use crate::headers;
-use crate::outcome::RecordedAnswer;
-use crate::wire::AnswerHead;
+use crate::base::wire::AnswerHead;
+use crate::call::h2io;
+use crate::call::headers;
+use crate::decide::outcome::RecordedAnswer;
 
 /// What the system says became of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/route_book.rs
+++ b/src/call/route_book.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 
-use crate::benefit::CallOutlook;
-use crate::clock::MicroTime;
-use crate::config::CallTerms;
-use crate::intake::CallerCall;
+use crate::base::clock::MicroTime;
+use crate::call::intake::CallerCall;
+use crate::decide::benefit::CallOutlook;
+use crate::rules::config::CallTerms;
 
 /// Weight of the newest call in the smoothed figures of its route.
 const NEWEST: f64 = 0.1;
--- a/src/served.rs
+++ b/src/call/served.rs
@@ -13,18 +13,18 @@
 use slog::info;
 use tokio::time::{sleep_until, timeout};
 
-use crate::admission::AdmissionEvent;
-use crate::clock::MicroTime;
-use crate::consts::{BODY_STALL, MAX_DEADLINE_MS, MAX_RECORDED_BODY};
-use crate::guard::{GuardDuty, LEAVING_RETRY_MS};
-use crate::h2io;
-use crate::headers;
-use crate::ids::{CallId, ServiceName, TargetName};
-use crate::outcome::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
-use crate::table::TableWrite;
-use crate::target_call::{self, AnswerMeaning, TargetAnswer};
-use crate::target_pool::TargetFailure;
-use crate::wire::{AnswerHead, CallHead, RefusalReason};
+use crate::base::clock::MicroTime;
+use crate::base::consts::{BODY_STALL, MAX_DEADLINE_MS, MAX_RECORDED_BODY};
+use crate::base::ids::{CallId, ServiceName, TargetName};
+use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
+use crate::call::guard::{GuardDuty, LEAVING_RETRY_MS};
+use crate::call::h2io;
+use crate::call::headers;
+use crate::call::target_call::{self, AnswerMeaning, TargetAnswer};
+use crate::call::target_pool::TargetFailure;
+use crate::decide::admission::AdmissionEvent;
+use crate::decide::outcome::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
+use crate::store::table::TableWrite;
 
 /// Time a call that must not repeat may run on after its deadline.
 const OVERTIME: Duration = Duration::from_secs(60);
--- a/src/target_call.rs
+++ b/src/call/target_call.rs
@@ -7,10 +7,10 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use crate::consts::MAX_WHOLE_ANSWER;
-use crate::headers::{self, HeaderNames};
-use crate::target_pool::{BusyConnection, TargetFailure};
-use crate::wire::CallHead;
+use crate::base::consts::MAX_WHOLE_ANSWER;
+use crate::base::wire::CallHead;
+use crate::call::headers::{self, HeaderNames};
+use crate::call::target_pool::{BusyConnection, TargetFailure};
 
 /// Parts of a load header: running, waiting, slots, slowness in percent.
 const LOAD_PARTS: usize = 4;
--- a/src/target_life.rs
+++ b/src/call/target_life.rs
@@ -5,12 +5,12 @@
 
 use slog::info;
 
-use crate::adapter::TargetReport;
-use crate::events::PeersEvent;
-use crate::guard::GuardDuty;
-use crate::ids::TargetName;
-use crate::local_target::{LocalTarget, TargetAnnouncement};
-use crate::member::TargetNotice;
+use crate::base::ids::TargetName;
+use crate::call::guard::GuardDuty;
+use crate::call::local_target::{LocalTarget, TargetAnnouncement};
+use crate::fleet::member::TargetNotice;
+use crate::process::adapter::TargetReport;
+use crate::process::events::PeersEvent;
 
 /// Ended targets remembered; a host has one target at a time.
 const MAX_ENDED: usize = 64;
--- a/src/target_pool.rs
+++ b/src/call/target_pool.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::silence::{SilenceLimits, notice_silence};
+use crate::call::silence::{SilenceLimits, notice_silence};
 
 /// Longest wait for a connection to a target on the same host.
 const TARGET_CONNECT: Duration = Duration::from_millis(300);
@@ -133,7 +133,7 @@
 
 /// Returns how long a connection may stay unused; nothing if it will close.
 fn keep_time(headers: &HeaderMap) -> Option<Duration> {
-    let text = |name: &str| crate::headers::text(headers, name).unwrap_or_default();
+    let text = |name: &str| crate::call::headers::text(headers, name).unwrap_or_default();
     if text("connection").to_ascii_lowercase().contains("close") {
         return None;
     }
--- a/src/watching.rs
+++ b/src/call/watching.rs
@@ -16,12 +16,12 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::entry::EntryDuty;
-use crate::guard::GuardDuty;
-use crate::h2io::{self, HeadReader};
-use crate::ids::{ServiceName, TargetName};
-use crate::selection::TargetPlace;
-use crate::wire::{LoadWord, WatchHead};
+use crate::base::ids::{ServiceName, TargetName};
+use crate::base::wire::{LoadWord, WatchHead};
+use crate::call::entry::EntryDuty;
+use crate::call::guard::GuardDuty;
+use crate::call::h2io::{self, HeadReader};
+use crate::decide::selection::TargetPlace;
 
 /// Bytes of one word on its stream, with the frame around it.
 pub(crate) const WORD_BYTES: u32 = 50;
--- a/src/cli.rs
+++ b/src/command/cli.rs
@@ -9,13 +9,13 @@
 use serde::Serialize;
 use serde_json::json;
 
-use crate::config::FleetConfig;
-use crate::findings::{FileFinding, FindingList, TextPlace};
-use crate::operator::{self, OperatorError};
+use crate::base::findings::{FileFinding, FindingList, TextPlace};
+use crate::command::operator::{self, OperatorError};
+use crate::command::story::RequestStory;
 use crate::platform::open_store;
-use crate::publish::{self, PublishError};
-use crate::settings::{DaemonSettings, is_settings};
-use crate::story::RequestStory;
+use crate::process::settings::{DaemonSettings, is_settings};
+use crate::rules::config::FleetConfig;
+use crate::rules::publish::{self, PublishError};
 
 /// How a command ended, as its exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/operator.rs
+++ b/src/command/operator.rs
@@ -14,8 +14,8 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
-use crate::ids::{CentreName, HostName, ServiceName, TargetName};
-use crate::member::{FleetView, MemberState};
+use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
+use crate::fleet::member::{FleetView, MemberState};
 
 /// Longest wait for one daemon.
 const DAEMON_TIMEOUT: Duration = Duration::from_secs(3);
@@ -162,7 +162,7 @@
 /// Fails when no daemon has the target, or its daemon can't be reached.
 pub async fn drain(daemon: SocketAddr, target: &str, on: bool) -> Result<HostName, OperatorError> {
     let view = read_members(daemon).await?;
-    let has = |notice: &crate::member::TargetNotice| notice.name.as_str() == target;
+    let has = |notice: &crate::fleet::member::TargetNotice| notice.name.as_str() == target;
     let member = view.serving().find(|member| member.targets.iter().any(has));
     let member = member.ok_or_else(|| OperatorError::NoTarget { target: target.to_owned() })?;
     let path = format!("/drain?target={target}&on={on}");
--- a/src/story.rs
+++ b/src/command/story.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 
-use crate::findings::{FileFinding, TextPlace};
+use crate::base::findings::{FileFinding, TextPlace};
 
 /// Fields that the story's first columns show.
 const COLUMNS: &[&str] = &["ts", "host", "msg"];
--- a/src/admission.rs
+++ b/src/decide/admission.rs
@@ -10,11 +10,11 @@
 
 use std::collections::HashMap;
 
-use crate::clock::MicroTime;
-use crate::host_speed::HostSpeed;
-use crate::ids::{AccountName, CallId};
-use crate::limit::ConcurrencyLimit;
-use crate::wire::{CallPriority, LoadWord, RefusalReason};
+use crate::base::clock::MicroTime;
+use crate::base::ids::{AccountName, CallId};
+use crate::base::wire::{CallPriority, LoadWord, RefusalReason};
+use crate::decide::host_speed::HostSpeed;
+use crate::decide::limit::ConcurrencyLimit;
 
 /// Waiting calls for each slot of the target.
 const QUEUE_PER_SLOT: usize = 2;
--- a/src/benefit.rs
+++ b/src/decide/benefit.rs
@@ -9,9 +9,9 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-use crate::clock::MicroTime;
-use crate::host_speed::USUAL_PERCENT;
-use crate::selection::{SelectionInput, SelectionPolicy, TargetRecord, half_life};
+use crate::base::clock::MicroTime;
+use crate::decide::host_speed::USUAL_PERCENT;
+use crate::decide::selection::{SelectionInput, SelectionPolicy, TargetRecord, half_life};
 
 /// Name of the policy.
 pub const BENEFIT_POLICY: &str = "expected_benefit";
--- a/src/clock_lead.rs
+++ b/src/decide/clock_lead.rs
@@ -8,7 +8,7 @@
 
 use serde::Serialize;
 
-use crate::clock::MicroTime;
+use crate::base::clock::MicroTime;
 
 /// How fast two clocks may part, as a part of the time that passes: ten times
 /// what quartz clocks do.
--- a/src/host_speed.rs
+++ b/src/decide/host_speed.rs
@@ -8,7 +8,7 @@
 //! call that begins in a slow spell holds its slot several times as long, and
 //! is late, where one that waits until the spell is over is in time.
 
-use crate::clock::MicroTime;
+use crate::base::clock::MicroTime;
 
 /// Slowness of a host at its usual speed, in percent.
 pub(crate) const USUAL_PERCENT: f64 = 100.0;
--- a/src/lease.rs
+++ b/src/decide/lease.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::MicroTime;
+use crate::base::clock::MicroTime;
 
 /// What a target says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/limit.rs
+++ b/src/decide/limit.rs
@@ -17,8 +17,8 @@
 
 use serde::Serialize;
 
-use crate::clock::MicroTime;
-use crate::selection::half_life;
+use crate::base::clock::MicroTime;
+use crate::decide::selection::half_life;
 
 /// Levels of crowding that are told apart, from [`LEAST_PART`] of the slots to
 /// all: steps of a sixteenth of the slots.
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,17 @@
+//! Every decision about a call: choose, admit, limit, retry, order, remember.
+//!
+//! Kernels only: plain structs driven by the time and an event, without clock,
+//! socket or runtime, so that tests play any order of events. They use `base`
+//! and the member records of `fleet`.
+
+pub(crate) mod admission;
+pub(crate) mod benefit;
+pub(crate) mod clock_lead;
+pub(crate) mod host_speed;
+pub(crate) mod lease;
+pub(crate) mod limit;
+pub(crate) mod outcome;
+pub(crate) mod pace;
+pub(crate) mod probe;
+pub(crate) mod retry;
+pub(crate) mod selection;
--- a/src/outcome.rs
+++ b/src/decide/outcome.rs
@@ -6,9 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::MicroTime;
-use crate::consts::{LEDGER_CAPACITY, LEDGER_RETENTION};
-use crate::ids::{CallId, DaemonIncarnation, HostName};
+use crate::base::clock::MicroTime;
+use crate::base::consts::{LEDGER_CAPACITY, LEDGER_RETENTION};
+use crate::base::ids::{CallId, DaemonIncarnation, HostName};
 
 /// Time after the deadline of a call that may run twice in which its entry may
 /// still ask for its fate: longer than such a question waits for its answer.
--- a/src/pace.rs
+++ b/src/decide/pace.rs
@@ -4,7 +4,7 @@
 //! waits longer and carries more in its next transaction; one that is not
 //! shortens its wait little by little.
 
-use crate::clock::MicroTime;
+use crate::base::clock::MicroTime;
 
 /// Shortest and longest wait between two transactions.
 const PAUSE_BOUNDS: (MicroTime, MicroTime) =
--- a/src/probe.rs
+++ b/src/decide/probe.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::clock::MicroTime;
+use crate::base::clock::MicroTime;
 
 /// Length of the window that the budget is set for.
 const WINDOW: MicroTime = MicroTime::from_millis(1_000);
--- a/src/retry.rs
+++ b/src/decide/retry.rs
@@ -6,8 +6,8 @@
 
 use serde::Serialize;
 
-use crate::clock::MicroTime;
-use crate::consts::MAX_ATTEMPTS;
+use crate::base::clock::MicroTime;
+use crate::base::consts::MAX_ATTEMPTS;
 
 /// Retries earned by one answered call, and retries that can be saved up.
 const RETRIES: (f64, f64) = (0.1, 10.0);
--- a/src/selection.rs
+++ b/src/decide/selection.rs
@@ -9,12 +9,12 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
-use crate::benefit::CallOutlook;
-use crate::clock::MicroTime;
-use crate::clock_lead::ClockLead;
-use crate::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
-use crate::member::FleetView;
-use crate::wire::LoadWord;
+use crate::base::clock::MicroTime;
+use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::base::wire::LoadWord;
+use crate::decide::benefit::CallOutlook;
+use crate::decide::clock_lead::ClockLead;
+use crate::fleet::member::FleetView;
 
 /// Name of the policy of a template that names none.
 pub const DEFAULT_POLICY: &str = "expected_completion";
--- a/src/follow.rs
+++ b/src/fleet/follow.rs
@@ -6,8 +6,8 @@
 //! daemons choose the same few from what gossip tells them; one that lost the
 //! store says so, and the next in order takes its place.
 
-use crate::ids::HostName;
-use crate::member::{MemberRecord, MemberState};
+use crate::base::ids::HostName;
+use crate::fleet::member::{MemberRecord, MemberState};
 
 /// Daemons that follow the store, at most.
 ///
--- a/src/member.rs
+++ b/src/fleet/member.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 
 /// Buckets that full exchanges compare.
 pub const SYNC_BUCKETS: usize = 64;
--- a/src/membership.rs
+++ b/src/fleet/membership.rs
@@ -13,14 +13,14 @@
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
 
-use crate::clock::MicroTime;
-use crate::consts::{GOSSIP_PERIOD, MAX_DATAGRAM, SUSPECT_PERIODS};
-use crate::follow;
-use crate::ids::HostName;
-use crate::member::{
+use crate::base::clock::MicroTime;
+use crate::base::consts::{GOSSIP_PERIOD, MAX_DATAGRAM, SUSPECT_PERIODS};
+use crate::base::ids::HostName;
+use crate::base::wire;
+use crate::fleet::follow;
+use crate::fleet::member::{
     FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
-use crate::wire;
 
 /// Daemons asked to probe on one's behalf.
 const INDIRECT: usize = 3;
--- a/src/peers.rs
+++ b/src/fleet/peers.rs
@@ -17,16 +17,16 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::clock::{MicroTime, ProcessClock};
-use crate::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
-use crate::events::{EntryEvent, PeersEvent, PlatformEvent};
-use crate::member::{GossipMessage, MemberRecord};
-use crate::membership::{MembershipAction, MembershipEvent, MembershipState};
-use crate::metrics::DaemonMetrics;
-use crate::revision::{ActiveRevision, unpack};
-use crate::ring::{RingInbox, RingSender};
-use crate::rpc;
-use crate::wire;
+use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
+use crate::base::metrics::DaemonMetrics;
+use crate::base::ring::{RingInbox, RingSender};
+use crate::base::wire;
+use crate::fleet::member::{GossipMessage, MemberRecord};
+use crate::fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
+use crate::fleet::rpc;
+use crate::process::events::{EntryEvent, PeersEvent, PlatformEvent};
+use crate::rules::revision::{ActiveRevision, unpack};
 
 /// Peers a fresh daemon asks before it serves.
 const JOIN_PEERS: usize = 3;
--- a/src/rpc.rs
+++ b/src/fleet/rpc.rs
@@ -16,11 +16,11 @@
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::h2io::{self, ByteStream};
-use crate::member::MemberRecord;
-use crate::membership::MembershipEvent;
-use crate::peers::PeersDuty;
-use crate::revision::RevisionHead;
+use crate::call::h2io::{self, ByteStream};
+use crate::fleet::member::MemberRecord;
+use crate::fleet::membership::MembershipEvent;
+use crate::fleet::peers::PeersDuty;
+use crate::rules::revision::RevisionHead;
 
 /// Largest message, in bytes: all members of a fleet many times the size.
 const MAX_MESSAGE: usize = 16 << 20;
--- a/src/adapter.rs
+++ b/src/process/adapter.rs
@@ -4,10 +4,10 @@
 
 use http::{Method, StatusCode};
 
-use crate::consts::TARGET_LEASE;
-use crate::headers::HeaderNames;
-use crate::ids::TargetName;
-use crate::local_target::TargetAnnouncement;
+use crate::base::consts::TARGET_LEASE;
+use crate::base::ids::TargetName;
+use crate::call::headers::HeaderNames;
+use crate::call::local_target::TargetAnnouncement;
 
 /// The adapter of one kind of platform; a table that never changes.
 #[derive(Debug)]
--- a/src/admin.rs
+++ b/src/process/admin.rs
@@ -14,14 +14,14 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
-use crate::httpd;
-use crate::ids::{HostName, TargetName};
-use crate::local_target::TargetAnnouncement;
-use crate::member::FleetView;
-use crate::metrics::DaemonMetrics;
-use crate::revision::RevisionHead;
-use crate::ring::{RingInbox, RingSender};
+use crate::base::ids::{HostName, TargetName};
+use crate::base::metrics::DaemonMetrics;
+use crate::base::ring::{RingInbox, RingSender};
+use crate::call::local_target::TargetAnnouncement;
+use crate::fleet::member::FleetView;
+use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::process::httpd;
+use crate::rules::revision::RevisionHead;
 
 /// Longest wait for another duty's answer.
 const DUTY_TIMEOUT: Duration = Duration::from_secs(2);
--- a/src/control.rs
+++ b/src/process/control.rs
@@ -10,11 +10,11 @@
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
-use crate::adapter::{ControlRequest, DeploymentAdapter};
-use crate::admin::ask;
-use crate::events::GuardEvent;
-use crate::httpd;
-use crate::ring::RingSender;
+use crate::base::ring::RingSender;
+use crate::process::adapter::{ControlRequest, DeploymentAdapter};
+use crate::process::admin::ask;
+use crate::process::events::GuardEvent;
+use crate::process::httpd;
 
 /// Whether a daemon takes new calls; shared by its duties.
 #[derive(Clone, Debug, Default)]
--- a/src/events.rs
+++ b/src/process/events.rs
@@ -9,15 +9,15 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
-use crate::adapter::TargetReport;
-use crate::claim::ClaimRequest;
-use crate::config::FleetConfig;
-use crate::ids::TargetName;
-use crate::local_target::TargetAnnouncement;
-use crate::member::{FleetView, MemberRecord, TargetNotice};
-use crate::retry::RetryShare;
-use crate::revision::{ActiveRevision, RevisionHead};
-use crate::table::TableWrite;
+use crate::base::ids::TargetName;
+use crate::call::local_target::TargetAnnouncement;
+use crate::decide::retry::RetryShare;
+use crate::fleet::member::{FleetView, MemberRecord, TargetNotice};
+use crate::process::adapter::TargetReport;
+use crate::rules::config::FleetConfig;
+use crate::rules::revision::{ActiveRevision, RevisionHead};
+use crate::store::claim::ClaimRequest;
+use crate::store::table::TableWrite;
 
 /// What others tell the entry.
 #[derive(Debug)]
--- a/src/httpd.rs
+++ b/src/process/httpd.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::consts::SLOW_SENDER;
+use crate::base::consts::SLOW_SENDER;
 
 /// Longest body that these services take, in bytes.
 const MAX_BODY: usize = 64 << 10;
--- a/src/listen.rs
+++ b/src/process/listen.rs
@@ -6,12 +6,12 @@
 use snafu::{ResultExt, Snafu};
 use tokio::task::spawn_local;
 
-use crate::adapter::DeploymentAdapter;
-use crate::control::{self, DaemonReadiness};
-use crate::daemon::DaemonAddresses;
-use crate::events::GuardEvent;
-use crate::ring::RingSender;
-use crate::settings::{DaemonSettings, DeploymentSettings};
+use crate::base::ring::RingSender;
+use crate::process::adapter::DeploymentAdapter;
+use crate::process::control::{self, DaemonReadiness};
+use crate::process::daemon::DaemonAddresses;
+use crate::process::events::GuardEvent;
+use crate::process::settings::{DaemonSettings, DeploymentSettings};
 
 /// Tries to find a port that is free for TCP and UDP alike.
 const PORT_TRIES: u32 = 32;
--- a/src/reload.rs
+++ b/src/process/reload.rs
@@ -4,12 +4,12 @@
 
 use slog::{Logger, info, warn};
 
-use crate::adapter::{DeploymentAdapter, DeploymentTerms};
-use crate::admin::AdminRings;
-use crate::events::{EntryEvent, GuardEvent};
-use crate::findings::FindingList;
-use crate::retry::RetryShare;
-use crate::settings::DaemonSettings;
+use crate::base::findings::FindingList;
+use crate::decide::retry::RetryShare;
+use crate::process::adapter::{DeploymentAdapter, DeploymentTerms};
+use crate::process::admin::AdminRings;
+use crate::process::events::{EntryEvent, GuardEvent};
+use crate::process::settings::DaemonSettings;
 
 /// Part of the fleet's further tries that the daemons share out.
 ///
--- a/src/settings.rs
+++ b/src/process/settings.rs
@@ -4,9 +4,9 @@
 
 use serde::Deserialize;
 
-use crate::findings::FindingList;
-use crate::ids::{CentreName, HostName, ServiceName};
-use crate::schema::{CheckedText, FieldKind, FieldRule};
+use crate::base::findings::FindingList;
+use crate::base::ids::{CentreName, HostName, ServiceName};
+use crate::rules::schema::{CheckedText, FieldKind, FieldRule};
 
 /// What a daemon learns from its settings file.
 #[derive(Clone, Debug, Deserialize)]
@@ -161,7 +161,7 @@
 /// Tells whether a file holds settings rather than templates.
 #[must_use]
 pub fn is_settings(text: &str) -> bool {
-    let keys = crate::schema::top_keys(text);
+    let keys = crate::rules::schema::top_keys(text);
     let template_key = |key: &String| key == "services" || key == "accounts";
     !keys.iter().any(template_key)
 }
--- a/src/stop.rs
+++ b/src/process/stop.rs
@@ -5,10 +5,10 @@
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 
-use crate::adapter::DeploymentTerms;
-use crate::admin::AdminRings;
-use crate::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
-use crate::settings::DaemonSettings;
+use crate::process::adapter::DeploymentTerms;
+use crate::process::admin::AdminRings;
+use crate::process::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::process::settings::DaemonSettings;
 
 /// Time for the good-bye to reach some peers.
 const GOODBYE: Duration = Duration::from_millis(300);
--- a/src/config.rs
+++ b/src/rules/config.rs
@@ -8,13 +8,13 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
-use crate::findings::{FindingList, nearest};
-use crate::ids::{AccountName, ServiceName};
-use crate::route::{CallerLimits, HealthCheck, RouteIndex, RouteRule};
-use crate::schema::{CheckedText, FieldKind, FieldRule};
-use crate::selection::{self, SelectionPolicy};
-use crate::wire::CallPriority;
+use crate::base::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
+use crate::base::findings::{FindingList, nearest};
+use crate::base::ids::{AccountName, ServiceName};
+use crate::base::wire::CallPriority;
+use crate::decide::selection::{self, SelectionPolicy};
+use crate::rules::route::{CallerLimits, HealthCheck, RouteIndex, RouteRule};
+use crate::rules::schema::{CheckedText, FieldKind, FieldRule};
 
 /// Everything that one revision sets.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/src/rules/mod.rs
@@ -0,0 +1,10 @@
+//! What operators and callers may ask for: configuration, routes, revisions.
+//!
+//! Everything is checked when it is read; all findings are reported together,
+//! each with its place. A revision in force is never followed by an older one.
+
+pub(crate) mod config;
+pub(crate) mod publish;
+pub(crate) mod revision;
+pub(crate) mod route;
+pub(crate) mod schema;
--- a/src/publish.rs
+++ b/src/rules/publish.rs
@@ -3,9 +3,9 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
-use crate::config::FleetConfig;
-use crate::revision::RevisionHead;
-use crate::table::{PlatformClient, PlatformError, TableRow, TableWrite};
+use crate::rules::config::FleetConfig;
+use crate::rules::revision::RevisionHead;
+use crate::store::table::{PlatformClient, PlatformError, TableRow, TableWrite};
 
 /// Key of the head row.
 pub const HEAD_KEY: &str = "config-head";
--- a/src/revision.rs
+++ b/src/rules/revision.rs
@@ -7,7 +7,7 @@
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
-use crate::config::FleetConfig;
+use crate::rules::config::FleetConfig;
 
 /// Largest body taken from a peer, in bytes.
 const MAX_BODY: u64 = 64 << 20;
--- a/src/route.rs
+++ b/src/rules/route.rs
@@ -8,10 +8,10 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-use crate::config::{CallTerms, FleetConfig, HedgeRule};
-use crate::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
-use crate::ids::ServiceName;
-use crate::wire::CallPriority;
+use crate::base::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
+use crate::base::ids::ServiceName;
+use crate::base::wire::CallPriority;
+use crate::rules::config::{CallTerms, FleetConfig, HedgeRule};
 
 /// Rank of a route from which on it is not urgent; zero is the most urgent.
 const FIRST_ROUTINE_RANK: u8 = 1;
--- a/src/schema.rs
+++ b/src/rules/schema.rs
@@ -6,7 +6,7 @@
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
-use crate::findings::{FileFinding, TextPlace, nearest};
+use crate::base::findings::{FileFinding, TextPlace, nearest};
 
 /// One field that an object may have.
 #[derive(Debug)]
--- a/src/claim.rs
+++ b/src/store/claim.rs
@@ -2,8 +2,8 @@
 
 use tokio::sync::oneshot;
 
-use crate::outcome::ClaimRow;
-use crate::table::{TableRow, TableWrite};
+use crate::decide::outcome::ClaimRow;
+use crate::store::table::{TableRow, TableWrite};
 
 /// A claim to be written.
 #[derive(Debug)]
--- a/src/durable.rs
+++ b/src/store/durable.rs
@@ -13,17 +13,17 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 
-use crate::claim::{ClaimReply, ClaimRequest, PendingWrite, parse_claim};
-use crate::clock::ProcessClock;
-use crate::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
-use crate::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
-use crate::member::MemberRecord;
-use crate::metrics::DaemonMetrics;
-use crate::pace::CommitPace;
-use crate::publish::{body_name, read_head};
-use crate::revision::{ActiveRevision, RevisionHead, RevisionState};
-use crate::ring::{RingInbox, RingSender};
-use crate::table::{
+use crate::base::clock::ProcessClock;
+use crate::base::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S, MAX_CLAIM_BATCH};
+use crate::base::metrics::DaemonMetrics;
+use crate::base::ring::{RingInbox, RingSender};
+use crate::decide::pace::CommitPace;
+use crate::fleet::member::MemberRecord;
+use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::rules::publish::{body_name, read_head};
+use crate::rules::revision::{ActiveRevision, RevisionHead, RevisionState};
+use crate::store::claim::{ClaimReply, ClaimRequest, PendingWrite, parse_claim};
+use crate::store::table::{
     CommitReply, ConfigNews, OperatorConfig, PlatformClient, PlatformError, TableWrite,
 };
 
@@ -400,7 +400,7 @@
             }
             Err(refusal) => {
                 drop(revisions);
-                if refusal != crate::revision::AdoptRefusal::Older {
+                if refusal != crate::rules::revision::AdoptRefusal::Older {
                     warn!(self.logger, "revision refused"; "revision" => head.revision, "why" => ?refusal);
                 }
             }
--- a/src/table.rs
+++ b/src/store/table.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use crate::config::FleetConfig;
+use crate::rules::config::FleetConfig;
 
 /// Why the platform did not do what it was asked.
 #[derive(Debug, Snafu)]
