Gossip keeps near, and counts what others told as told

Each change was told to 24 daemons by datagrams filled up with others' news, and answered by as many. Four in five of those bytes go to another data centre. Ruled out: calls (2 in 100 far), load reports (19 MB, near), connections (9,481). Change: probes go near four times in five; while a far member is in doubt every second one goes to its data centre. An update heard from others counts as told; an exchange settles what both know. What is told at once is a notice: the own record alone, no answer, to 16 near and 8 far; far ones pass it on to four neighbours. A daemon with much to spread exchanges with neighbours every 500 ms instead; a fresh one meets neighbours first.

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -76,10 +76,21 @@
     }
 
     /// Tells whether the daemon may serve.
-    pub(crate) fn is_up(&self) -> bool {
+    #[must_use]
+    pub fn is_up(&self) -> bool {
         matches!(self.state, MemberState::Alive | MemberState::Suspect)
     }
 
+    /// Tells whether it did not answer lately, and may be alive all the same.
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.state == MemberState::Suspect
+    }
+
+    /// Tells whether its host is in a data centre.
+    pub(crate) fn is_in(&self, centre: &CentreName) -> bool {
+        self.data_centre == *centre
+    }
+
     /// Returns the bucket that full exchanges count it in.
     pub(crate) fn bucket(&self) -> usize {
         let hash = blake3::hash(self.host.as_str().as_bytes());
@@ -115,6 +126,8 @@
         /// The member that answered.
         host: HostName,
     },
+    /// Only told, not asked: no answer is wanted.
+    Notice,
 }
 
 /// One gossip datagram.
--- a/src/fleet/membership.rs
+++ b/src/fleet/membership.rs
@@ -6,7 +6,7 @@
 //! the fleet. The dead are remembered and tried now and then, so that regions
 //! that lost each other meet again.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use rand::RngExt;
@@ -14,34 +14,59 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::base::clock::MicroTime;
-use crate::base::consts::{GOSSIP_PERIOD, MAX_DATAGRAM, SUSPECT_PERIODS};
+use crate::base::consts::{GOSSIP_PERIOD, SUSPECT_PERIODS};
 use crate::base::ids::HostName;
-use crate::base::wire;
 use crate::fleet::follow;
 use crate::fleet::member::{
     FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
+use crate::fleet::news::NewsBook;
+use crate::fleet::rounds::ProbeRounds;
 
-/// Daemons asked to probe on one's behalf.
-const INDIRECT: usize = 3;
+/// Daemons asked to probe on one's behalf: one on another way than the own data
+/// centre's.
+const INDIRECT: PeerCounts = PeerCounts { near: 2, far: 1 };
 
-/// Daemons that are told at once of a change that a daemon makes itself.
+/// Daemons that are told at once of a change that a daemon makes itself, in the
+/// own data centre and in others.
 ///
-/// Reaches all of a small fleet in one step; in a large one gossip does the
-/// rest, and the cost stays the same.
-const TOLD_AT_ONCE: usize = 24;
+/// Reaches all of a fleet of 13 in one step. In a large one it is where gossip
+/// starts from: some in each data centre.
+const TOLD_AT_ONCE: PeerCounts = PeerCounts { near: 16, far: 8 };
+
+/// Neighbours that hear at once what another data centre told of itself first
+/// hand: a data centre of 59 then knows it as soon as that where it happened.
+const RELAYED: PeerCounts = PeerCounts { near: 4, far: 0 };
 
 /// Daemons that each daemon tells at once of a revision that it adopts.
 ///
-/// So it is known everywhere after a few steps, whoever heard of it first.
-const TOLD_OF_REVISION: usize = 4;
+/// So it is known everywhere after a few steps, whoever heard of it first, and
+/// mostly fetched from a neighbour.
+const TOLD_OF_REVISION: PeerCounts = PeerCounts { near: 3, far: 1 };
+
+/// Updates still to be spread from which on a full exchange is cheaper: more
+/// than gossip carries in two periods.
+const BULK_NEWS: usize = 32;
+
+/// Least time between two full exchanges that one daemon starts while it has
+/// that much to spread. Each doubles what it knows, or more.
+const BULK_SYNC_EVERY: MicroTime = MicroTime::from_millis(500);
 
-/// How often an update is sent, as a multiple of log2 of the fleet's size.
-const SPREAD: u32 = 3;
+/// Least time between two full exchanges with other data centres: gossip carries
+/// what is new there, an exchange is for what it lost.
+const FAR_SYNC_EVERY: MicroTime = MicroTime::from_millis(15_000);
+
+/// Time after the start until the first of them: by then neighbours have told all
+/// that they know, and only the rest has to cross.
+const FIRST_FAR_SYNC: MicroTime = MicroTime::from_millis(3_000);
 
 /// Periods between two probes of a dead member.
 const DEAD_EVERY: u64 = 2;
 
+/// Time after a death in which more of the same data centre are looked for: two
+/// rounds of probes of a data centre of ten by as many daemons of another.
+const DOUBT_LASTS: MicroTime = MicroTime::from_millis(10_000);
+
 /// Time a dead member is remembered: longer than regions stay apart.
 const DEAD_KEPT: MicroTime = MicroTime::from_millis(4 * 3_600_000);
 
@@ -49,10 +74,7 @@
 const LEFT_KEPT: MicroTime = MicroTime::from_millis(600_000);
 
 /// Least time between two full exchanges that one daemon starts.
-const SYNC_EVERY: MicroTime = MicroTime::from_millis(15_000);
-
-/// Bytes of a datagram that are not updates.
-const ENVELOPE: usize = 128;
+const SYNC_EVERY: MicroTime = MicroTime::from_millis(5_000);
 
 /// What happens to the membership of one daemon.
 #[derive(Clone, Debug)]
@@ -110,13 +132,33 @@
     },
 }
 
+/// So many daemons of the own data centre and of others.
+#[derive(Clone, Copy, Debug)]
+struct PeerCounts {
+    near: usize,
+    far: usize,
+}
+
+/// Another daemon.
 #[derive(Clone, Debug)]
-struct KnownMember {
-    record: MemberRecord,
+pub(super) struct KnownMember {
+    pub(super) record: MemberRecord,
     /// When the present state began.
     since: MicroTime,
 }
 
+impl KnownMember {
+    /// Tells whether it is in doubt, or was just found dead: others beside it
+    /// may have been lost with it.
+    pub(super) fn is_in_doubt(&self, now: MicroTime) -> bool {
+        match self.record.state {
+            MemberState::Suspect => true,
+            MemberState::Dead => now.since(self.since) < DOUBT_LASTS,
+            MemberState::Alive | MemberState::Left => false,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct OpenProbe {
     host: HostName,
@@ -143,16 +185,18 @@
 pub struct MembershipState {
     own: MemberRecord,
     members: BTreeMap<HostName, KnownMember>,
-    /// Updates still to be spread, with how often each was sent.
-    news: HashMap<HostName, u32>,
-    /// Members yet to be probed in this round.
-    round: Vec<HostName>,
+    /// Updates still to be spread.
+    news: NewsBook,
+    rounds: ProbeRounds,
     probe: Option<OpenProbe>,
     proxies: Vec<ProxyProbe>,
     number: u64,
     period: u64,
     next_period: MicroTime,
     next_sync: MicroTime,
+    next_far_sync: MicroTime,
+    /// Strangers that this daemon may still introduce itself to.
+    introductions: PeerCounts,
     digest: u64,
     /// Set when the own record outbid another, until it was told at once.
     outbid: bool,
@@ -163,17 +207,19 @@
     #[must_use]
     pub fn open(own: MemberRecord) -> Self {
         let mut state = Self {
-            news: HashMap::from([(own.host.clone(), 0)]),
+            news: NewsBook::open(&own.host),
             digest: own.digest(),
             own,
             members: BTreeMap::new(),
-            round: Vec::new(),
+            rounds: ProbeRounds::default(),
             probe: None,
             proxies: Vec::new(),
             number: 0,
             period: 0,
             next_period: MicroTime(0),
             next_sync: MicroTime(0),
+            next_far_sync: MicroTime(0),
+            introductions: TOLD_AT_ONCE,
             outbid: false,
         };
         state.own.state = MemberState::Alive;
@@ -190,7 +236,9 @@
     ) {
         match event {
             MembershipEvent::Tick => self.tick(now, rng, out),
-            MembershipEvent::Message { from, message } => self.receive(now, from, message, out),
+            MembershipEvent::Message { from, message } => {
+                self.receive(now, from, message, rng, out);
+            }
             MembershipEvent::Local { targets, revision } => {
                 self.change_own(targets, revision, rng, out);
             }
@@ -263,6 +311,10 @@
             return;
         }
         self.next_period = now + GOSSIP_PERIOD.into();
+        if self.period == 0 {
+            // A fresh daemon learns from its neighbours first.
+            self.next_far_sync = now + FIRST_FAR_SYNC;
+        }
         self.period += 1;
         self.end_probe(now, out);
         self.age(now, out);
@@ -282,8 +334,9 @@
         probe.indirect = true;
         let (host, number) = (probe.host.clone(), probe.number);
         let Some(known) = self.members.get(&host) else { return };
-        let kind = GossipKind::PingFor { host: host.clone(), peer: known.record.peer };
+        let peer = known.record.peer;
         let others = self.sample_up(INDIRECT, &host, rng);
+        let kind = GossipKind::PingFor { host, peer };
         for to in others {
             let message = self.message(kind.clone(), number);
             out.push(MembershipAction::Send { to, message });
@@ -329,33 +382,20 @@
     }
 
     fn start_probe(&mut self, now: MicroTime, rng: &mut Pcg64Mcg, out: &mut Vec<MembershipAction>) {
-        if self.round.is_empty() {
-            let up = self.members.values().filter(|known| known.record.is_up());
-            self.round = up.map(|known| known.record.host.clone()).collect();
-            self.round.shuffle(rng);
-        }
-        while let Some(host) = self.round.pop() {
-            let Some(known) = self.members.get(&host) else { continue };
-            if !known.record.is_up() {
-                continue;
-            }
-            let to = known.record.peer;
-            let doubt = known.record.state == MemberState::Suspect;
-            self.number += 1;
-            self.probe = Some(OpenProbe {
-                host: host.clone(),
-                number: self.number,
-                sent: now,
-                indirect: false,
-            });
-            if doubt {
-                // A suspect must hear of it, so that it can refute.
-                self.news.entry(host).or_insert(0);
-            }
-            let message = self.message(GossipKind::Ping, self.number);
-            out.push(MembershipAction::Send { to, message });
-            return;
+        let centre = &self.own.data_centre;
+        let next = self.rounds.next(now, self.period, centre, &self.members, rng);
+        let Some(host) = next else { return };
+        let Some(known) = self.members.get(&host) else { return };
+        let to = known.record.peer;
+        if known.record.is_doubted() {
+            // A suspect must hear of it, so that it can refute.
+            self.news.keep(&host);
         }
+        self.number += 1;
+        let number = self.number;
+        self.probe = Some(OpenProbe { host, number, sent: now, indirect: false });
+        let message = self.message(GossipKind::Ping, number);
+        out.push(MembershipAction::Send { to, message });
     }
 
     fn try_dead(&mut self, rng: &mut Pcg64Mcg, out: &mut Vec<MembershipAction>) {
@@ -370,13 +410,10 @@
         }
         let record = dead[rng.random_range(0..dead.len())].clone();
         self.number += 1;
-        let mut message = self.message(GossipKind::Ping, self.number);
-        // First of all it must hear that it is held for dead.
         let to = record.peer;
-        message.updates.retain(|update| update.host != record.host);
-        message.updates.truncate(2);
-        message.updates.insert(0, record);
-        message.updates.insert(1, self.own.clone());
+        // First of all it must hear that it is held for dead.
+        let updates = vec![record, self.own.clone()];
+        let message = self.envelope(GossipKind::Ping, self.number, updates);
         out.push(MembershipAction::Send { to, message });
     }
 
@@ -385,19 +422,28 @@
         now: MicroTime,
         from: SocketAddr,
         message: GossipMessage,
+        rng: &mut Pcg64Mcg,
         out: &mut Vec<MembershipAction>,
     ) {
         let GossipMessage { from: sender, kind, number, revision, digest, updates } = message;
         let outdated = updates.iter().any(|record| self.is_outdated(&sender, record));
+        let mut relayed = Vec::new();
         for record in updates {
+            let first_hand = kind == GossipKind::Notice && record.host == sender;
+            if first_hand && self.is_far_news(&record) {
+                relayed.push(record.clone());
+            }
             self.learn(now, record, out);
         }
+        if !relayed.is_empty() {
+            let peers = self.sample_up(RELAYED, &sender, rng);
+            self.tell(peers, &relayed, out);
+        }
         match kind {
             GossipKind::Ping => {
-                let mut message = self.message(GossipKind::Ack, number);
-                if outdated && let Some(known) = self.members.get(&sender) {
-                    put_first(&mut message, &known.record);
-                }
+                let first = self.members.get(&sender).filter(|_| outdated);
+                let first = first.map(|known| known.record.clone());
+                let message = self.message_with(GossipKind::Ack, number, first);
                 out.push(MembershipAction::Send { to: from, message });
             }
             GossipKind::PingFor { peer, .. } => {
@@ -414,24 +460,51 @@
             }
             GossipKind::Ack => self.acknowledge(&sender, number, out),
             GossipKind::AckFor { host } => self.close_probe(&host, number),
+            GossipKind::Notice if outdated => {
+                if let Some(known) = self.members.get(&sender) {
+                    let updates = vec![known.record.clone()];
+                    let message = self.envelope(GossipKind::Notice, number, updates);
+                    out.push(MembershipAction::Send { to: from, message });
+                }
+            }
+            GossipKind::Notice => {}
         }
         if revision > self.own.revision
             && let Some(known) = self.members.get(&sender)
         {
             out.push(MembershipAction::NewerRevision { peer: known.record.peer });
         }
-        let settled = self.news.is_empty();
-        if digest != self.digest
-            && settled
-            && now >= self.next_sync
-            && let Some(known) = self.members.get(&sender)
-        {
-            // Not where the datagram came from: that may be a translated address.
-            self.next_sync = now + SYNC_EVERY;
-            out.push(MembershipAction::Sync { peer: known.record.peer });
+        if digest != self.digest {
+            self.sync_with(now, &sender, out);
         }
     }
 
+    /// Exchanges everything with who knows something else, unless gossip will do.
+    fn sync_with(&mut self, now: MicroTime, host: &HostName, out: &mut Vec<MembershipAction>) {
+        let Some(known) = self.members.get(host) else { return };
+        let bulk = self.news.len() >= BULK_NEWS;
+        if now < self.next_sync || !(bulk || self.news.is_empty()) {
+            return;
+        }
+        let near = known.record.is_in(&self.own.data_centre);
+        if !near {
+            if now < self.next_far_sync {
+                return;
+            }
+            self.next_far_sync = now + FAR_SYNC_EVERY;
+        }
+        self.next_sync = now + if bulk { BULK_SYNC_EVERY } else { SYNC_EVERY };
+        // Not where the datagram came from: that may be a translated address.
+        out.push(MembershipAction::Sync { peer: known.record.peer });
+    }
+
+    /// Tells whether a record of another data centre says what was not known here.
+    fn is_far_news(&self, record: &MemberRecord) -> bool {
+        let known = self.members.get(&record.host);
+        let is_news = known.is_none_or(|known| record.beats(&known.record));
+        is_news && !record.is_in(&self.own.data_centre)
+    }
+
     /// Tells whether a sender's own record loses against that of an earlier life,
     /// which it has to hear of to outbid it.
     fn is_outdated(&self, sender: &HostName, record: &MemberRecord) -> bool {
@@ -473,24 +546,51 @@
         for record in records {
             let host = record.host.clone();
             let known = host == self.own.host || self.members.contains_key(&host);
-            let (up, peer) = (record.is_up(), record.peer);
+            let up = record.is_up();
             self.learn(now, record, out);
             if !known {
-                self.news.remove(&host);
-                strangers.extend(up.then_some(peer));
+                self.news.forget(&host);
+                strangers.extend(up.then_some(host));
             }
         }
+        // Whom they came from knows the rest, and was told in turn.
+        self.news.hear_all_again(&self.own.host);
         strangers.shuffle(rng);
-        strangers.truncate(TOLD_AT_ONCE);
-        self.tell(strangers, out);
+        self.introduce(&strangers, out);
+    }
+
+    /// Tells strangers of this daemon, as many as it may at its start.
+    fn introduce(&mut self, strangers: &[HostName], out: &mut Vec<MembershipAction>) {
+        let mut peers = Vec::new();
+        for host in strangers {
+            let Some(known) = self.members.get(host) else { continue };
+            let near = known.record.is_in(&self.own.data_centre);
+            let left = &mut self.introductions;
+            let left = if near { &mut left.near } else { &mut left.far };
+            if *left > 0 {
+                *left -= 1;
+                peers.push(known.record.peer);
+            }
+        }
+        self.tell_own(peers, out);
+    }
+
+    /// Tells some daemons of this one.
+    fn tell_own(&mut self, peers: Vec<SocketAddr>, out: &mut Vec<MembershipAction>) {
+        let own = self.own.clone();
+        self.tell(peers, std::slice::from_ref(&own), out);
     }
 
-    /// Sends the own record to some daemons, without waiting for their turn.
-    fn tell(&mut self, peers: Vec<SocketAddr>, out: &mut Vec<MembershipAction>) {
+    /// Sends something to some daemons, without waiting for their turn.
+    fn tell(
+        &mut self,
+        peers: Vec<SocketAddr>,
+        updates: &[MemberRecord],
+        out: &mut Vec<MembershipAction>,
+    ) {
         for to in peers {
             self.number += 1;
-            let mut message = self.message(GossipKind::Ping, self.number);
-            put_first(&mut message, &self.own);
+            let message = self.envelope(GossipKind::Notice, self.number, updates.to_vec());
             out.push(MembershipAction::Send { to, message });
         }
     }
@@ -511,7 +611,7 @@
         }
         if record.version < self.own.version {
             // The refutation was made before, but did not reach everybody.
-            self.news.insert(self.own.host.clone(), 0);
+            self.news.spread(&self.own.host);
             return;
         }
         let version = record.version + 1;
@@ -532,9 +632,8 @@
             let newer = revision > self.own.revision;
             self.own.revision = revision;
             if newer {
-                let host = self.own.host.clone();
-                let peers = self.sample_up(TOLD_OF_REVISION, &host, rng);
-                self.tell(peers, out);
+                let peers = self.sample_up(TOLD_OF_REVISION, &self.own.host, rng);
+                self.tell(peers, &[], out);
             }
             return;
         }
@@ -560,16 +659,15 @@
     }
 
     fn tell_some(&mut self, rng: &mut Pcg64Mcg, out: &mut Vec<MembershipAction>) {
-        let host = self.own.host.clone();
-        let peers = self.sample_up(TOLD_AT_ONCE, &host, rng);
-        self.tell(peers, out);
+        let peers = self.sample_up(TOLD_AT_ONCE, &self.own.host, rng);
+        self.tell_own(peers, out);
     }
 
     fn update_own(&mut self, change: impl FnOnce(&mut MemberRecord)) {
         self.digest ^= self.own.digest();
         change(&mut self.own);
         self.digest ^= self.own.digest();
-        self.news.insert(self.own.host.clone(), 0);
+        self.news.spread(&self.own.host);
     }
 
     fn leave(&mut self, rng: &mut Pcg64Mcg, out: &mut Vec<MembershipAction>) {
@@ -587,6 +685,9 @@
     fn merge(&mut self, now: MicroTime, record: MemberRecord, out: &mut Vec<MembershipAction>) {
         let known = self.members.get(&record.host);
         if known.is_some_and(|known| !record.beats(&known.record)) {
+            if known.is_some_and(|known| !known.record.beats(&record)) {
+                self.news.hear_again(&record.host);
+            }
             return;
         }
         if let Some(known) = known {
@@ -601,48 +702,45 @@
         }
         self.digest ^= record.digest();
         let host = record.host.clone();
-        self.news.insert(host.clone(), 0);
+        self.news.spread(&host);
         self.members.insert(host, KnownMember { record, since: now });
         out.push(MembershipAction::Changed);
     }
 
-    fn sample_up(&self, count: usize, but: &HostName, rng: &mut Pcg64Mcg) -> Vec<SocketAddr> {
-        let mut up: Vec<SocketAddr> = self
-            .members
-            .values()
-            .map(|known| &known.record)
-            .filter(|record| record.is_up() && record.host != *but)
-            .map(|record| record.peer)
-            .collect();
-        let (some, _) = up.partial_shuffle(rng, count);
-        some.to_vec()
+    /// Draws some daemons that are up.
+    fn sample_up(&self, counts: PeerCounts, but: &HostName, rng: &mut Pcg64Mcg) -> Vec<SocketAddr> {
+        let members = self.members.values().map(|known| &known.record);
+        let up = members.filter(|record| record.is_up() && record.host != *but);
+        let (mut near, mut far): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
+            up.partition(|record| record.is_in(&self.own.data_centre));
+        let (near, _) = near.partial_shuffle(rng, counts.near);
+        let (far, _) = far.partial_shuffle(rng, counts.far);
+        near.iter().chain(far.iter()).map(|record| record.peer).collect()
     }
 
-    /// Makes a message with as much news as fits, the least sent first.
+    /// Makes a message with as much news as fits.
     fn message(&mut self, kind: GossipKind, number: u64) -> GossipMessage {
-        let limit = SPREAD * (self.members.len() as u32 + 2).ilog2().max(1);
-        let mut order: Vec<(u32, HostName)> =
-            self.news.iter().map(|(host, sent)| (*sent, host.clone())).collect();
-        order.sort_unstable();
-        let mut room = MAX_DATAGRAM - ENVELOPE;
-        let mut updates = Vec::new();
-        for (sent, host) in order {
-            let Some(record) = self.record(&host) else {
-                self.news.remove(&host);
-                continue;
-            };
-            let size = wire::encode(record).map_or(usize::MAX, |bytes| bytes.len());
-            if size > room {
-                break;
-            }
-            room -= size;
-            updates.push(record.clone());
-            if sent + 1 >= limit {
-                self.news.remove(&host);
-            } else {
-                self.news.insert(host, sent + 1);
-            }
-        }
+        self.message_with(kind, number, None)
+    }
+
+    /// Makes a message with a record and as much news as fits behind it.
+    fn message_with(
+        &mut self,
+        kind: GossipKind,
+        number: u64,
+        first: Option<MemberRecord>,
+    ) -> GossipMessage {
+        let mut updates = Vec::from_iter(first);
+        let (own, members) = (&self.own, &self.members);
+        let find = |host: &HostName| {
+            let other = members.get(host).map(|known| &known.record);
+            if *host == own.host { Some(own) } else { other }
+        };
+        self.news.fill(&mut updates, members.len() + 1, find);
+        self.envelope(kind, number, updates)
+    }
+
+    fn envelope(&self, kind: GossipKind, number: u64, updates: Vec<MemberRecord>) -> GossipMessage {
         GossipMessage {
             from: self.own.host.clone(),
             kind,
@@ -653,18 +751,12 @@
         }
     }
 
-    fn record(&self, host: &HostName) -> Option<&MemberRecord> {
+    /// Returns what is known of one host.
+    #[must_use]
+    pub fn member(&self, host: &HostName) -> Option<&MemberRecord> {
         if *host == self.own.host {
             return Some(&self.own);
         }
         self.members.get(host).map(|known| &known.record)
     }
 }
-
-/// Puts a record before all other news of a message.
-fn put_first(message: &mut GossipMessage, record: &MemberRecord) {
-    message.updates.retain(|update| update.host != record.host);
-    // The newest of the others make room, so that the datagram stays within bounds.
-    message.updates.truncate(2);
-    message.updates.insert(0, record.clone());
-}
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -22,7 +22,7 @@
 use crate::base::metrics::DaemonMetrics;
 use crate::base::ring::{RingInbox, RingSender};
 use crate::base::wire;
-use crate::fleet::member::{GossipMessage, MemberRecord};
+use crate::fleet::member::{FleetView, GossipMessage, MemberRecord};
 use crate::fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
 use crate::fleet::rpc;
 use crate::process::events::{EntryEvent, PeersEvent, PlatformEvent};
@@ -273,11 +273,7 @@
         self.step(MembershipEvent::Learn(members));
         self.bootstrapped.set(true);
         let view = self.membership.borrow().view();
-        // The view's first member is this daemon itself.
-        let known = view.members.iter().skip(1).filter(|member| member.is_up());
-        let mut peers: Vec<SocketAddr> =
-            known.map(|member| member.peer).chain(self.seeds.iter().copied()).collect();
-        peers.shuffle(&mut *self.rng.borrow_mut());
+        let (near, peers) = self.peers_to_meet(&view);
         if reached {
             // Who has no revision from a peer in time reads it from the platform.
             self.finish_join(0, 0);
@@ -291,13 +287,29 @@
             asked += 1;
             least = least.max(revision);
             self.finish_join(asked, least);
-            if asked >= JOIN_PEERS {
+            if asked >= near.clamp(1, JOIN_PEERS) {
                 break;
             }
         }
         self.joining.replace(false);
     }
 
+    /// Returns peers in the order in which they are asked, neighbours first, and how
+    /// many of them are neighbours: what they tell crosses to no other data centre.
+    fn peers_to_meet(&self, view: &FleetView) -> (usize, Vec<SocketAddr>) {
+        // The view's first member is this daemon itself.
+        let Some((own, others)) = view.members.split_first() else { return Default::default() };
+        let up = others.iter().filter(|member| member.is_up());
+        let (near, far): (Vec<_>, Vec<_>) = up.partition(|member| member.is_in(&own.data_centre));
+        let mut near: Vec<SocketAddr> = near.iter().map(|member| member.peer).collect();
+        let far = far.iter().map(|member| member.peer);
+        let mut far: Vec<SocketAddr> = far.chain(self.seeds.iter().copied()).collect();
+        let mut rng = self.rng.borrow_mut();
+        near.shuffle(&mut *rng);
+        far.shuffle(&mut *rng);
+        (near.len(), near.into_iter().chain(far).collect())
+    }
+
     /// Lets the entry serve, by the given revision or a later one.
     fn finish_join(&self, peers: usize, least_revision: u64) {
         if !self.joined.replace(true) {
--- /dev/null
+++ b/tests/gossip_at_size.rs
@@ -0,0 +1,248 @@
+//! What the fleet tells itself, and how soon all know it, by the size of the fleet.
+//!
+//! Virtual time, one kernel a daemon; a twentieth of all datagrams is lost.
+
+#[path = "common/fake_network.rs"]
+mod fake_network;
+
+use std::net::SocketAddr;
+
+use fake_network::{FakeNetwork, address, record};
+use railspan::{
+    MemberRecord, MemberState, MembershipEvent, MembershipState, ServiceName, TargetNotice,
+};
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+const LOSS: f64 = 0.05;
+const CENTRES: usize = 5;
+
+/// Rows that a daemon finds in the store at its start, at most.
+const ROWS: usize = 10;
+
+/// Daemons that a fresh one exchanges everything with.
+const MET: usize = 3;
+
+/// A fleet under way, and how many daemons it has.
+struct LargeFleet {
+    network: FakeNetwork,
+    size: usize,
+}
+
+/// What one event of the fleet cost.
+#[derive(Debug)]
+struct EventCost {
+    /// Until the last daemon knew, in milliseconds.
+    known_ms: u64,
+    /// Bytes that crossed between data centres.
+    crossing: u64,
+}
+
+fn own_record(index: usize, incarnation: u64) -> MemberRecord {
+    let mut own = record(index, incarnation);
+    own.host = format!("sidecar-ba-norte-{}-{index}", index % CENTRES).as_str().into();
+    own.data_centre = format!("ba-norte-{}", index % CENTRES).as_str().into();
+    own
+}
+
+fn notice(index: usize, ready: bool) -> Vec<TargetNotice> {
+    let service: ServiceName = ["huvo11a", "tika04b", "mona77c"][index % 3].into();
+    let name = format!("i-7f3a91{index:04x}").as_str().into();
+    vec![TargetNotice { service, name, slots: 9, ready }]
+}
+
+impl LargeFleet {
+    /// Starts a whole fleet at once and gives it time to settle.
+    fn start(size: usize, seed: u64) -> (Self, EventCost) {
+        let mut fleet = Self { network: FakeNetwork::open_large(CENTRES, seed, LOSS), size };
+        let all: Vec<usize> = (0..size).collect();
+        let cost = fleet.start_some(&all, 1);
+        (fleet, cost)
+    }
+
+    /// Starts daemons within 300 ms; each finds its target some time later.
+    fn start_some(&mut self, indices: &[usize], incarnation: u64) -> EventCost {
+        let (from, crossing) = (self.network.now_ms, self.network.crossing);
+        let mut order = indices.to_vec();
+        order.shuffle(&mut self.network.rng);
+        for (turn, &index) in order.iter().enumerate() {
+            if turn % (indices.len() / 3 + 1) == 0 && turn > 0 {
+                self.pass(100);
+            }
+            let own = own_record(index, incarnation);
+            self.network.nodes.insert(address(index), MembershipState::open(own));
+        }
+        self.pass(100);
+        for &index in &order {
+            self.join(index);
+        }
+        for part in order.chunks(order.len() / 10 + 1) {
+            self.pass(100);
+            for &index in part {
+                self.tell_target(index, true);
+            }
+        }
+        let known_ms = self.until(from, |fleet| {
+            fleet.all_know(|record| record.is_up() && is_ready(record), indices)
+        });
+        EventCost { known_ms, crossing: self.network.crossing - crossing }
+    }
+
+    /// Learns some rows from the store and all from a few peers.
+    fn join(&mut self, index: usize) {
+        let rows: Vec<MemberRecord> = (0..self.size)
+            .filter_map(|other| self.network.nodes.get(&address(other)))
+            .take(ROWS)
+            .map(|node| node.own().clone())
+            .collect();
+        let own = own_record(index, 1).data_centre;
+        let is_near = |row: &&MemberRecord| row.data_centre == own;
+        let (near, far): (Vec<&MemberRecord>, Vec<&MemberRecord>) = rows.iter().partition(is_near);
+        let peers = if near.is_empty() { far } else { near };
+        let peers: Vec<SocketAddr> = peers.iter().map(|row| row.peer).collect();
+        self.network.step(address(index), MembershipEvent::Learn(rows));
+        for _ in 0..MET {
+            let peer = peers[self.network.rng.random_range(0..peers.len())];
+            if peer != address(index) {
+                self.network.sync(address(index), peer);
+            }
+        }
+    }
+
+    fn tell_target(&mut self, index: usize, ready: bool) {
+        let targets = notice(index, ready);
+        self.network.step(address(index), MembershipEvent::Local { targets, revision: 1 });
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.network.run(ms).expect("nothing is checked");
+    }
+
+    /// Lets time pass until something is so; returns how long since `from`.
+    fn until(&mut self, from: u64, done: impl Fn(&Self) -> bool) -> u64 {
+        while !done(self) {
+            self.pass(100);
+            assert!(self.network.now_ms - from < 120_000, "not known after two minutes");
+        }
+        self.network.now_ms - from
+    }
+
+    /// Tells whether all daemons believe this of all these hosts.
+    fn all_know(&self, so: impl Fn(&MemberRecord) -> bool, of: &[usize]) -> bool {
+        let names: Vec<_> = of.iter().map(|&index| own_record(index, 1).host).collect();
+        let knows =
+            |node: &MembershipState| names.iter().all(|name| node.member(name).is_some_and(&so));
+        self.network.nodes.values().all(knows)
+    }
+
+    /// Does something and measures until all know it.
+    fn event(
+        &mut self,
+        act: impl FnOnce(&mut Self),
+        so: impl Fn(&MemberRecord) -> bool + Copy,
+        of: &[usize],
+    ) -> EventCost {
+        let (from, crossing) = (self.network.now_ms, self.network.crossing);
+        act(self);
+        let known_ms = self.until(from, |fleet| fleet.all_know(so, of));
+        EventCost { known_ms, crossing: self.network.crossing - crossing }
+    }
+}
+
+fn is_ready(record: &MemberRecord) -> bool {
+    record.targets.iter().any(|target| target.ready)
+}
+
+/// All that is measured of one size.
+#[derive(Debug)]
+struct SizeFigures {
+    start: EventCost,
+    /// Bytes between data centres in the 30 s after the start, of one daemon a second.
+    calm: u64,
+    drain: EventCost,
+    death: EventCost,
+    /// A tenth of all targets that change at once.
+    burst: EventCost,
+    /// All daemons of one data centre die at once.
+    centre: EventCost,
+}
+
+fn measure(size: usize, seed: u64) -> SizeFigures {
+    let (mut fleet, start) = LargeFleet::start(size, seed);
+    let before = fleet.network.crossing;
+    fleet.pass(30_000);
+    let calm = (fleet.network.crossing - before) / 30 / size as u64;
+    let drain = fleet.event(|fleet| fleet.tell_target(7, false), |record| !is_ready(record), &[7]);
+    fleet.pass(20_000);
+    let kill = |fleet: &mut LargeFleet| drop(fleet.network.nodes.remove(&address(8)));
+    let is_dead = |record: &MemberRecord| record.state == MemberState::Dead;
+    let death = fleet.event(kill, is_dead, &[8]);
+    fleet.pass(20_000);
+    let tenth: Vec<usize> = (10..10 + size / 10).collect();
+    let change = |fleet: &mut LargeFleet| {
+        for &index in &tenth {
+            fleet.tell_target(index, false);
+        }
+    };
+    let burst = fleet.event(change, |record| !is_ready(record), &tenth);
+    fleet.pass(20_000);
+    let lost: Vec<usize> = (0..size).filter(|index| index % CENTRES == 4).collect();
+    let cut = |fleet: &mut LargeFleet| {
+        for &index in &lost {
+            fleet.network.nodes.remove(&address(index));
+        }
+    };
+    let centre = fleet.event(cut, is_dead, &lost);
+    SizeFigures { start, calm, drain, death, burst, centre }
+}
+
+/// A fleet of 295 that starts at once knows itself soon, is calm soon after, and
+/// little of what it tells itself crosses.
+///
+/// Before updates counted as told when others told them, and gossip kept near, all
+/// knew all after 60 s, 117 MB crossed, and 5,400 B a second of each daemon later.
+#[test]
+fn a_large_fleet_that_starts_at_once_soon_knows_itself() {
+    let (mut fleet, start) = LargeFleet::start(295, 1);
+    assert!(start.known_ms <= 10_000, "{start:?}");
+    assert!(start.crossing <= 6_000_000, "{start:?}");
+    let before = fleet.network.crossing;
+    fleet.pass(10_000);
+    let calm = (fleet.network.crossing - before) / 10 / 295;
+    assert!(calm <= 600, "{calm} B a second of each daemon");
+}
+
+/// A drained target and a dead host are known everywhere as soon as before, at a
+/// third of the bytes: 54 kB for a drained target, 350 kB for a dead host.
+#[test]
+fn a_change_and_a_death_are_soon_known_everywhere() {
+    let (mut fleet, _) = LargeFleet::start(68, 1);
+    fleet.pass(20_000);
+    let drain = fleet.event(|fleet| fleet.tell_target(7, false), |record| !is_ready(record), &[7]);
+    assert!(drain.known_ms <= 2_000 && drain.crossing <= 40_000, "{drain:?}");
+    fleet.pass(10_000);
+    let kill = |fleet: &mut LargeFleet| drop(fleet.network.nodes.remove(&address(8)));
+    let is_dead = |record: &MemberRecord| record.state == MemberState::Dead;
+    let death = fleet.event(kill, is_dead, &[8]);
+    assert!(death.known_ms <= 6_500 && death.crossing <= 250_000, "{death:?}");
+}
+
+#[test]
+#[ignore = "prints the table of docs/design/large-fleet.md; some minutes"]
+fn table_of_sizes() {
+    for (size, seeds) in [(13, 4), (68, 4), (295, 2), (730, 1)] {
+        for seed in 1..=seeds {
+            let SizeFigures { start, calm, drain, death, burst, centre } = measure(size, seed);
+            println!("{size} {seed} calm {calm} B/s");
+            for (name, cost) in [
+                ("start", start),
+                ("drain", drain),
+                ("death", death),
+                ("burst", burst),
+                ("centre", centre),
+            ] {
+                println!("  {name} {} ms, {} B across", cost.known_ms, cost.crossing);
+            }
+        }
+    }
+}
