--- a/tests/common/fake_network.rs
+++ b/tests/common/fake_network.rs
@@ -23,6 +23,10 @@
 /// Bytes of a datagram that are not its message.
 const DATAGRAM_HEAD: u64 = 28;
 
+/// What it takes to fetch a revision: time, in milliseconds, and bytes.
+const FETCH_MS: u64 = 20;
+const FETCH_BYTES: u64 = 5_000;
+
 /// Bytes of a connection for one exchange that are not records, both ways.
 const EXCHANGE_HEAD: u64 = 2_000;
 
@@ -44,6 +48,8 @@
     /// Bytes of datagrams and exchanges, and of those between data centres.
     pub bytes: u64,
     pub crossing: u64,
+    /// The revision that each daemon fetches, or fetched last.
+    fetching: HashMap<SocketAddr, u64>,
     centres: usize,
     /// Whether what must hold is checked at every tick; slow in a large fleet.
     checked: bool,
@@ -85,6 +91,7 @@
             largest: 0,
             bytes: 0,
             crossing: 0,
+            fetching: HashMap::new(),
             centres: CENTRES,
             checked: true,
         };
@@ -126,6 +133,7 @@
                     self.send(at, to, &MembershipEvent::Message { from: at, message });
                 }
                 MembershipAction::Sync { peer } if !self.separated(at, peer) => self.sync(at, peer),
+                MembershipAction::NewerRevision { peer } => self.fetch(at, peer),
                 _ => {}
             }
         }
@@ -139,6 +147,22 @@
         }
     }
 
+    /// Fetches a peer's revision, which takes a while; one at a time.
+    fn fetch(&mut self, at: SocketAddr, peer: SocketAddr) {
+        let (Some(node), Some(other)) = (self.nodes.get(&at), self.nodes.get(&peer)) else {
+            return;
+        };
+        let (targets, revision) = (node.own().targets.clone(), other.own().revision);
+        if self.separated(at, peer) || self.fetching.get(&at) == Some(&revision) {
+            return;
+        }
+        self.fetching.insert(at, revision);
+        self.count(peer, at, FETCH_BYTES);
+        self.sent += 1;
+        let event = MembershipEvent::Local { targets, revision };
+        self.flying.insert((self.now_ms + FETCH_MS, self.sent), (peer, at, event));
+    }
+
     /// Loses, delays or repeats a datagram.
     fn send(&mut self, from: SocketAddr, to: SocketAddr, event: &MembershipEvent) {
         let copies = if self.unruly && self.rng.random_bool(0.05) { 2 } else { 1 };
--- a/tests/gossip_at_size.rs
+++ b/tests/gossip_at_size.rs
@@ -111,7 +111,8 @@
 
     fn tell_target(&mut self, index: usize, ready: bool) {
         let targets = notice(index, ready);
-        self.network.step(address(index), MembershipEvent::Local { targets, revision: 1 });
+        let revision = 1;
+        self.network.step(address(index), MembershipEvent::Local { targets, revision });
     }
 
     fn pass(&mut self, ms: u64) {
@@ -135,6 +136,19 @@
         self.network.nodes.values().all(knows)
     }
 
+    /// Puts a revision in force at some daemons, as those that follow the store do;
+    /// returns how long until it is in force everywhere, and what crossed.
+    fn publish(&mut self, revision: u64, followers: &[usize]) -> EventCost {
+        let (from, crossing) = (self.network.now_ms, self.network.crossing);
+        for &index in followers {
+            let targets = notice(index, true);
+            self.network.step(address(index), MembershipEvent::Local { targets, revision });
+        }
+        let in_force = |node: &MembershipState| node.own().revision == revision;
+        let known_ms = self.until(from, |fleet| fleet.network.nodes.values().all(in_force));
+        EventCost { known_ms, crossing: self.network.crossing - crossing }
+    }
+
     /// Does something and measures until all know it.
     fn event(
         &mut self,
@@ -159,6 +173,7 @@
     start: EventCost,
     /// Bytes between data centres in the 30 s after the start, of one daemon a second.
     calm: u64,
+    revision: EventCost,
     drain: EventCost,
     death: EventCost,
     /// A tenth of all targets that change at once.
@@ -172,6 +187,7 @@
     let before = fleet.network.crossing;
     fleet.pass(30_000);
     let calm = (fleet.network.crossing - before) / 30 / size as u64;
+    let revision = fleet.publish(2, &[0, 3]);
     let drain = fleet.event(|fleet| fleet.tell_target(7, false), |record| !is_ready(record), &[7]);
     fleet.pass(20_000);
     let kill = |fleet: &mut LargeFleet| drop(fleet.network.nodes.remove(&address(8)));
@@ -193,7 +209,7 @@
         }
     };
     let centre = fleet.event(cut, is_dead, &lost);
-    SizeFigures { start, calm, drain, death, burst, centre }
+    SizeFigures { start, calm, revision, drain, death, burst, centre }
 }
 
 /// A fleet of 295 that starts at once knows itself soon, is calm soon after, and
@@ -227,15 +243,27 @@
     assert!(death.known_ms <= 6_500 && death.crossing <= 250_000, "{death:?}");
 }
 
+/// A revision that two followers of the store heard of is in force everywhere in a
+/// third of the 3 s that the users allow.
+#[test]
+fn a_revision_is_soon_in_force_in_a_large_fleet() {
+    let (mut fleet, _) = LargeFleet::start(295, 2);
+    fleet.pass(5_000);
+    let revision = fleet.publish(2, &[0, 3]);
+    assert!(revision.known_ms <= 1_000, "{revision:?}");
+}
+
 #[test]
 #[ignore = "prints the table of docs/design/large-fleet.md; some minutes"]
 fn table_of_sizes() {
     for (size, seeds) in [(13, 4), (68, 4), (295, 2), (730, 1)] {
         for seed in 1..=seeds {
-            let SizeFigures { start, calm, drain, death, burst, centre } = measure(size, seed);
+            let SizeFigures { start, calm, revision, drain, death, burst, centre } =
+                measure(size, seed);
             println!("{size} {seed} calm {calm} B/s");
             for (name, cost) in [
                 ("start", start),
+                ("revision", revision),
                 ("drain", drain),
                 ("death", death),
                 ("burst", burst),
