--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,5 +13,6 @@
 pub(crate) mod outcome;
 pub(crate) mod pace;
 pub(crate) mod probe;
+pub(crate) mod registry;
 pub(crate) mod retry;
 pub(crate) mod selection;
--- /dev/null
+++ b/src/decide/registry.rs
@@ -0,0 +1,130 @@
+//! What an entry knows of all targets, by service.
+//!
+//! Pure: the fleet's view comes in, choices go out by a policy of `selection`.
+
+use std::collections::HashMap;
+
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+use crate::base::clock::MicroTime;
+use crate::base::ids::{CentreName, ServiceName, TargetName};
+use crate::decide::benefit::CallOutlook;
+use crate::decide::selection::{SelectionInput, SelectionPolicy, TargetPlace, TargetRecord};
+use crate::fleet::member::FleetView;
+
+/// The targets of one service as an entry sees them.
+#[derive(Debug, Default, Serialize)]
+pub struct ServiceTargets {
+    /// The targets, in no particular order.
+    pub targets: Vec<TargetRecord>,
+    turn: usize,
+}
+
+impl ServiceTargets {
+    /// Makes the targets of one service.
+    #[must_use]
+    pub const fn new(targets: Vec<TargetRecord>) -> Self {
+        Self { targets, turn: 0 }
+    }
+
+    /// Chooses a target that is not in `tried`, or any untried if all are ejected.
+    pub fn choose(
+        &mut self,
+        now: MicroTime,
+        policy: &SelectionPolicy,
+        tried: &[TargetName],
+        rng: &mut Pcg64Mcg,
+    ) -> Option<usize> {
+        self.choose_for(now, policy, tried, &CallOutlook::default(), rng)
+    }
+
+    /// Chooses as [`Self::choose`] does, for a call that something is known of.
+    pub fn choose_for(
+        &mut self,
+        now: MicroTime,
+        policy: &SelectionPolicy,
+        tried: &[TargetName],
+        outlook: &CallOutlook,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<usize> {
+        let untried = |&index: &usize| !tried.contains(&self.targets[index].name);
+        let mut eligible: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
+        let calm: Vec<usize> =
+            eligible.iter().copied().filter(|&i| self.targets[i].ejected_until <= now).collect();
+        if !calm.is_empty() {
+            eligible = calm;
+        }
+        if eligible.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let input = SelectionInput {
+            now,
+            targets: &self.targets,
+            eligible: &eligible,
+            turn: self.turn,
+            outlook,
+        };
+        let index = (policy.choose)(&input, rng);
+        self.targets[index].outstanding += 1;
+        Some(index)
+    }
+
+    /// Finds a target by name.
+    pub fn find(&mut self, name: &TargetName) -> Option<&mut TargetRecord> {
+        self.targets.iter_mut().find(|target| target.name == *name)
+    }
+}
+
+/// Everything an entry knows of targets, by service.
+#[derive(Debug, Default, Serialize)]
+pub struct TargetRegistry {
+    /// Services by name.
+    pub services: HashMap<ServiceName, ServiceTargets>,
+}
+
+impl TargetRegistry {
+    /// Finds a target of a service by name.
+    pub fn find(&mut self, service: &ServiceName, name: &TargetName) -> Option<&mut TargetRecord> {
+        self.services.get_mut(service)?.find(name)
+    }
+
+    /// Takes over who is there, keeping what is known of those that stay.
+    ///
+    /// `centre` is the entry's own data centre.
+    pub fn adopt(&mut self, now: MicroTime, view: &FleetView, centre: &CentreName) {
+        let mut fresh: HashMap<ServiceName, ServiceTargets> = HashMap::new();
+        for member in view.serving() {
+            let place = TargetPlace {
+                host: member.host.clone(),
+                data_centre: member.data_centre.clone(),
+                incarnation: member.incarnation,
+                guard: member.guard,
+            };
+            for target in member.targets.iter().filter(|target| target.ready) {
+                let known = self.take(&target.service, &target.name, &place);
+                let joins = || {
+                    TargetRecord::new(target.name.clone(), Some(place.clone()), target.slots, now)
+                };
+                let mut record = known.unwrap_or_else(joins);
+                record.far = member.data_centre != *centre;
+                fresh.entry(target.service.clone()).or_default().targets.push(record);
+            }
+        }
+        self.services = fresh;
+    }
+
+    fn take(
+        &mut self,
+        service: &ServiceName,
+        name: &TargetName,
+        place: &TargetPlace,
+    ) -> Option<TargetRecord> {
+        let targets = &mut self.services.get_mut(service)?.targets;
+        let same =
+            |target: &TargetRecord| target.name == *name && target.place.as_ref() == Some(place);
+        let index = targets.iter().position(same)?;
+        Some(targets.swap_remove(index))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,10 +62,11 @@
 pub use decide::outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer, RowVerdict};
 pub use decide::pace::CommitPace;
 pub use decide::probe::ProbeBudget;
+pub use decide::registry::{ServiceTargets, TargetRegistry};
 pub use decide::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use decide::selection::{
-    DEFAULT_POLICY, SelectionInput, SelectionPolicy, ServiceTargets, TargetPlace, TargetRecord,
-    TargetRegistry, default_policy, policy, policy_names,
+    DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord, default_policy,
+    policy, policy_names,
 };
 pub use fleet::follow::{FOLLOWERS, follows_store};
 pub use fleet::member::{
