Split the entry duty into its state, its connections and a call's tries

Pure moves: entry/mod.rs (state, what is known of targets), serving.rs (connections of callers), routing.rs (a call's tries).

--- /dev/null
+++ b/src/call/entry/mod.rs
@@ -0,0 +1,246 @@
+//! The duty that takes calls and chooses targets for them.
+
+mod routing;
+mod serving;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::ids::{CentreName, ServiceName, TargetName};
+use crate::base::metrics::DaemonMetrics;
+use crate::base::ring::RingInbox;
+use crate::base::wire::LoadWord;
+use crate::call::headers::HeaderNames;
+use crate::call::pool::GuardPool;
+use crate::call::route_book::RouteBook;
+use crate::decide::benefit;
+use crate::decide::probe::ProbeBudget;
+use crate::decide::registry::TargetRegistry;
+use crate::decide::retry::{RetryBudget, RetryShare};
+use crate::fleet::member::FleetView;
+use crate::process::control::DaemonReadiness;
+use crate::process::events::EntryEvent;
+use crate::process::settings::BudgetSettings;
+use crate::rules::config::FleetConfig;
+use crate::rules::revision::ActiveRevision;
+
+pub(crate) use routing::ChosenTarget;
+
+/// The state that this duty's tasks share.
+pub(crate) struct EntryDuty {
+    pub(crate) clock: ProcessClock,
+    pub(crate) registry: RefCell<TargetRegistry>,
+    pub(crate) pool: GuardPool,
+    pub(crate) metrics: Arc<DaemonMetrics>,
+    pub(crate) probe_budget: RefCell<ProbeBudget>,
+    pub(crate) probe_socket: UdpSocket,
+    pub(crate) rng: RefCell<Pcg64Mcg>,
+    pub(crate) hedge_budget: RefCell<RetryBudget>,
+    /// What this daemon may add to a service's calls.
+    retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    retry_share: Cell<RetryShare>,
+    /// The most daemons that were ever in the fleet's view.
+    fleet_size: Cell<usize>,
+    pub(crate) names: &'static HeaderNames,
+    data_centre: CentreName,
+    /// What a thousand bytes between data centres cost, in benefits of a call.
+    crossing_cost: f64,
+    /// Times and sizes of calls, by route.
+    pub(crate) route_book: RefCell<RouteBook>,
+    /// Targets whose load this entry is told.
+    pub(crate) watched: Cell<usize>,
+    /// The service of the host's target.
+    pub(crate) own_service: Option<ServiceName>,
+    readiness: DaemonReadiness,
+    /// Set once callers are asked to go elsewhere.
+    withdrawn: Cell<bool>,
+    active: RefCell<Option<ActiveRevision>>,
+    least_revision: RefCell<Option<u64>>,
+    /// Connections of callers.
+    open: watch::Sender<usize>,
+    stopping: watch::Sender<bool>,
+    pub(crate) logger: Logger,
+}
+
+/// What the duty needs to run.
+#[derive(Debug)]
+pub(crate) struct EntryParts {
+    pub(crate) seed: u64,
+    pub(crate) names: &'static HeaderNames,
+    pub(crate) data_centre: CentreName,
+    pub(crate) crossing_cost: f64,
+    pub(crate) own_service: Option<ServiceName>,
+    pub(crate) retry_share: RetryShare,
+    pub(crate) readiness: DaemonReadiness,
+    pub(crate) probe_budget: BudgetSettings,
+    pub(crate) listener: std::net::TcpListener,
+    pub(crate) probe_socket: std::net::UdpSocket,
+}
+
+/// Runs the duty until the thread's runtime ends.
+pub(crate) async fn run(
+    parts: EntryParts,
+    mut inbox: RingInbox<EntryEvent>,
+    metrics: Arc<DaemonMetrics>,
+    logger: Logger,
+) {
+    let listener = TcpListener::from_std(parts.listener);
+    let probe_socket = UdpSocket::from_std(parts.probe_socket);
+    let (Ok(listener), Ok(probe_socket)) = (listener, probe_socket) else { return };
+    let budget = parts.probe_budget;
+    let duty = Rc::new(EntryDuty {
+        clock: ProcessClock::open(),
+        registry: RefCell::default(),
+        pool: GuardPool::default(),
+        metrics,
+        probe_budget: RefCell::new(ProbeBudget::open(budget.messages_per_s, budget.bytes_per_s)),
+        probe_socket,
+        rng: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
+        hedge_budget: RefCell::new(RetryBudget::open_hedges()),
+        retry_budgets: RefCell::default(),
+        retry_share: Cell::new(parts.retry_share),
+        fleet_size: Cell::new(1),
+        names: parts.names,
+        data_centre: parts.data_centre,
+        crossing_cost: parts.crossing_cost,
+        route_book: RefCell::default(),
+        watched: Cell::new(0),
+        own_service: parts.own_service,
+        readiness: parts.readiness,
+        withdrawn: Cell::new(false),
+        active: RefCell::default(),
+        least_revision: RefCell::default(),
+        open: watch::Sender::new(0),
+        stopping: watch::Sender::new(false),
+        logger,
+    });
+    spawn_local(Rc::clone(&duty).accept(listener));
+    spawn_local(crate::call::measure::hear_replies(Rc::clone(&duty)));
+    loop {
+        duty.handle(inbox.next().await);
+    }
+}
+
+impl EntryDuty {
+    fn handle(self: &Rc<Self>, event: EntryEvent) {
+        match event {
+            EntryEvent::Fleet(view) => self.adopt(&view),
+            EntryEvent::Config(active) => {
+                *self.active.borrow_mut() = Some(active);
+                self.tell_readiness();
+            }
+            EntryEvent::Joined { least_revision } => {
+                *self.least_revision.borrow_mut() = Some(least_revision);
+                self.tell_readiness();
+            }
+            EntryEvent::Share(share) => {
+                self.retry_share.set(share);
+                self.retry_budgets.borrow_mut().clear();
+            }
+            EntryEvent::Withdraw => {
+                self.withdrawn.set(true);
+                self.tell_readiness();
+            }
+            EntryEvent::Dump(reply) => drop(reply.send(self.dump())),
+            EntryEvent::Stop(done) => {
+                spawn_local(Rc::clone(self).stop(done));
+            }
+        }
+    }
+
+    fn adopt(&self, view: &FleetView) {
+        self.registry.borrow_mut().adopt(self.clock.now(), view, &self.data_centre);
+        let guards: std::collections::HashSet<_> =
+            view.serving().map(|member| (member.guard, member.incarnation)).collect();
+        self.fleet_size.set(self.fleet_size.get().max(guards.len()));
+        self.pool.retain(|key| guards.contains(key));
+    }
+
+    fn tell_readiness(&self) {
+        self.readiness.set(self.config().is_some() && !self.withdrawn.get());
+    }
+
+    /// Lets a service's budget do something, such as grant a further try.
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let open = || self.retry_share.get().open(self.fleet_size.get());
+        act(budgets.entry(service.clone()).or_insert_with(open))
+    }
+
+    /// Returns the configuration, if calls may be served by it.
+    pub(crate) fn config(&self) -> Option<Arc<FleetConfig>> {
+        let active = self.active.borrow();
+        let active = active.as_ref()?;
+        let least = (*self.least_revision.borrow())?;
+        (active.head.revision >= least).then(|| Arc::clone(&active.config))
+    }
+
+    /// Returns the factor by which a target's host is slower than usual now.
+    pub(crate) fn slowness_of(&self, service: &ServiceName, target: &TargetName) -> f64 {
+        let mut registry = self.registry.borrow_mut();
+        let record = registry.find(service, target);
+        record.map_or(1.0, |record| benefit::slowness_now(record, self.clock.now()))
+    }
+
+    /// Returns the time by the clock of a target's guard, as far as it is known.
+    pub(crate) fn time_at_guard(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+    ) -> Option<MicroTime> {
+        let mut registry = self.registry.borrow_mut();
+        let lead = registry.find(service, target)?.clock_lead?;
+        Some(lead.theirs(self.clock.now()))
+    }
+
+    /// Notes whether a target is watched; `false` if that was known already.
+    pub(crate) fn mark_watched(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+        watched: bool,
+    ) -> bool {
+        let mut registry = self.registry.borrow_mut();
+        let record = registry.find(service, target);
+        record.is_some_and(|record| std::mem::replace(&mut record.watched, watched) != watched)
+    }
+
+    /// Notes a target's load, unless a newer word is known.
+    pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadWord) {
+        let now = self.clock.now();
+        let mut registry = self.registry.borrow_mut();
+        if let Some(record) = registry.find(service, target) {
+            record.hear(now, load);
+        }
+    }
+
+    fn dump(&self) -> Value {
+        json!({
+            "ready": self.config().is_some(),
+            "revision": self.active.borrow().as_ref().map(|active| active.head.revision),
+            "least_revision": *self.least_revision.borrow(),
+            "services": self.registry.borrow().services,
+            "retry_budgets": *self.retry_budgets.borrow(),
+            "hedge_budget": *self.hedge_budget.borrow(),
+            "probe_budget": *self.probe_budget.borrow(),
+            "caller_connections": *self.open.borrow(),
+            "guard_connections": self.pool.len(),
+            "now": self.clock.now(),
+        })
+    }
+}
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -274,6 +274,8 @@
         self.bootstrapped.set(true);
         let view = self.membership.borrow().view();
         let (near, peers) = self.peers_to_meet(&view);
+        // Without the store the greatest revision of some peers counts, near or far.
+        let enough = if reached { near.clamp(1, JOIN_PEERS) } else { JOIN_PEERS };
         if reached {
             // Who has no revision from a peer in time reads it from the platform.
             self.finish_join(0, 0);
@@ -287,7 +289,7 @@
             asked += 1;
             least = least.max(revision);
             self.finish_join(asked, least);
-            if asked >= near.clamp(1, JOIN_PEERS) {
+            if asked >= enough {
                 break;
             }
         }
