--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -5,7 +5,7 @@
 
 use hdrhistogram::Histogram;
 use railspan::{
-    AdmissionAction, AdmissionEvent, AdmissionQueue, CallCourse, CallId, CallPriority, LoadWord,
+    AdmissionAction, AdmissionEvent, AdmissionQueue, CallCourse, CallId, CallPriority, LoadReport,
     MicroTime, NextStep, ProbeBudget, RetryBudget, SelectionPolicy, ServiceTargets, TargetName,
     TargetRecord, TryEnd, WaitingCall, hedge_after,
 };
@@ -84,9 +84,9 @@
     TroubleEnd,
 }
 
-/// A load word as part of an event; its order has no meaning.
+/// A load report as part of an event; its order has no meaning.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct OrderedLoad(LoadWord);
+struct OrderedLoad(LoadReport);
 
 impl PartialOrd for OrderedLoad {
     fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
@@ -138,7 +138,7 @@
 }
 
 struct ModelTarget {
-    door: AdmissionQueue,
+    queue: AdmissionQueue,
     slots: u16,
     factor: f64,
     burst: f64,
@@ -202,7 +202,7 @@
         model.schedule(third, ModelEvent::TroubleStart);
         model.schedule(third + third, ModelEvent::TroubleEnd);
         if scenario.trouble == Trouble::ColdStart {
-            model.targets[0].door.leave(&mut Vec::new());
+            model.targets[0].queue.leave(&mut Vec::new());
             model.forget(0);
         }
         while let Some(Reverse((at, _, event))) = model.queue.pop() {
@@ -221,7 +221,7 @@
             .map(|index| {
                 let wrong = scenario.trouble == Trouble::WrongSlots && index == 0;
                 ModelTarget {
-                    door: AdmissionQueue::open(scenario.slots),
+                    queue: AdmissionQueue::open(scenario.slots),
                     slots: if wrong { scenario.slots / 2 } else { scenario.slots },
                     factor: if index % 2 == 0 { 1.0 } else { scenario.old_factor },
                     burst: 1.0,
@@ -286,13 +286,13 @@
             ModelEvent::Hedge { call, attempt } => self.hedge(call, attempt),
             ModelEvent::Cancel { attempt } => self.cancel(attempt),
             ModelEvent::Probe { entry, target } => {
-                let load = OrderedLoad(self.targets[target].door.load(self.now));
+                let load = OrderedLoad(self.targets[target].queue.load(self.now));
                 let at = self.now + self.hop();
                 self.schedule(at, ModelEvent::ProbeReply { entry, target, load });
             }
             ModelEvent::ProbeReply { entry, target, load } => self.hear(entry, target, load.0),
             ModelEvent::GuardTick { target } => {
-                self.step_door(target, AdmissionEvent::Tick);
+                self.step_queue(target, AdmissionEvent::Tick);
                 if self.now < self.end || !self.calls.is_empty() {
                     let at = self.now + MicroTime(GUARD_TICK_US);
                     self.schedule(at, ModelEvent::GuardTick { target });
@@ -322,13 +322,13 @@
         let mut out = Vec::new();
         match self.plan.scenario.trouble {
             Trouble::FailFast => self.targets[0].failing = on,
-            Trouble::Drain if on => self.targets[0].door.leave(&mut out),
+            Trouble::Drain if on => self.targets[0].queue.leave(&mut out),
             Trouble::Drain => {
-                self.targets[0].door.rejoin();
+                self.targets[0].queue.rejoin();
                 self.rejoin(0);
             }
             Trouble::ColdStart if on => {
-                self.targets[0].door.rejoin();
+                self.targets[0].queue.rejoin();
                 self.targets[0].burst = 4.0;
                 self.rejoin(0);
             }
@@ -342,7 +342,7 @@
     fn rejoin(&mut self, target: usize) {
         for entry in &mut self.entries {
             let mut fresh = record(&self.plan.scenario, target, self.now.0);
-            fresh.load = LoadWord { slots: self.plan.scenario.slots, ..LoadWord::default() };
+            fresh.load = LoadReport { slots: self.plan.scenario.slots, ..LoadReport::default() };
             match entry.service.targets.iter_mut().find(|known| known.name == fresh.name) {
                 Some(known) => *known = fresh,
                 None => entry.service.targets.push(fresh),
@@ -463,12 +463,12 @@
             work_us: 0,
             last: call.course.is_last_try(),
         };
-        self.step_door(target, AdmissionEvent::Arrive(waiting));
+        self.step_queue(target, AdmissionEvent::Arrive(waiting));
     }
 
-    fn step_door(&mut self, target: usize, event: AdmissionEvent) {
+    fn step_queue(&mut self, target: usize, event: AdmissionEvent) {
         let mut out = Vec::new();
-        self.targets[target].door.step(self.now, event, &mut out);
+        self.targets[target].queue.step(self.now, event, &mut out);
         self.carry_out(target, out);
     }
 
@@ -477,8 +477,8 @@
             match action {
                 AdmissionAction::Start(call) => self.start(target, call.0 as u64),
                 AdmissionAction::Refuse { call, .. } => {
-                    let load = OrderedLoad(self.targets[target].door.load(self.now));
-                    let leaving = self.targets[target].door.is_leaving();
+                    let load = OrderedLoad(self.targets[target].queue.load(self.now));
+                    let leaving = self.targets[target].queue.is_leaving();
                     self.reply(call.0 as u64, AttemptEnd::Refused { load, leaving });
                 }
             }
@@ -532,7 +532,7 @@
         }
         let call = CallId(u128::from(attempt));
         if started.is_none() {
-            self.step_door(target, AdmissionEvent::Cancel(call));
+            self.step_queue(target, AdmissionEvent::Cancel(call));
             return;
         }
         let state = &mut self.targets[target];
@@ -542,7 +542,7 @@
             self.free_slot(target);
         }
         let event = AdmissionEvent::Finish { call, took: None, failed: false };
-        self.step_door(target, event);
+        self.step_queue(target, event);
     }
 
     fn free_slot(&mut self, target: usize) {
@@ -565,8 +565,8 @@
             failed,
         };
         self.free_slot(target);
-        self.step_door(target, event);
-        let load = OrderedLoad(self.targets[target].door.load(self.now));
+        self.step_queue(target, event);
+        let load = OrderedLoad(self.targets[target].queue.load(self.now));
         self.reply(attempt, AttemptEnd::Answered { failed, load });
     }
 
@@ -578,7 +578,7 @@
         self.schedule(at, ModelEvent::AtEntry { attempt, end });
     }
 
-    fn hear(&mut self, entry: usize, target: usize, load: LoadWord) {
+    fn hear(&mut self, entry: usize, target: usize, load: LoadReport) {
         let now = self.now;
         if let Some(record) = self.entries[entry].service.find(&target_name(target)) {
             record.hear(now, load);
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -66,7 +66,7 @@
 
 /// The load of a target as its guard knows it when it speaks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadWord {
+pub struct LoadReport {
     /// Calls running in the target now. Exact: the guard is its only client.
     pub in_flight: u16,
     /// Calls waiting at the guard.
@@ -211,7 +211,7 @@
         /// Work that the target did for it, in microseconds at its usual speed.
         work_us: u32,
         /// Load after this call.
-        load: LoadWord,
+        load: LoadReport,
     },
     /// The call did not run and never will.
     Refused {
@@ -222,14 +222,14 @@
         /// When to come back, in milliseconds.
         retry_after_ms: u32,
         /// Load at the refusal.
-        load: LoadWord,
+        load: LoadReport,
     },
     /// The call may have run; no answer can be had.
     Lost {
         /// The call lost.
         call: CallId,
         /// Load at the loss.
-        load: LoadWord,
+        load: LoadReport,
     },
     /// The idempotency key is claimed by an earlier call.
     Claimed {
@@ -286,5 +286,5 @@
     /// The target measured.
     pub target: TargetName,
     /// Its load.
-    pub load: LoadWord,
+    pub load: LoadReport,
 }
--- a/src/call/attempt.rs
+++ b/src/call/attempt.rs
@@ -13,7 +13,7 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::REVOKE_MARGIN;
 use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
-use crate::base::wire::{AnswerHead, CallHead, LoadWord, RefusalReason, RevokeHead, RevokeReply};
+use crate::base::wire::{AnswerHead, CallHead, LoadReport, RefusalReason, RevokeHead, RevokeReply};
 use crate::call::entry::EntryDuty;
 use crate::call::h2io::{self, HeadReader};
 use crate::call::intake::CallerCall;
@@ -66,7 +66,7 @@
 }
 
 impl OutstandingCall {
-    fn hear(&self, load: LoadWord) {
+    fn hear(&self, load: LoadReport) {
         self.duty.hear_load(&self.service, &self.target, load);
     }
 }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -20,7 +20,7 @@
 use crate::base::ids::{CentreName, ServiceName, TargetName};
 use crate::base::metrics::DaemonMetrics;
 use crate::base::ring::RingInbox;
-use crate::base::wire::LoadWord;
+use crate::base::wire::LoadReport;
 use crate::call::headers::HeaderNames;
 use crate::call::pool::GuardPool;
 use crate::call::route_book::RouteBook;
@@ -221,7 +221,7 @@
     }
 
     /// Notes a target's load, unless a newer word is known.
-    pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadWord) {
+    pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadReport) {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
         if let Some(record) = registry.find(service, target) {
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -8,7 +8,7 @@
 use super::EntryDuty;
 use crate::base::clock::MicroTime;
 use crate::base::ids::TargetName;
-use crate::base::wire::{LoadWord, RefusalReason};
+use crate::base::wire::{LoadReport, RefusalReason};
 use crate::call::attempt::{self, AttemptEnd};
 use crate::call::hedge;
 use crate::call::intake::{CallerCall, NOT_READY_RETRY_MS};
@@ -30,7 +30,7 @@
     /// Time it takes for a call, as far as known, in microseconds.
     pub(crate) service_us: f64,
     /// What the choice was made on, and its age.
-    pub(crate) load: LoadWord,
+    pub(crate) load: LoadReport,
     pub(crate) load_age: MicroTime,
     /// Targets that stay untried.
     pub(crate) others: usize,
--- a/src/call/guard.rs
+++ b/src/call/guard.rs
@@ -23,14 +23,14 @@
 use crate::base::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::metrics::DaemonMetrics;
 use crate::base::ring::{RingInbox, RingSender};
-use crate::base::wire::{self, AnswerHead, LoadWord, ProbeReply, ProbeRequest, RefusalReason};
+use crate::base::wire::{self, AnswerHead, LoadReport, ProbeReply, ProbeRequest, RefusalReason};
 use crate::call::h2io::{self, HeadReader};
 use crate::call::headers::HeaderNames;
 use crate::call::health;
 use crate::call::local_target::LocalTarget;
 use crate::call::served::ServedCall;
 use crate::call::target_pool::TargetPool;
-use crate::call::watching::{self, WORD_BYTES, WORD_BYTES_PER_S, differs};
+use crate::call::watching::{self, REPORT_BYTES, REPORT_BYTES_PER_S, differs};
 use crate::decide::admission::{AdmissionAction, AdmissionEvent};
 use crate::decide::outcome::CallLedger;
 use crate::decide::probe::ProbeBudget;
@@ -95,7 +95,7 @@
     pub(crate) rings: GuardRings,
     /// Says that a target's load changed by more than a little.
     pub(crate) load_changes: watch::Sender<()>,
-    word_budget: RefCell<ProbeBudget>,
+    report_budget: RefCell<ProbeBudget>,
     pub(crate) logger: Logger,
 }
 
@@ -122,7 +122,7 @@
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
         load_changes: watch::Sender::new(()),
-        word_budget: RefCell::new(ProbeBudget::open(u32::MAX, WORD_BYTES_PER_S)),
+        report_budget: RefCell::new(ProbeBudget::open(u32::MAX, REPORT_BYTES_PER_S)),
         pool: Rc::default(),
         names: parts.names,
         own_service: parts.own_service,
@@ -172,17 +172,17 @@
         }
     }
 
-    /// Takes one event to a target's door.
-    pub(crate) fn step_door(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
+    /// Takes one event to a target's admission queue.
+    pub(crate) fn step_queue(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
         let mut actions = Vec::new();
         if let Some(target) = self.targets.borrow_mut().get_mut(key) {
-            let before = target.door.limit();
-            target.door.step(self.clock.now(), event, &mut actions);
-            let limit = target.door.limit();
+            let before = target.queue.limit();
+            target.queue.step(self.clock.now(), event, &mut actions);
+            let limit = target.queue.limit();
             if limit != before {
                 info!(self.logger, "limit"; "target" => %key.1, "limit" => limit,
-                    "before" => before, "running" => target.door.running(),
-                    "waiting" => target.door.waiting());
+                    "before" => before, "running" => target.queue.running(),
+                    "waiting" => target.queue.waiting());
             }
         }
         self.carry_out(actions);
@@ -210,7 +210,7 @@
             let mut actions = Vec::new();
             let now = self.clock.now();
             for target in self.targets.borrow_mut().values_mut() {
-                target.door.step(now, AdmissionEvent::Tick, &mut actions);
+                target.queue.step(now, AdmissionEvent::Tick, &mut actions);
             }
             self.carry_out(actions);
             self.check_leases();
@@ -222,12 +222,12 @@
     /// Wakes the streams of watchers when a load changed that much.
     fn tell_watchers(&self, now: MicroTime) {
         let mut targets = self.targets.borrow_mut();
-        let changed = targets.values().any(|target| differs(&target.told, &target.door.peek()));
+        let changed = targets.values().any(|target| differs(&target.told, &target.queue.peek()));
         let words = self.load_changes.receiver_count() as u32;
-        if !changed || !self.word_budget.borrow_mut().take(now, words, words * WORD_BYTES) {
+        if !changed || !self.report_budget.borrow_mut().take(now, words, words * REPORT_BYTES) {
             return;
         }
-        targets.values_mut().for_each(|target| target.told = target.door.peek());
+        targets.values_mut().for_each(|target| target.told = target.queue.peek());
         self.load_changes.send_replace(());
     }
 
@@ -242,7 +242,7 @@
                 continue;
             }
             let now = self.clock.now();
-            let load = self.targets.borrow_mut().get_mut(&key).map(|target| target.door.load(now));
+            let load = self.targets.borrow_mut().get_mut(&key).map(|target| target.queue.load(now));
             let Some(load) = load else { continue };
             let (service, target) = key;
             let reply = ProbeReply { service, target, load };
@@ -291,7 +291,7 @@
         let reader = HeadReader::open(body);
         if parts.uri.path() == "/watch" {
             // A watch is no call: nobody waits for its end.
-            _ = watching::tell_words(&self, reader, respond).await;
+            _ = watching::tell_reports(&self, reader, respond).await;
             return;
         }
         self.open.send_modify(|open| *open += 1);
@@ -313,17 +313,17 @@
     pub(crate) fn note_slowness(&self, key: &(ServiceName, TargetName), percent: u16) {
         if let Some(target) = self.targets.borrow_mut().get_mut(key) {
             let now = self.clock.now();
-            target.door.note_slowness(now, percent);
+            target.queue.note_slowness(now, percent);
             target.slowness_heard = now;
         }
         // What waited for the host to be faster may start.
-        self.step_door(key, AdmissionEvent::Tick);
+        self.step_queue(key, AdmissionEvent::Tick);
     }
 
-    pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadWord {
+    pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadReport {
         let mut targets = self.targets.borrow_mut();
         let now = self.clock.now();
-        targets.get_mut(key).map(|target| target.door.load(now)).unwrap_or_default()
+        targets.get_mut(key).map(|target| target.queue.load(now)).unwrap_or_default()
     }
 
     pub(crate) fn refusal(
--- a/src/call/guarded_call.rs
+++ b/src/call/guarded_call.rs
@@ -150,7 +150,7 @@
         if let Some(target) = self.targets.borrow_mut().get_mut(&call.key) {
             target.used = self.clock.now();
         }
-        self.step_door(&call.key, AdmissionEvent::Arrive(waiting));
+        self.step_queue(&call.key, AdmissionEvent::Arrive(waiting));
         signal
     }
 
--- a/src/call/health.rs
+++ b/src/call/health.rs
@@ -43,7 +43,7 @@
     let mut targets = duty.targets.borrow_mut();
     for (key, target) in targets.iter_mut() {
         let used = now.since(target.used) < IN_USE || target.running() > 0;
-        let stale = now.since(target.slowness_heard) >= target.door.speed().stale_after();
+        let stale = now.since(target.slowness_heard) >= target.queue.speed().stale_after();
         if !(used && stale && target.is_open()) {
             continue;
         }
--- a/src/call/local_target.rs
+++ b/src/call/local_target.rs
@@ -8,7 +8,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{ServiceName, TargetName};
-use crate::base::wire::LoadWord;
+use crate::base::wire::LoadReport;
 use crate::decide::admission::AdmissionQueue;
 use crate::decide::lease::{TargetCondition, TargetLease};
 
@@ -29,17 +29,17 @@
 
 /// A target of this host.
 ///
-/// Invariant: the door takes calls only while the lease is ready.
+/// Invariant: the queue takes calls only while the lease is ready.
 pub(crate) struct LocalTarget {
     pub(crate) announcement: TargetAnnouncement,
     pub(crate) lease: TargetLease,
-    pub(crate) door: AdmissionQueue,
+    pub(crate) queue: AdmissionQueue,
     /// The newest report that was acted upon; zero where reports have no number.
     sequence: u64,
     /// Calls that wait for the table while they hold a slot.
     pub(crate) claiming: usize,
     /// The load that watchers were told last.
-    pub(crate) told: LoadWord,
+    pub(crate) told: LoadReport,
     /// When a call last came.
     pub(crate) used: MicroTime,
     /// When the target last told its slowness, or was asked for it.
@@ -47,22 +47,22 @@
 }
 
 impl LocalTarget {
-    /// Takes up a target that was not known, with its door shut.
+    /// Takes up a target that was not known, with its queue shut.
     pub(crate) fn open(
         now: MicroTime,
         announcement: TargetAnnouncement,
         sequence: Option<u64>,
         lasts: Duration,
     ) -> Self {
-        let mut door = AdmissionQueue::open(announcement.slots);
-        door.leave(&mut Vec::new());
+        let mut queue = AdmissionQueue::open(announcement.slots);
+        queue.leave(&mut Vec::new());
         Self {
             lease: TargetLease::open(now, announcement.condition, lasts),
             announcement,
-            door,
+            queue,
             sequence: sequence.unwrap_or_default(),
             claiming: 0,
-            told: LoadWord::default(),
+            told: LoadReport::default(),
             used: now,
             slowness_heard: MicroTime(0),
         }
@@ -80,19 +80,19 @@
         }
         self.sequence = sequence.unwrap_or_default();
         self.lease.renew(now, announcement.condition);
-        self.door.resize(announcement.slots);
+        self.queue.resize(announcement.slots);
         self.announcement = announcement;
         true
     }
 
     /// Returns how many calls run in the target.
     pub(crate) fn running(&self) -> usize {
-        self.door.running()
+        self.queue.running()
     }
 
     /// Tells whether the target takes new work.
     pub(crate) const fn is_open(&self) -> bool {
-        !self.door.is_leaving()
+        !self.queue.is_leaving()
     }
 
     /// Returns what decisions about the target are made on.
@@ -101,10 +101,10 @@
             "announcement": self.announcement,
             "lease": self.lease,
             "ready": self.lease.is_ready(now),
-            "running": self.door.running(),
-            "waiting": self.door.waiting(),
+            "running": self.queue.running(),
+            "waiting": self.queue.waiting(),
             "claiming": self.claiming,
-            "retry_after_ms": self.door.retry_after_ms(),
+            "retry_after_ms": self.queue.retry_after_ms(),
         })
     }
 }
--- a/src/call/served.rs
+++ b/src/call/served.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// One call in this guard; leaves the door when dropped, however it ends.
+/// One call in this guard; leaves the queue when dropped, however it ends.
 pub(crate) struct ServedCall {
     duty: Rc<GuardDuty>,
     pub(crate) call: CallId,
@@ -73,7 +73,7 @@
     pub(crate) deadline: MicroTime,
     /// When it is refused if it has no slot yet.
     pub(crate) give_up: MicroTime,
-    /// Whether the call is in the door's care; a copy of another call never is.
+    /// Whether the call is in the queue's care; a copy of another call never is.
     pub(crate) entered: Cell<bool>,
     /// When the call got its slot.
     pub(crate) started: Cell<Option<MicroTime>>,
@@ -96,7 +96,7 @@
             },
             None => AdmissionEvent::Cancel(self.call),
         };
-        self.duty.step_door(&self.key, event);
+        self.duty.step_queue(&self.key, event);
     }
 }
 
@@ -127,7 +127,7 @@
     fn work_us(&self) -> u32 {
         let now = self.duty.clock.now();
         let targets = self.duty.targets.borrow();
-        let slowness = targets.get(&self.key).map_or(1.0, |own| own.door.slowness_of(self.call));
+        let slowness = targets.get(&self.key).map_or(1.0, |own| own.queue.slowness_of(self.call));
         let ran = self.dispatched.get().map_or(MicroTime(0), |since| now.since(since));
         (ran.0 as f64 / slowness) as u32
     }
--- a/src/call/target_life.rs
+++ b/src/call/target_life.rs
@@ -1,6 +1,6 @@
 //! What a guard believes of its targets: their announcements, drains and ends.
 //!
-//! May use the leases and doors of targets; must hold: a door is open only while
+//! May use the leases and queues of targets; must hold: a queue is open only while
 //! its target's lease is ready, and peers are told of each change.
 
 use slog::info;
@@ -77,7 +77,7 @@
         found
     }
 
-    /// Opens and shuts doors as the leases say, and tells the peers.
+    /// Opens and shuts queues as the leases say, and tells the peers.
     pub(crate) fn check_leases(&self) {
         let now = self.clock.now();
         let stopping = *self.stopping.borrow();
@@ -85,13 +85,13 @@
         let mut changed = false;
         for target in self.targets.borrow_mut().values_mut() {
             let ready = target.lease.is_ready(now) && !stopping;
-            if ready == target.door.is_leaving() {
+            if ready == target.queue.is_leaving() {
                 changed = true;
                 info!(self.logger, "target"; "name" => %target.announcement.target, "ready" => ready);
                 if ready {
-                    target.door.rejoin();
+                    target.queue.rejoin();
                 } else {
-                    target.door.leave(&mut actions);
+                    target.queue.leave(&mut actions);
                 }
             }
         }
@@ -107,7 +107,7 @@
             service: target.announcement.service.clone(),
             name: target.announcement.target.clone(),
             slots: target.announcement.slots,
-            ready: !target.door.is_leaving(),
+            ready: !target.queue.is_leaving(),
         });
         let mut notices: Vec<TargetNotice> = notices.collect();
         notices.sort_by(|a, b| a.name.cmp(&b.name));
--- a/src/call/watching.rs
+++ b/src/call/watching.rs
@@ -1,6 +1,6 @@
-//! Load words that a guard sends to the entries that use its target.
+//! Load reports that a guard sends to the entries that use its target.
 //!
-//! A load word also travels on each answer, but an entry hears few of them and
+//! A load report also travels on each answer, but an entry hears few of them and
 //! a host's speed shifts within some hundred milliseconds. So an entry that
 //! sent a call to a target keeps a stream open, on which the guard tells each
 //! change that matters, within a budget of bytes.
@@ -17,18 +17,18 @@
 use tokio::time::timeout;
 
 use crate::base::ids::{ServiceName, TargetName};
-use crate::base::wire::{LoadWord, WatchHead};
+use crate::base::wire::{LoadReport, WatchHead};
 use crate::call::entry::EntryDuty;
 use crate::call::guard::GuardDuty;
 use crate::call::h2io::{self, HeadReader};
 use crate::decide::selection::TargetPlace;
 
 /// Bytes of one word on its stream, with the frame around it.
-pub(crate) const WORD_BYTES: u32 = 50;
+pub(crate) const REPORT_BYTES: u32 = 50;
 
 /// Bytes of words that one guard sends in a second: half of what the letter
 /// allows for all of control.
-pub(crate) const WORD_BYTES_PER_S: u32 = 10_000;
+pub(crate) const REPORT_BYTES_PER_S: u32 = 10_000;
 
 /// Targets that one entry watches at most.
 ///
@@ -37,7 +37,7 @@
 
 /// Longest wait for the first word of a target; a guard says it at once, so
 /// longer means that its host or the way there stands still.
-const FIRST_WORD: Duration = Duration::from_millis(200);
+const FIRST_REPORT: Duration = Duration::from_millis(200);
 
 /// Change of slowness, in percent of its value, that is worth a word.
 const SLOWNESS_STEP: u16 = 20;
@@ -46,13 +46,13 @@
 const OCCUPANCY_STEPS: u16 = 4;
 
 /// Tells whether a word says something that the one told before did not.
-pub(crate) fn differs(told: &LoadWord, now: &LoadWord) -> bool {
+pub(crate) fn differs(told: &LoadReport, now: &LoadReport) -> bool {
     let gap = told.slowness.abs_diff(now.slowness);
     let slower = u32::from(gap) * 100 > u32::from(told.slowness) * u32::from(SLOWNESS_STEP);
     slower || occupancy(told) != occupancy(now) || told.slots != now.slots
 }
 
-fn occupancy(load: &LoadWord) -> u16 {
+fn occupancy(load: &LoadReport) -> u16 {
     (load.in_flight + load.queued) * OCCUPANCY_STEPS / load.slots.max(1)
 }
 
@@ -70,7 +70,7 @@
     let duty = Rc::clone(duty);
     let (service, target, place) = (service.clone(), target.clone(), place.clone());
     spawn_local(async move {
-        hear_words(&duty, &service, &target, &place).await;
+        hear_reports(&duty, &service, &target, &place).await;
         duty.watched.set(duty.watched.get() - 1);
         duty.mark_watched(&service, &target, false);
         info!(duty.logger, "watch ended"; "target" => %target);
@@ -88,15 +88,15 @@
     let head = WatchHead { service: service.clone(), target: target.clone() };
     let asked = async {
         let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
-        reader.head::<LoadWord>().await.ok()
+        reader.head::<LoadReport>().await.ok()
     };
-    let Ok(Some(word)) = timeout(FIRST_WORD, asked).await else { return false };
+    let Ok(Some(word)) = timeout(FIRST_REPORT, asked).await else { return false };
     duty.hear_load(service, target, word);
     true
 }
 
-/// Takes over a target's load words until the stream ends.
-async fn hear_words(
+/// Takes over a target's load reports until the stream ends.
+async fn hear_reports(
     duty: &EntryDuty,
     service: &ServiceName,
     target: &TargetName,
@@ -105,13 +105,13 @@
     let head = WatchHead { service: service.clone(), target: target.clone() };
     let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
     loop {
-        let word: LoadWord = reader.head().await.ok()?;
+        let word: LoadReport = reader.head().await.ok()?;
         duty.hear_load(service, target, word);
     }
 }
 
 /// Tells an entry of a target's load for as long as it listens.
-pub(crate) async fn tell_words(
+pub(crate) async fn tell_reports(
     duty: &GuardDuty,
     mut reader: HeadReader,
     mut respond: SendResponse<Bytes>,
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, CallId};
-use crate::base::wire::{CallPriority, LoadWord, RefusalReason};
+use crate::base::wire::{CallPriority, LoadReport, RefusalReason};
 use crate::decide::host_speed::HostSpeed;
 use crate::decide::limit::ConcurrencyLimit;
 
@@ -46,7 +46,7 @@
 /// Retry times told to callers, in milliseconds.
 const RETRY_AFTER_BOUNDS: (u64, u64) = (5, 5_000);
 
-/// A call at the door of a guard.
+/// A call at the queue of a guard.
 #[derive(Clone, Debug)]
 pub struct WaitingCall {
     /// The call.
@@ -117,7 +117,7 @@
     crowd_then: f64,
 }
 
-/// The door of one target.
+/// The admission queue of one target.
 ///
 /// Invariants: a call starts only while fewer than `limit` run, and waits only
 /// while that many do or the host is in a slow spell; each arrival gets exactly
@@ -143,7 +143,7 @@
 }
 
 impl AdmissionQueue {
-    /// Opens the door of a target that runs `slots` calls at once.
+    /// Opens the queue of a target that runs `slots` calls at once.
     #[must_use]
     pub fn open(slots: u16) -> Self {
         Self {
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Opens the door again after [`Self::leave`].
+    /// Opens the queue again after [`Self::leave`].
     pub fn rejoin(&mut self) {
         self.leaving = false;
     }
@@ -211,15 +211,15 @@
     }
 
     /// Returns the load for the next message to an entry.
-    pub fn load(&mut self, now: MicroTime) -> LoadWord {
+    pub fn load(&mut self, now: MicroTime) -> LoadReport {
         self.sequence += 1;
-        LoadWord { told: now, ..self.peek() }
+        LoadReport { told: now, ..self.peek() }
     }
 
     /// Returns the load as the last message told it, or newer.
     #[must_use]
-    pub fn peek(&self) -> LoadWord {
-        LoadWord {
+    pub fn peek(&self) -> LoadReport {
+        LoadReport {
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
             slots: self.limit() as u16,
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -9,7 +9,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, TargetName};
-use crate::base::wire::LoadWord;
+use crate::base::wire::LoadReport;
 use crate::decide::benefit::CallOutlook;
 use crate::decide::clock_lead::ClockLead;
 
@@ -19,7 +19,7 @@
 /// Weight of the newest latency in an entry's own smoothed one.
 const LATENCY_WEIGHT: f64 = 0.2;
 
-/// Age at which a load word has lost half its weight, in microseconds.
+/// Age at which a load report has lost half its weight, in microseconds.
 const LOAD_HALF_LIFE_US: f64 = 50_000.0;
 
 /// Age at which a service time is half forgotten, in microseconds.
@@ -74,8 +74,8 @@
     pub place: Option<TargetPlace>,
     /// Calls this entry has under way there. Exact.
     pub outstanding: u32,
-    /// The newest load word.
-    pub load: LoadWord,
+    /// The newest load report.
+    pub load: LoadReport,
     /// When that word came; zero if none came yet.
     pub heard: MicroTime,
     /// Own calls under way when that word came.
@@ -109,7 +109,7 @@
             name,
             place,
             outstanding: 0,
-            load: LoadWord { slots, ..LoadWord::default() },
+            load: LoadReport { slots, ..LoadReport::default() },
             heard: MicroTime(0),
             outstanding_then: 0,
             latency_us: 0.0,
@@ -122,8 +122,8 @@
         }
     }
 
-    /// Notes a load word, unless a newer one is known.
-    pub fn hear(&mut self, now: MicroTime, load: LoadWord) {
+    /// Notes a load report, unless a newer one is known.
+    pub fn hear(&mut self, now: MicroTime, load: LoadReport) {
         if load.sequence <= self.load.sequence {
             return;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,7 +45,7 @@
     AccountName, CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName,
 };
 pub use base::wire::{
-    AnswerHead, CallHead, CallPriority, KeyClaim, LoadWord, ProbeReply, ProbeRequest,
+    AnswerHead, CallHead, CallPriority, KeyClaim, LoadReport, ProbeReply, ProbeRequest,
     RefusalReason, RevokeHead, RevokeReply, WatchHead, WireError, decode, encode,
 };
 pub use call::headers::*;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,4 +1,4 @@
-//! The door of a target, under any order of events.
+//! The admission queue of a target, under any order of events.
 
 #[path = "common/seeded.rs"]
 mod seeded;
@@ -231,7 +231,7 @@
 
 /// A host that is slow for a quarter of the time, and so is the time of a call
 /// that begins then.
-fn slow_door(slots: u16) -> AdmissionQueue {
+fn slow_queue(slots: u16) -> AdmissionQueue {
     let mut queue = AdmissionQueue::open(slots);
     for spell in 0..=40_u64 {
         let percent = if spell % 4 == 0 { 500 } else { 100 };
@@ -240,7 +240,7 @@
     queue
 }
 
-/// When [`slow_door`] has heard its last word, which is slow.
+/// When [`slow_queue`] has heard its last word, which is slow.
 const SLOW_SINCE_MS: u64 = 40 * 150;
 
 fn offer_work(
@@ -262,14 +262,14 @@
 
 #[test]
 fn a_call_is_sent_on_while_the_host_is_slow() {
-    let mut queue = slow_door(8);
+    let mut queue = slow_queue(8);
     let sent_on = offer_work(&mut queue, 1, SLOW_SINCE_MS, SLOW_SINCE_MS + 300, false);
     assert!(matches!(sent_on[..], [AdmissionAction::Refuse { reason: RefusalReason::Slow, .. }]));
 }
 
 #[test]
 fn a_call_with_no_other_target_waits_until_the_host_is_fast_again() {
-    let mut queue = slow_door(8);
+    let mut queue = slow_queue(8);
     assert!(offer_work(&mut queue, 1, SLOW_SINCE_MS, SLOW_SINCE_MS + 300, true).is_empty());
     let now = MicroTime::from_millis(SLOW_SINCE_MS + 120);
     queue.note_slowness(now, 100);
@@ -280,7 +280,7 @@
 
 #[test]
 fn a_call_that_waited_in_vain_starts_where_there_is_room_to_spare() {
-    let mut queue = slow_door(8);
+    let mut queue = slow_queue(8);
     let give_up_ms = SLOW_SINCE_MS + 100;
     assert!(offer_work(&mut queue, 1, SLOW_SINCE_MS, give_up_ms, true).is_empty());
     let mut out = Vec::new();
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -123,12 +123,12 @@
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     let record = |name: &str| TargetRecord::new(name.into(), None, 4, MicroTime(0));
     let mut service = ServiceTargets::new(vec![record("slow"), record("fast")]);
-    let word = |service_us, sequence, told| railspan::LoadWord {
+    let word = |service_us, sequence, told| railspan::LoadReport {
         slots: 4,
         service_us,
         sequence,
         told,
-        ..railspan::LoadWord::default()
+        ..railspan::LoadReport::default()
     };
     service.targets[0].hear(MicroTime(1), word(80_000, 1, MicroTime(1)));
     let mut chosen = [0, 0];
--- a/tests/benefit.rs
+++ b/tests/benefit.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use railspan::{
-    BENEFIT_POLICY, CallOutlook, LoadWord, MicroTime, ServiceTargets, TargetRecord, policy,
+    BENEFIT_POLICY, CallOutlook, LoadReport, MicroTime, ServiceTargets, TargetRecord, policy,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -20,7 +20,7 @@
 fn record(name: &str, far: bool, slowness: u16, in_flight: u16) -> TargetRecord {
     let mut record = TargetRecord::new(name.into(), None, 6, MicroTime(0));
     record.far = far;
-    let word = LoadWord { slots: 6, slowness, in_flight, sequence: 1, ..LoadWord::default() };
+    let word = LoadReport { slots: 6, slowness, in_flight, sequence: 1, ..LoadReport::default() };
     record.hear(NOW, word);
     record
 }
