Split the admission queue: order and forecast in files of their own

Pure moves: who starts first and who is refused for lack of room (order.rs), when a slot will be free (forecast.rs). The tests of the queue and of the limit pass as before.

--- a/src/decide/admission.rs
+++ b/src/decide/admission/mod.rs
@@ -8,6 +8,9 @@
 //! sent on to another target. What can't be served in time is refused at once,
 //! but for room that nobody else needs.
 
+mod forecast;
+mod order;
+
 use std::collections::HashMap;
 
 use crate::base::clock::MicroTime;
@@ -27,10 +30,6 @@
 /// that it may run do.
 const SPARE_PART: usize = 2;
 
-/// Time after a call waited in vain for which the target counts as overloaded:
-/// a few times as long as calls wait.
-const OVERLOAD_LASTS: MicroTime = MicroTime::from_millis(1_000);
-
 /// Weight of the newest service time in the smoothed one.
 const SERVICE_WEIGHT: f64 = 0.2;
 
@@ -40,12 +39,6 @@
 /// Service time assumed before the first answer, in microseconds.
 const FIRST_SERVICE_US: f64 = 10_000.0;
 
-/// Time left to a call that has taken as long as foreseen, as a part of that.
-const OVERDUE_PART: f64 = 0.2;
-
-/// Retry times told to callers, in milliseconds.
-const RETRY_AFTER_BOUNDS: (u64, u64) = (5, 5_000);
-
 /// A call at the queue of a guard.
 #[derive(Clone, Debug)]
 pub struct WaitingCall {
@@ -318,20 +311,6 @@
         self.limit() / SHORT_QUEUE_PART
     }
 
-    /// Refuses the last in the queue, which may be the newcomer.
-    fn evict(&mut self, out: &mut Vec<AdmissionAction>) {
-        let newcomer = self.waiting.len() - 1;
-        let mut last = newcomer;
-        for index in 0..newcomer {
-            if self.goes_before(&self.waiting[last], &self.waiting[index]) {
-                last = index;
-            }
-        }
-        let reason = if last == newcomer { RefusalReason::Full } else { RefusalReason::Outranked };
-        let call = self.waiting.swap_remove(last).call;
-        out.push(self.refuse(call, reason));
-    }
-
     fn finish(&mut self, call: CallId, took: Option<MicroTime>, failed: bool) {
         let Some(ended) = self.running.remove(&call) else { return };
         let Some(took) = took else { return };
@@ -402,88 +381,7 @@
         out.push(AdmissionAction::Start(call.call));
     }
 
-    fn goes_before(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
-        if left.priority != right.priority {
-            return left.priority > right.priority;
-        }
-        let (left_use, right_use) = (self.use_of(left), self.use_of(right));
-        if left.account != right.account && left_use != right_use {
-            return left_use < right_use;
-        }
-        if self.is_overloaded() {
-            return left.deadline > right.deadline;
-        }
-        left.deadline < right.deadline
-    }
-
-    /// Tells whether calls waited in vain of late.
-    ///
-    /// Then not all can be in time, and those that waited longest would be the
-    /// latest: of calls alike the newest goes first, with all of its time left.
-    fn is_overloaded(&self) -> bool {
-        self.in_vain.is_some_and(|in_vain| self.now.since(in_vain) < OVERLOAD_LASTS)
-    }
-
-    /// Returns the calls an account runs here, per thousand shares.
-    fn use_of(&self, call: &WaitingCall) -> usize {
-        let same = |running: &&RunningCall| running.account == call.account;
-        let own = self.running.values().filter(same).count();
-        own * 1_000 / usize::from(call.share.max(1))
-    }
-
-    /// Returns the time that a waiting call is expected to take once it starts.
-    fn expected_time(&self, call: &WaitingCall) -> MicroTime {
-        if call.work_us == 0 {
-            return MicroTime(self.service_us as u64);
-        }
-        MicroTime(self.speed.time_for(f64::from(call.work_us)) as u64)
-    }
-
-    /// Returns the time after which a running call is expected to end.
-    fn expected_end(&self, call: &RunningCall) -> MicroTime {
-        if call.work_us == 0 {
-            let left = self.service_us - self.now.since(call.since).0 as f64;
-            return MicroTime(left.max(self.service_us * OVERDUE_PART) as u64);
-        }
-        let whole = f64::from(call.work_us) * call.slowness;
-        let left = whole - self.now.since(call.since).0 as f64;
-        MicroTime(left.max(whole * OVERDUE_PART) as u64)
-    }
-
-    /// Returns the time until a call behind some others gets a slot.
-    fn wait_behind<'a>(&self, ahead: impl Iterator<Item = &'a WaitingCall>) -> MicroTime {
-        let mut free: Vec<MicroTime> =
-            self.running.values().map(|running| self.expected_end(running)).collect();
-        // A limit that has just fallen leaves more calls running than may start.
-        free.sort_unstable();
-        free.drain(..free.len().saturating_sub(self.limit()));
-        free.resize(self.limit(), MicroTime(0));
-        for call in ahead {
-            let first = least(&mut free);
-            *first = *first + self.expected_time(call);
-        }
-        *least(&mut free)
-    }
-
     fn refuse(&self, call: CallId, reason: RefusalReason) -> AdmissionAction {
         AdmissionAction::Refuse { call, reason, retry_after_ms: self.retry_after_ms() }
     }
-
-    /// Returns when the present queue will have been served.
-    #[must_use]
-    pub fn retry_after_ms(&self) -> u32 {
-        let wait = self.wait_behind(self.waiting.iter()).ceil_millis();
-        wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
-    }
-}
-
-/// Returns the least of some times; there is at least one.
-fn least(times: &mut [MicroTime]) -> &mut MicroTime {
-    let mut first = 0;
-    for index in 1..times.len() {
-        if times[index] < times[first] {
-            first = index;
-        }
-    }
-    &mut times[first]
 }
