Hear a refused sender out before its connection closes

Cause: a daemon that answers 413 closes while the caller still writes; a close with unread bytes resets the connection, and the reset may overtake the answer. Ruled out: the caller's stand-in (a raw socket sees a broken pipe alike). Change: sockets of callers, operators and targets linger: they are shut down for writing and read on, for at most a second or 12 MiB, before they close.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -12,4 +12,5 @@
 pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod ring;
+pub(crate) mod socket;
 pub(crate) mod wire;
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -20,6 +20,7 @@
 use super::EntryDuty;
 use crate::base::clock::MicroTime;
 use crate::base::consts::SLOW_SENDER;
+use crate::base::socket::LingeringSocket;
 use crate::call::headers;
 use crate::call::intake;
 use crate::call::reply::EntryBody;
@@ -50,7 +51,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.idle_limit())
-            .serve_connection(TokioIo::new(socket), serve);
+            .serve_connection(TokioIo::new(LingeringSocket::open(socket)), serve);
         let mut connection = std::pin::pin!(connection);
         let mut stopping = self.stopping.subscribe();
         let stopped = tokio::select! {
--- a/src/process/httpd.rs
+++ b/src/process/httpd.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::base::consts::SLOW_SENDER;
+use crate::base::socket::LingeringSocket;
 
 /// Longest body that these services take, in bytes.
 const MAX_BODY: usize = 64 << 10;
@@ -46,7 +47,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(SLOW_SENDER)
-        .serve_connection(TokioIo::new(socket), answer);
+        .serve_connection(TokioIo::new(LingeringSocket::open(socket)), answer);
     // A broken connection is the asker's own affair.
     drop(connection.await);
 }
--- a/tests/bad_requests.rs
+++ b/tests/bad_requests.rs
@@ -2,9 +2,16 @@
 
 mod common;
 
-use common::{FleetPlan, TestFleet};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::{FleetPlan, TOKEN, TestFleet};
 use railspan_standins::{CallRequest, Verdict};
 
+/// Bytes that a caller writes at a time.
+const WRITTEN_AT_ONCE: usize = 64 << 10;
+
 #[test]
 fn bad_calls_are_told_so_and_do_not_run() {
     let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
@@ -56,3 +63,26 @@
     assert_eq!(verdicts.iter().filter(answered).count(), 8, "{verdicts:?}");
     assert!(verdicts.contains(&Verdict::TargetError), "{verdicts:?}");
 }
+
+/// A caller that reads nothing until its whole body is written: closing with unread
+/// bytes would reset the connection, and the answer with it.
+#[test]
+fn a_caller_that_still_writes_gets_the_answer() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 1, ..FleetPlan::default() });
+    let length = 4 << 20;
+    let head = format!(
+        "POST /{}/bulletin HTTP/1.1\r\nhost: railspan\r\nauthorization: Bearer {TOKEN}\r\n\
+         idempotency-key: k\r\ncontent-length: {length}\r\n\r\n",
+        fleet.plan.service
+    );
+    let mut socket = TcpStream::connect(fleet.place(0).caller).expect("connected");
+    socket.write_all(head.as_bytes()).expect("head written");
+    let part = vec![7; WRITTEN_AT_ONCE];
+    for _ in 0..length / WRITTEN_AT_ONCE {
+        std::thread::sleep(Duration::from_millis(1));
+        socket.write_all(&part).expect("the daemon reads on");
+    }
+    let mut answer = String::new();
+    socket.read_to_string(&mut answer).expect("a whole answer");
+    assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+}
