Commands of a large fleet: a summary first, then what differs, a file for each subcommand

Cause: status, targets, dump and trace were made for 13 hosts. Of 295 targets each had its line; hosts without a revision were one line of names; 148 silent daemons held the answer up for 9 s (three rounds of 64); trace read all logs into memory and parsed each line. A progress bar on a terminal after a second. A filter that names nothing tells what there is. cli.rs (375 lines) is split by subcommand.

--- /dev/null
+++ b/src/command/dump.rs
@@ -0,0 +1,57 @@
+//! `railspan dump`: the inputs of every decision of one daemon, or of one duty of it.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+use serde_json::Value;
+
+use crate::command::operator::{self, daemon_address};
+use crate::command::output::{self, CommandEnd, CommandOutput};
+
+/// Duties whose state a dump has.
+const PARTS: [&str; 4] = ["entry", "guard", "peers", "platform"];
+
+#[derive(Debug, Options)]
+pub(crate) struct DumpOptions {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(required, help = "admin address of the daemon", meta = "IP:PORT")]
+    daemon: Option<SocketAddr>,
+
+    #[options(no_short, help = "one duty alone: entry, guard, peers or platform")]
+    part: Option<String>,
+
+    #[options(no_short, help = "in the entry's part, targets of one service alone", meta = "NAME")]
+    service: Option<String>,
+}
+
+pub(crate) async fn run(options: &DumpOptions) -> CommandOutput {
+    if let Some(part) = options.part.as_deref()
+        && !PARTS.contains(&part)
+    {
+        let text = format!("expected a part of {}, not `{part}`", PARTS.join(", "));
+        return CommandOutput::new(CommandEnd::BadInput, text);
+    }
+    let mut state = match operator::dump(daemon_address(options.daemon)).await {
+        Ok(state) => state,
+        Err(error) => return CommandOutput::from(&error),
+    };
+    if let Some(name) = &options.service
+        && let Err(end) = keep_service(&mut state, name)
+    {
+        return end;
+    }
+    let shown = options.part.as_deref().map_or(&state, |part| &state[part]);
+    CommandOutput::done(output::to_json(shown))
+}
+
+/// Leaves one service in the entry's part.
+fn keep_service(state: &mut Value, name: &str) -> Result<(), CommandOutput> {
+    let Some(services) = state["entry"]["services"].as_object_mut() else { return Ok(()) };
+    if !services.contains_key(name) {
+        return Err(output::no_such("service", name, services.keys().map(String::as_str)));
+    }
+    services.retain(|known, _| known == name);
+    Ok(())
+}
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -9,13 +9,15 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde::Serialize;
 use serde_json::Value;
 use snafu::Snafu;
 use tokio::time::timeout;
 
-use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
-use crate::fleet::member::{FleetView, MemberState};
+use crate::base::ids::HostName;
+use crate::command::progress::CommandProgress;
+use crate::command::status::{HostCondition, HostStatus};
+use crate::command::targets::TargetLine;
+use crate::fleet::member::{FleetView, MemberRecord, MemberState};
 
 /// Longest wait for one daemon.
 const DAEMON_TIMEOUT: Duration = Duration::from_secs(3);
@@ -23,8 +25,13 @@
 /// Longest answer taken from a daemon, in bytes.
 const MAX_ANSWER: usize = 64 << 20;
 
-/// Daemons asked at once.
-const ASKED_AT_ONCE: usize = 64;
+/// Longest time for all daemons together; those that did not answer by then are shown
+/// so.
+const STATUS_WITHIN: Duration = Duration::from_secs(5);
+
+/// Daemons asked at once: of a fleet of a thousand, half of it silent, the others are
+/// all asked within [`STATUS_WITHIN`].
+const ASKED_AT_ONCE: usize = 512;
 
 /// Why a daemon did not do what it was asked.
 #[derive(Debug, Snafu)]
@@ -53,38 +60,6 @@
     },
 }
 
-/// One target as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct TargetLine {
-    /// Its service.
-    pub service: ServiceName,
-    /// Its name.
-    pub target: TargetName,
-    /// Its host.
-    pub host: HostName,
-    /// The host's data centre.
-    pub data_centre: CentreName,
-    /// What is believed of the host's daemon.
-    pub daemon: MemberState,
-    /// Whether it takes new work.
-    pub ready: bool,
-    /// Calls it runs at once.
-    pub slots: u16,
-}
-
-/// Where a revision is in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct HostStatus {
-    /// The host.
-    pub host: HostName,
-    /// What is believed of its daemon.
-    pub daemon: MemberState,
-    /// The revision in force, or none if it could not be asked.
-    pub revision: Option<u64>,
-    /// Whether it serves calls.
-    pub ready: bool,
-}
-
 /// Returns all members that a daemon knows.
 ///
 /// # Errors
@@ -116,36 +91,64 @@
             slots: target.slots,
         }));
     }
-    lines.sort_by(|a, b| (&a.service, &a.target).cmp(&(&b.service, &b.target)));
+    lines.sort_by(|a, b| {
+        let key = |line: &TargetLine| {
+            (line.service.clone(), line.data_centre.clone(), line.target.clone())
+        };
+        key(a).cmp(&key(b))
+    });
     Ok(lines)
 }
 
-/// Asks every daemon which revision is in force there.
+/// Asks every daemon which revision is in force there, for at most [`STATUS_WITHIN`].
 ///
 /// # Errors
 ///
-/// Fails when the first daemon can't be reached; others show as unasked.
-pub async fn read_status(daemon: SocketAddr) -> Result<Vec<HostStatus>, OperatorError> {
+/// Fails when the first daemon can't be reached; others show as not having answered.
+pub(crate) async fn read_status(daemon: SocketAddr) -> Result<Vec<HostStatus>, OperatorError> {
     let view = read_members(daemon).await?;
-    let asked = view.members.into_iter().map(|member| async move {
-        let status = if member.is_up() {
-            ask(Method::GET, member.admin, "/status").await.ok()
-        } else {
-            None
-        };
-        HostStatus {
-            host: member.host,
-            daemon: member.state,
-            revision: status.as_ref().and_then(|status| status["in_force"].as_u64()),
-            ready: status.is_some_and(|status| status["ready"] == Value::Bool(true)),
-        }
+    let mut hosts: Vec<HostStatus> = view.members.iter().map(unasked).collect();
+    let asked = view.members.iter().enumerate().filter(|(_, member)| member.is_up());
+    let asked = asked.map(|(index, member)| async move {
+        (index, ask(Method::GET, member.admin, "/status").await.ok())
     });
-    let mut hosts: Vec<HostStatus> =
-        futures::stream::iter(asked).buffer_unordered(ASKED_AT_ONCE).collect().await;
+    let answers = futures::stream::iter(asked).buffer_unordered(ASKED_AT_ONCE);
+    let mut answers = std::pin::pin!(answers.take_until(tokio::time::sleep(STATUS_WITHIN)));
+    let mut progress = CommandProgress::open(hosts.len() as u64);
+    for done in 1.. {
+        let Some((index, answer)) = answers.next().await else { break };
+        progress.set(done);
+        if let Some(answer) = answer {
+            take_answer(&mut hosts[index], &answer);
+        }
+    }
     hosts.sort_by(|a, b| a.host.cmp(&b.host));
     Ok(hosts)
 }
 
+/// Returns what the fleet believes of a host before it is asked.
+fn unasked(member: &MemberRecord) -> HostStatus {
+    HostStatus {
+        host: member.host.clone(),
+        data_centre: member.data_centre.clone(),
+        daemon: member.state,
+        condition: match member.state {
+            MemberState::Alive | MemberState::Suspect => HostCondition::NoAnswer,
+            MemberState::Dead => HostCondition::Down,
+            MemberState::Left => HostCondition::Left,
+        },
+        revision: None,
+        ready: false,
+        store_lost: member.store_lost,
+    }
+}
+
+fn take_answer(host: &mut HostStatus, answer: &Value) {
+    host.revision = answer["in_force"].as_u64();
+    host.ready = answer["ready"] == Value::Bool(true);
+    host.condition = if host.ready { HostCondition::Serving } else { HostCondition::NotReady };
+}
+
 /// Returns the state of one daemon.
 ///
 /// # Errors
@@ -180,6 +183,11 @@
     ask(Method::POST, daemon, "/hint").await.map(drop)
 }
 
+/// Returns an address that the argument parser made sure of.
+pub(crate) fn daemon_address(address: Option<SocketAddr>) -> SocketAddr {
+    address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
 async fn ask(method: Method, daemon: SocketAddr, path: &str) -> Result<Value, OperatorError> {
     let unreachable = |reason: String| OperatorError::Unreachable { daemon, reason };
     let (status, body) = timeout(DAEMON_TIMEOUT, exchange(method, daemon, path))
--- /dev/null
+++ b/src/command/output.rs
@@ -0,0 +1,66 @@
+//! What every command shares: how it ended, what it prints, what went wrong.
+
+use serde::Serialize;
+
+use crate::command::operator::OperatorError;
+
+/// How a command ended, as its exit code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CommandEnd {
+    /// Done.
+    Done = 0,
+    /// Refused: a conflict, or no such thing. Nothing changed.
+    Refused = 1,
+    /// The input is bad. Nothing changed.
+    BadInput = 2,
+    /// The platform or a daemon can't be reached. Nothing changed.
+    Unreachable = 3,
+    /// It can't be told whether something changed.
+    Unknown = 4,
+}
+
+/// What a command prints, and how it ended.
+#[derive(Debug)]
+pub(crate) struct CommandOutput {
+    pub(crate) end: CommandEnd,
+    /// Goes to standard output if the command is done, else to standard error.
+    pub(crate) text: String,
+}
+
+impl CommandOutput {
+    pub(crate) const fn new(end: CommandEnd, text: String) -> Self {
+        Self { end, text }
+    }
+
+    pub(crate) const fn done(text: String) -> Self {
+        Self::new(CommandEnd::Done, text)
+    }
+}
+
+impl From<&OperatorError> for CommandOutput {
+    fn from(error: &OperatorError) -> Self {
+        let end = match error {
+            OperatorError::Unreachable { .. } => CommandEnd::Unreachable,
+            OperatorError::Refused { .. } | OperatorError::NoTarget { .. } => CommandEnd::Refused,
+        };
+        Self::new(end, error.to_string())
+    }
+}
+
+/// Renders a value as JSON for people and programs.
+pub(crate) fn to_json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
+
+/// Makes the end of a command whose filter names nothing that there is.
+pub(crate) fn no_such<'a>(
+    what: &str,
+    name: &str,
+    known: impl Iterator<Item = &'a str>,
+) -> CommandOutput {
+    let mut known: Vec<&str> = known.collect();
+    known.sort_unstable();
+    known.dedup();
+    let text = format!("no {what} `{name}`; there are: {}", known.join(", "));
+    CommandOutput::new(CommandEnd::Refused, text)
+}
--- /dev/null
+++ b/src/command/publish.rs
@@ -0,0 +1,66 @@
+//! `railspan publish`: checks templates and publishes them as the next revision.
+
+use std::net::SocketAddr;
+
+use gumdrop::Options;
+
+use crate::command::check;
+use crate::command::operator::{self, daemon_address};
+use crate::command::output::{self, CommandEnd, CommandOutput};
+use crate::platform::open_store;
+use crate::rules::config::FleetConfig;
+use crate::rules::publish::{self, PublishError};
+
+#[derive(Debug, Options)]
+pub(crate) struct PublishOptions {
+    #[options(help = "print this help")]
+    help: bool,
+
+    #[options(required, help = "address of the platform", meta = "IP:PORT")]
+    platform: Option<SocketAddr>,
+
+    #[options(help = "admin address of a daemon, to spread the news at once", meta = "IP:PORT")]
+    daemon: Option<SocketAddr>,
+
+    #[options(help = "revision the change was made on; refuse if it is no longer the newest")]
+    base: Option<u64>,
+
+    #[options(help = "who publishes; otherwise the variable USER")]
+    operator: Option<String>,
+
+    #[options(no_short, help = "print the result as JSON")]
+    json: bool,
+
+    #[options(free, required, help = "files of templates and parameters")]
+    files: Vec<String>,
+}
+
+pub(crate) async fn run(options: &PublishOptions) -> CommandOutput {
+    let files = check::read_files(&options.files);
+    let config = match files.and_then(|files| FleetConfig::parse_all(&files)) {
+        Ok(config) => config,
+        Err(findings) => return check::report(&findings, options.json),
+    };
+    let name = options.operator.clone().or_else(|| std::env::var("USER").ok());
+    let name = name.unwrap_or_else(|| "unknown".to_owned());
+    let client = open_store(daemon_address(options.platform));
+    let head = match publish::publish(&client, &config, &name, options.base).await {
+        Ok(head) => head,
+        Err(error) => return refusal(&error),
+    };
+    if let Some(daemon) = options.daemon {
+        // Without the hint the daemons hear of it a little later.
+        drop(operator::hint(daemon).await);
+    }
+    let plain = || format!("published revision {}", head.revision);
+    CommandOutput::done(if options.json { output::to_json(&head) } else { plain() })
+}
+
+fn refusal(error: &PublishError) -> CommandOutput {
+    let end = match error {
+        PublishError::Conflict { .. } => CommandEnd::Refused,
+        PublishError::NotPublished { .. } => CommandEnd::Unreachable,
+        PublishError::Unsettled { .. } => CommandEnd::Unknown,
+    };
+    CommandOutput::new(end, error.to_string())
+}
--- a/src/command/story.rs
+++ b/src/command/story.rs
@@ -32,6 +32,8 @@
 /// What the logs tell of one request.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RequestStory {
+    #[serde(skip)]
+    id: String,
     /// The decisions, in order of time.
     pub lines: Vec<StoryLine>,
     /// Log lines that can't be read; they were passed over.
@@ -40,27 +42,46 @@
 }
 
 impl RequestStory {
-    /// Reads the lines of a request, and of the calls made for it, from logs
-    /// given as `(file, text)`.
-    ///
-    /// What stands before the first brace of a line is passed over, so that the
-    /// output of log collectors can be read as it is.
+    /// Opens the story of a request, and of the calls made for it.
+    pub(crate) fn open(id: &str) -> Self {
+        Self { id: id.to_owned(), ..Self::default() }
+    }
+
+    /// Reads a story from logs given as `(file, text)`.
     #[must_use]
     pub fn read(id: &str, logs: &[(String, String)]) -> Self {
-        let mut story = Self::default();
+        let mut story = Self::open(id);
         for (file, text) in logs {
             for (index, line) in text.lines().enumerate() {
-                let Some(start) = line.find('{') else { continue };
-                match serde_json::from_str::<Map<String, Value>>(&line[start..]) {
-                    Ok(fields) => story.lines.extend(story_line(id, fields)),
-                    Err(error) => story.findings.push(finding(file, index, line, &error)),
-                }
+                story.take(file, index + 1, line);
             }
         }
-        story.lines.sort_by(|left, right| left.ts.cmp(&right.ts));
+        story.sort();
         story
     }
 
+    /// Takes one line of a log, if it tells of the request; `number` counts from one.
+    ///
+    /// What stands before the first brace of a line is passed over, so that the
+    /// output of log collectors can be read as it is. Whole lines without the id are
+    /// not parsed: of the logs of a large fleet that is nearly all.
+    pub(crate) fn take(&mut self, file: &str, number: usize, line: &str) {
+        let line = line.trim_end();
+        let Some(start) = line.find('{') else { return };
+        if line.ends_with('}') && !line.contains(&self.id) {
+            return;
+        }
+        match serde_json::from_str::<Map<String, Value>>(&line[start..]) {
+            Ok(fields) => self.lines.extend(story_line(&self.id, fields)),
+            Err(error) => self.findings.push(finding(file, number, line, &error)),
+        }
+    }
+
+    /// Brings the lines of several logs into the order of time.
+    pub(crate) fn sort(&mut self) {
+        self.lines.sort_by(|left, right| left.ts.cmp(&right.ts));
+    }
+
     /// Renders the story, one decision a line.
     #[must_use]
     pub fn render(&self) -> String {
@@ -102,11 +123,11 @@
     Some(StoryLine { ts, host, msg, fields })
 }
 
-fn finding(file: &str, index: usize, line: &str, error: &serde_json::Error) -> FileFinding {
+fn finding(file: &str, number: usize, line: &str, error: &serde_json::Error) -> FileFinding {
     let shown: String = line.chars().take(SHOWN).collect();
     FileFinding {
         file: file.to_owned(),
-        place: TextPlace { line: index + 1, column: 1 },
+        place: TextPlace { line: number, column: 1 },
         text: format!("passed over: {error}: {shown}"),
     }
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -44,6 +44,12 @@
 #[test_case(&["publish", "--platform", "127.0.0.1:1", "tests/cases/four_faults.jsonc"], 2; "bad template")]
 #[test_case(&["publish", "--platform", "127.0.0.1:1", "examples/fundacion.jsonc"], 3; "no platform there")]
 #[test_case(&["status", "--daemon", "127.0.0.1:1"], 3; "no daemon there")]
+#[test_case(&["targets", "--daemon", "127.0.0.1:1", "--state", "asleep"], 2; "no such state")]
+#[test_case(&["targets", "--daemon", "127.0.0.1:1", "--state", "down"], 3; "no daemon to list targets")]
+#[test_case(&["dump", "--daemon", "127.0.0.1:1", "--part", "cellar"], 2; "no such part")]
+#[test_case(&["dump", "--daemon", "nowhere"], 2; "no address")]
+#[test_case(&["trace", "some-id", "tests/cases/no_such_file.jsonc"], 2; "no log file")]
+#[test_case(&["trace", "some-id", "examples/settings.jsonc"], 1; "no line of a request")]
 #[test_case(&["publsh"], 2; "no such command")]
 #[test_case(&["--help"], 0; "help")]
 fn exit_codes_are_as_documented(arguments: &[&str], expected: i32) {
@@ -96,6 +102,29 @@
     eventually("targets shows it back", || ready(true));
     assert_eq!(code(&railspan(&["drain", "--daemon", &admin, "target-x"])), 1);
 
+    let filtered = |filter: &[&str]| {
+        let listed = railspan(&[&["targets", "--daemon", &admin, "--json"], filter].concat());
+        let lines: Result<Vec<serde_json::Value>, _> = serde_json::from_slice(&listed.stdout);
+        (code(&listed), lines.map_or(0, |lines| lines.len()))
+    };
+    assert_eq!(filtered(&["--service", "fundacion"]).0, 1);
+    assert_eq!(filtered(&["--data-centre", "nowhere"]).0, 1);
+    assert_eq!(filtered(&["--state", "ready"]), (0, 2));
+    assert_eq!(filtered(&["--state", "down"]), (0, 0));
+    let status = railspan(&["status", "--daemon", &admin]);
+    let text = String::from_utf8_lossy(&status.stdout);
+    assert!(
+        text.starts_with("2 of 2 hosts serve calls\nrevision 2 is in force at 2 of 2"),
+        "{text}"
+    );
+    let nowhere = railspan(&["status", "--daemon", &admin, "--data-centre", "nowhere"]);
+    assert_eq!(code(&nowhere), 1, "{nowhere:?}");
+
+    let guard = railspan(&["dump", "--daemon", &admin, "--part", "guard"]);
+    let guard: serde_json::Value = serde_json::from_slice(&guard.stdout).expect("json");
+    assert!(guard["targets"].is_array(), "{guard}");
+    let nothing = railspan(&["dump", "--daemon", &admin, "--service", "nothing"]);
+    assert_eq!(code(&nothing), 1, "{nothing:?}");
     let dump = railspan(&["dump", "--daemon", &admin]);
     let dump: serde_json::Value = serde_json::from_slice(&dump.stdout).expect("json");
     for part in ["entry", "guard", "peers", "platform"] {
