--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -131,3 +131,17 @@
         assert!(dump[part].is_object(), "{part} is missing");
     }
 }
+
+/// A daemon that stands still is believed alive for some seconds more.
+#[test]
+fn a_status_without_all_answers_says_so_and_ends() {
+    let fleet = TestFleet::spawn(FleetPlan { hosts: 3, ..FleetPlan::default() });
+    let admin = fleet.place(0).admin.to_string();
+    fleet.daemons[2].freeze().expect("freeze");
+    let status = railspan(&["status", "--daemon", &admin]);
+    fleet.daemons[2].thaw().expect("thaw");
+    assert_eq!(code(&status), 0, "{status:?}");
+    let text = String::from_utf8_lossy(&status.stdout).into_owned();
+    assert!(text.starts_with("2 of 3 hosts serve calls, no answer: 1"), "{text}");
+    assert!(text.contains("\npartial: "), "{text}");
+}
