--- a/src/call/served.rs
+++ b/src/call/served/mod.rs
@@ -1,5 +1,7 @@
 //! One call in a guard, from its slot to the record of its outcome.
 
+mod answer_pump;
+
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -7,23 +9,20 @@
 
 use bytes::Bytes;
 use h2::server::SendResponse;
-use h2::{Reason, SendStream};
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
 use slog::info;
 use tokio::time::{sleep_until, timeout};
 
+use self::answer_pump::AnswerPump;
 use crate::base::clock::MicroTime;
-use crate::base::consts::{BODY_STALL, MAX_DEADLINE_MS, MAX_RECORDED_BODY};
+use crate::base::consts::MAX_DEADLINE_MS;
 use crate::base::ids::{CallId, ServiceName, TargetName};
-use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
-use crate::call::guard::{GuardDuty, LEAVING_RETRY_MS};
-use crate::call::h2io;
+use crate::base::wire::CallHead;
+use crate::call::guard::GuardDuty;
 use crate::call::headers;
-use crate::call::target_call::{self, AnswerMeaning, TargetAnswer};
+use crate::call::target_call::{self, TargetAnswer};
 use crate::call::target_pool::TargetFailure;
 use crate::decide::admission::AdmissionEvent;
-use crate::decide::outcome::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
+use crate::decide::outcome::{CallFate, ClaimRow, ClaimState};
 use crate::store::table::TableWrite;
 
 /// Time a call that must not repeat may run on after its deadline.
@@ -223,183 +222,3 @@
         self.duty.write(TableWrite { key, expect: Some(version), value });
     }
 }
-
-/// Moves a target's answer to the entry, and keeps what has to be recorded.
-struct AnswerPump<'a> {
-    call: &'a ServedCall,
-    head: &'a CallHead,
-    /// Taken when the answer's head goes out.
-    respond: Option<SendResponse<Bytes>>,
-    /// Nothing once the entry has gone.
-    stream: Option<SendStream<Bytes>>,
-}
-
-impl AnswerPump<'_> {
-    /// Tells the entry that no answer will come.
-    async fn lose(&mut self) {
-        let load = self.call.duty.load(&self.call.key);
-        self.send_head(&AnswerHead::Lost { call: self.call.call, load }, true).await;
-        self.stream = None;
-    }
-
-    /// Sends the answer; returns what became of the call.
-    async fn forward(&mut self, answered: Result<TargetAnswer, TargetFailure>) -> CallFate {
-        let answer = match answered {
-            Ok(answer) => answer,
-            Err(TargetFailure::NotSent) => return self.refuse(RefusalReason::Unreachable).await,
-            Err(TargetFailure::Broken) => {
-                self.lose().await;
-                return CallFate::Unknown;
-            }
-        };
-        let names = self.call.duty.names;
-        let reason = match target_call::meaning(self.head, answer.status, &answer.headers, names) {
-            AnswerMeaning::Answer => return self.forward_answer(answer).await,
-            AnswerMeaning::NotRun => RefusalReason::Declined,
-            AnswerMeaning::OtherTarget => {
-                // Its address is another target's now: it is gone for good.
-                self.call.duty.end_target(&self.call.key.1);
-                RefusalReason::Absent
-            }
-            AnswerMeaning::Foreign => {
-                // What follows on this connection is out of step: it is closed.
-                self.lose().await;
-                return CallFate::Unknown;
-            }
-        };
-        if answer.rest.is_none() {
-            answer.connection.release(&answer.headers);
-        }
-        self.refuse(reason).await
-    }
-
-    /// Tells the entry that the call did not run and never will.
-    async fn refuse(&mut self, reason: RefusalReason) -> CallFate {
-        self.call.dispatched.set(None);
-        let refusal = self.call.duty.refusal(self.call, reason, LEAVING_RETRY_MS);
-        self.send_head(&refusal, true).await;
-        CallFate::NotRun
-    }
-
-    async fn forward_answer(&mut self, answer: TargetAnswer) -> CallFate {
-        self.call.failed.set(answer.status.is_server_error());
-        let mut recorded = RecordedAnswer {
-            status: answer.status.as_u16(),
-            content_type: content_type(&answer.headers),
-            // Only the answer to a keyed call is ever asked for again.
-            body: self.head.claim.as_ref().map(|_claim| Vec::new()),
-        };
-        keep(&mut recorded, &answer.start);
-        let length = match &answer.rest {
-            None => Some(answer.start.len() as u64),
-            Some(_more) => answer_length(self.head, answer.status, &answer.headers),
-        };
-        let answered = AnswerHead::Answered {
-            call: self.call.call,
-            status: answer.status.as_u16(),
-            headers: headers::forward_answer(&answer.headers, self.call.duty.names),
-            length,
-            work_us: self.call.work_us(),
-            load: self.call.duty.load(&self.call.key),
-        };
-        let Some(mut rest) = answer.rest else {
-            answer.connection.release(&answer.headers);
-            self.send_whole(&answered, answer.start).await;
-            return CallFate::Answered(recorded);
-        };
-        self.send_head(&answered, false).await;
-        if !self.send_data(answer.start).await && self.head.repeatable {
-            return CallFate::Unknown;
-        }
-        loop {
-            let Ok(next) = timeout(BODY_STALL, rest.frame()).await else {
-                self.reset();
-                return CallFate::Unknown;
-            };
-            let Some(frame) = next else { break };
-            let Ok(frame) = frame else {
-                self.reset();
-                return CallFate::Unknown;
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            keep(&mut recorded, &data);
-            if !self.send_data(data).await && self.head.repeatable {
-                return CallFate::Unknown;
-            }
-        }
-        answer.connection.release(&answer.headers);
-        if let Some(mut stream) = self.stream.take() {
-            drop(h2io::send_all(&mut stream, Bytes::new(), true).await);
-        }
-        CallFate::Answered(recorded)
-    }
-
-    /// Sends an answer that is at hand, in one piece where the window allows.
-    async fn send_whole(&mut self, answer: &AnswerHead, body: Bytes) {
-        let Some(mut respond) = self.respond.take() else { return };
-        let Ok(bytes) = h2io::frame_with(answer, &body) else {
-            respond.send_reset(Reason::INTERNAL_ERROR);
-            return;
-        };
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        let sent = timeout(BODY_STALL, h2io::send_all(&mut stream, bytes, true)).await;
-        if !sent.is_ok_and(|sent| sent.is_ok()) {
-            stream.send_reset(Reason::INTERNAL_ERROR);
-        }
-    }
-
-    async fn send_head(&mut self, answer: &AnswerHead, end: bool) {
-        let Some(mut respond) = self.respond.take() else { return };
-        let Ok(bytes) = h2io::frame(answer) else {
-            respond.send_reset(Reason::INTERNAL_ERROR);
-            return;
-        };
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        if h2io::send_all(&mut stream, bytes, end).await.is_ok() {
-            self.stream = Some(stream);
-        }
-    }
-
-    /// Sends a part of the body; `false` once the entry has gone.
-    async fn send_data(&mut self, data: Bytes) -> bool {
-        let Some(stream) = &mut self.stream else { return false };
-        let sent = timeout(BODY_STALL, h2io::send_all(stream, data, false)).await;
-        let sent = sent.is_ok_and(|sent| sent.is_ok());
-        if !sent {
-            self.reset();
-        }
-        sent
-    }
-
-    /// Breaks the stream, so that nobody takes a cut body for a whole one.
-    fn reset(&mut self) {
-        if let Some(mut stream) = self.stream.take() {
-            stream.send_reset(Reason::INTERNAL_ERROR);
-        }
-    }
-}
-
-/// Returns the length the body must have, where it is known.
-fn answer_length(head: &CallHead, status: StatusCode, headers: &HeaderMap) -> Option<u64> {
-    let empty = head.method == "HEAD"
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    if empty {
-        return Some(0);
-    }
-    headers.get(http::header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
-
-fn content_type(headers: &HeaderMap) -> Option<String> {
-    let value = headers.get(http::header::CONTENT_TYPE)?;
-    value.to_str().ok().map(str::to_owned)
-}
-
-/// Keeps a part of a body for the record, unless it grows over the limit.
-fn keep(recorded: &mut RecordedAnswer, data: &[u8]) {
-    let fits = |body: &Vec<u8>| body.len() + data.len() <= MAX_RECORDED_BODY;
-    match &mut recorded.body {
-        Some(body) if fits(body) => body.extend_from_slice(data),
-        body => *body = None,
-    }
-}
--- /dev/null
+++ b/src/rules/checking.rs
@@ -0,0 +1,179 @@
+//! What files of templates and parameters may hold, and what spans several of their
+//! fields: doubles and dangling references.
+
+use std::collections::HashSet;
+
+use serde_json::Value;
+
+use crate::base::consts::MAX_DEADLINE_MS;
+use crate::base::findings::nearest;
+use crate::decide::selection;
+use crate::rules::schema::{CheckedText, FieldKind, FieldRule};
+
+const TERMS: [FieldRule; 5] = [
+    FieldRule { name: "urgent", kind: FieldKind::Flag, required: false },
+    FieldRule { name: "worth", kind: FieldKind::Whole(1, 100), required: false },
+    FieldRule { name: "repeatable", kind: FieldKind::Flag, required: false },
+    FieldRule {
+        name: "deadline_ms",
+        kind: FieldKind::Whole(1, MAX_DEADLINE_MS as u64),
+        required: false,
+    },
+    FieldRule { name: "hedge", kind: FieldKind::Flag, required: false },
+];
+
+const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
+const KIND_RULES: &[FieldRule] = &[
+    FieldRule { name: "name", kind: FieldKind::Name, required: true },
+    FieldRule { name: "method", kind: FieldKind::Choice(METHODS), required: false },
+    FieldRule { name: "path", kind: FieldKind::Text(200), required: true },
+    TERMS[0].copy(),
+    TERMS[1].copy(),
+    TERMS[2].copy(),
+    TERMS[3].copy(),
+    TERMS[4].copy(),
+];
+
+const SERVICE_RULES: &[FieldRule] = &[
+    FieldRule { name: "name", kind: FieldKind::Name, required: true },
+    FieldRule { name: "policy", kind: FieldKind::Name, required: false },
+    TERMS[3].copy(),
+    FieldRule { name: "kinds", kind: FieldKind::List(KIND_RULES), required: false },
+];
+
+const PARAMETER_RULES: &[FieldRule] = &[
+    FieldRule { name: "service", kind: FieldKind::Name, required: true },
+    FieldRule { name: "kind", kind: FieldKind::Name, required: true },
+    TERMS[0].copy(),
+    TERMS[1].copy(),
+    TERMS[2].copy(),
+    TERMS[3].copy(),
+    TERMS[4].copy(),
+];
+
+const ACCOUNT_RULES: &[FieldRule] = &[
+    FieldRule { name: "name", kind: FieldKind::Name, required: true },
+    FieldRule { name: "token_blake3", kind: FieldKind::Hex(64), required: true },
+    FieldRule { name: "share", kind: FieldKind::Whole(1, 1_000), required: false },
+    FieldRule { name: "parameters", kind: FieldKind::List(PARAMETER_RULES), required: false },
+];
+
+pub(crate) const RULES: &[FieldRule] = &[
+    FieldRule { name: "services", kind: FieldKind::List(SERVICE_RULES), required: false },
+    FieldRule { name: "accounts", kind: FieldKind::List(ACCOUNT_RULES), required: false },
+];
+
+impl FieldRule {
+    const fn copy(&self) -> Self {
+        Self { name: self.name, kind: self.kind, required: self.required }
+    }
+}
+
+/// Reads a file loosely, so that one fault does not hide another.
+pub(crate) fn read_value(text: &str) -> Value {
+    let options = jsonc_parser::ParseOptions::default();
+    jsonc_parser::parse_to_serde_value(text, &options).unwrap_or_default()
+}
+
+/// The names that all files together define.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigNames<'a> {
+    /// Kinds of each service; a service that stands twice has two lists.
+    services: Vec<(&'a str, Vec<&'a str>)>,
+    accounts: Vec<&'a str>,
+    tokens: Vec<&'a str>,
+}
+
+impl<'a> ConfigNames<'a> {
+    pub(crate) fn collect(values: &'a [Value]) -> Self {
+        let mut names = Self::default();
+        for value in values {
+            for service in items(value, "services") {
+                let kinds = items(service, "kinds").iter().map(|kind| field(kind, "name"));
+                names.services.push((field(service, "name"), kinds.collect()));
+            }
+            for account in items(value, "accounts") {
+                names.accounts.push(field(account, "name"));
+                names.tokens.push(field(account, "token_blake3"));
+            }
+        }
+        names
+    }
+
+    /// Checks what spans several fields: doubles and dangling references.
+    pub(crate) fn check(&self, value: &Value, text: &mut CheckedText<'_>) {
+        for (index, service) in items(value, "services").iter().enumerate() {
+            self.check_service(service, &format!("services[{index}]"), text);
+        }
+        for (index, account) in items(value, "accounts").iter().enumerate() {
+            self.check_account(account, &format!("accounts[{index}]"), text);
+        }
+    }
+
+    fn check_service(&self, service: &Value, path: &str, text: &mut CheckedText<'_>) {
+        let name = field(service, "name");
+        if self.services.iter().filter(|(other, _)| *other == name).count() > 1 {
+            text.add_at(&format!("{path}.name"), &format!("service `{name}` stands twice"));
+        }
+        let policy = field(service, "policy");
+        if !policy.is_empty() && selection::policy(policy).is_none() {
+            let known = selection::policy_names().join(", ");
+            text.add_at(&format!("{path}.policy"), &format!("expected one of: {known}"));
+        }
+        let mut seen = HashSet::new();
+        for (index, kind) in items(service, "kinds").iter().enumerate() {
+            let path = format!("{path}.kinds[{index}]");
+            let name = field(kind, "name");
+            if !seen.insert(name) {
+                text.add_at(&format!("{path}.name"), &format!("kind `{name}` stands twice"));
+            }
+            let start = field(kind, "path");
+            if !start.is_empty() && !start.starts_with('/') {
+                text.add_at(&format!("{path}.path"), "a path starts with `/`");
+            }
+        }
+    }
+
+    fn check_account(&self, account: &Value, path: &str, text: &mut CheckedText<'_>) {
+        let name = field(account, "name");
+        if self.accounts.iter().filter(|other| **other == name).count() > 1 {
+            text.add_at(&format!("{path}.name"), &format!("account `{name}` stands twice"));
+        }
+        let token = field(account, "token_blake3");
+        if self.tokens.iter().filter(|other| **other == token).count() > 1 {
+            let wrong = "another account has the same token";
+            text.add_at(&format!("{path}.token_blake3"), wrong);
+        }
+        for (index, own) in items(account, "parameters").iter().enumerate() {
+            self.check_reference(own, &format!("{path}.parameters[{index}]"), text);
+        }
+    }
+
+    fn check_reference(&self, own: &Value, path: &str, text: &mut CheckedText<'_>) {
+        let (service, kind) = (field(own, "service"), field(own, "kind"));
+        let Some((_, kinds)) = self.services.iter().find(|(name, _)| *name == service) else {
+            let known = self.services.iter().map(|(name, _)| *name);
+            let hint = hint_nearest(service, known);
+            text.add_at(&format!("{path}.service"), &format!("no template for `{service}`{hint}"));
+            return;
+        };
+        if !kinds.contains(&kind) {
+            let hint = hint_nearest(kind, kinds.iter().copied());
+            let wrong = format!("service `{service}` has no kind `{kind}`{hint}");
+            text.add_at(&format!("{path}.kind"), &wrong);
+        }
+    }
+}
+
+fn items<'a>(value: &'a Value, key: &str) -> &'a [Value] {
+    value.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+fn field<'a>(value: &'a Value, key: &str) -> &'a str {
+    value.get(key).and_then(Value::as_str).unwrap_or_default()
+}
+
+fn hint_nearest<'a>(wrong: &str, known: impl Iterator<Item = &'a str>) -> String {
+    nearest(wrong, known).map(|name| format!("; did you mean `{name}`?")).unwrap_or_default()
+}
