--- a/benches/policies/main.rs
+++ b/benches/policies/main.rs
@@ -2,8 +2,11 @@
 //!
 //! `cargo bench --bench policies -- [--scenario NAME] [--calls N] [--seeds N]`
 
+mod guards;
 mod model;
+mod parts;
 mod scenarios;
+mod troubles;
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/benches/policies/model.rs
+++ b/benches/policies/model.rs
@@ -5,13 +5,15 @@
 
 use hdrhistogram::Histogram;
 use railspan::{
-    AdmissionAction, AdmissionEvent, AdmissionQueue, CallCourse, CallId, CallPriority, LoadReport,
-    MicroTime, NextStep, ProbeBudget, RetryBudget, SelectionPolicy, ServiceTargets, TargetName,
-    TargetRecord, TryEnd, WaitingCall, hedge_after,
+    AdmissionEvent, AdmissionQueue, CallCourse, CallPriority, LoadReport, MicroTime, NextStep,
+    ProbeBudget, RetryBudget, SelectionPolicy, ServiceTargets, TryEnd, hedge_after,
 };
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use rand::RngExt;
 
+use crate::parts::{
+    AttemptEnd, ModelAttempt, ModelCall, ModelEntry, ModelEvent, ModelStreams, ModelTarget,
+    OrderedLoad, exponential, rate_per_us, record, target_index, target_name,
+};
 use crate::scenarios::{Scenario, Trouble};
 
 /// Interval at which a guard looks at its deadlines, in microseconds.
@@ -67,123 +69,19 @@
     pub thirds: [(u64, u64); 3],
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum ModelEvent {
-    Call,
-    AtGuard { attempt: u64 },
-    Done { attempt: u64 },
-    AtEntry { attempt: u64, end: AttemptEnd },
-    Hedge { call: u64, attempt: u64 },
-    Cancel { attempt: u64 },
-    Probe { entry: usize, target: usize },
-    ProbeReply { entry: usize, target: usize, load: OrderedLoad },
-    GuardTick { target: usize },
-    BurstStart { target: usize },
-    BurstEnd { target: usize },
-    TroubleStart,
-    TroubleEnd,
-}
-
-/// A load report as part of an event; its order has no meaning.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct OrderedLoad(LoadReport);
-
-impl PartialOrd for OrderedLoad {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for OrderedLoad {
-    fn cmp(&self, _: &Self) -> std::cmp::Ordering {
-        std::cmp::Ordering::Equal
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum AttemptEnd {
-    Answered { failed: bool, load: OrderedLoad },
-    Refused { load: OrderedLoad, leaving: bool },
-}
-
-struct ModelCall {
-    entry: usize,
-    course: CallCourse,
-    tried: Vec<TargetName>,
-    /// Of those, the ones that are leaving.
-    gone: Vec<TargetName>,
-    priority: CallPriority,
-    began: MicroTime,
-    deadline: MicroTime,
-    account: u8,
-    /// Attempts under way.
-    open: Vec<u64>,
-}
-
-struct ModelAttempt {
-    call: u64,
-    target: usize,
-    sent: MicroTime,
-    /// When the target began it, if it did.
-    started: Option<MicroTime>,
-    /// Whether the guard has answered; the answer may still be on its way.
-    answered: bool,
-}
-
-struct ModelEntry {
-    service: ServiceTargets,
-    retry_budget: RetryBudget,
-    probe_budget: ProbeBudget,
-    hedge_budget: RetryBudget,
-}
-
-struct ModelTarget {
-    queue: AdmissionQueue,
-    slots: u16,
-    factor: f64,
-    burst: f64,
-    failing: bool,
-    running: u16,
-    /// Started calls that wait for a true slot.
-    backlog: Vec<u64>,
-}
-
-/// Random numbers, a stream for each use, so that a policy's draws change
-/// neither the calls that come nor the bursts that hit.
-struct ModelStreams {
-    calls: Pcg64Mcg,
-    bursts: Pcg64Mcg,
-    service: Pcg64Mcg,
-    network: Pcg64Mcg,
-    policy: Pcg64Mcg,
-}
-
-impl ModelStreams {
-    fn open(seed: u64) -> Self {
-        let stream = |number| Pcg64Mcg::seed_from_u64(seed * 10 + number);
-        Self {
-            calls: stream(0),
-            bursts: stream(1),
-            service: stream(2),
-            network: stream(3),
-            policy: stream(4),
-        }
-    }
-}
-
 /// The model of one service.
 pub struct FleetModel {
-    plan: ModelPlan,
-    streams: ModelStreams,
-    now: MicroTime,
-    end: MicroTime,
-    queue: BinaryHeap<Reverse<(MicroTime, u64, ModelEvent)>>,
-    sequence: u64,
-    entries: Vec<ModelEntry>,
-    targets: Vec<ModelTarget>,
-    calls: HashMap<u64, ModelCall>,
-    attempts: HashMap<u64, ModelAttempt>,
-    result: ModelResult,
+    pub(super) plan: ModelPlan,
+    pub(super) streams: ModelStreams,
+    pub(super) now: MicroTime,
+    pub(super) end: MicroTime,
+    pub(super) queue: BinaryHeap<Reverse<(MicroTime, u64, ModelEvent)>>,
+    pub(super) sequence: u64,
+    pub(super) entries: Vec<ModelEntry>,
+    pub(super) targets: Vec<ModelTarget>,
+    pub(super) calls: HashMap<u64, ModelCall>,
+    pub(super) attempts: HashMap<u64, ModelAttempt>,
+    pub(super) result: ModelResult,
 }
 
 impl FleetModel {
@@ -215,7 +113,7 @@
         model.finish()
     }
 
-    fn open(plan: ModelPlan) -> Self {
+    pub(super) fn open(plan: ModelPlan) -> Self {
         let scenario = plan.scenario;
         let targets: Vec<ModelTarget> = (0..scenario.targets)
             .map(|index| {
@@ -267,17 +165,17 @@
         }
     }
 
-    fn schedule(&mut self, at: MicroTime, event: ModelEvent) {
+    pub(super) fn schedule(&mut self, at: MicroTime, event: ModelEvent) {
         self.sequence += 1;
         self.queue.push(Reverse((at, self.sequence, event)));
     }
 
-    fn hop(&mut self) -> MicroTime {
+    pub(super) fn hop(&mut self) -> MicroTime {
         let mean = self.plan.scenario.hop_us as f64;
         MicroTime((mean * self.streams.network.random_range(0.5..1.5)) as u64)
     }
 
-    fn handle(&mut self, event: ModelEvent) {
+    pub(super) fn handle(&mut self, event: ModelEvent) {
         match event {
             ModelEvent::Call => self.new_call(),
             ModelEvent::AtGuard { attempt } => self.at_guard(attempt),
@@ -312,52 +210,7 @@
         }
     }
 
-    fn schedule_burst(&mut self, target: usize) {
-        let Trouble::Bursts { gap_ms } = self.plan.scenario.trouble else { return };
-        let gap = exponential(&mut self.streams.bursts, gap_ms as f64 * 1_000.0);
-        self.schedule(self.now + MicroTime(gap as u64), ModelEvent::BurstStart { target });
-    }
-
-    fn trouble(&mut self, on: bool) {
-        let mut out = Vec::new();
-        match self.plan.scenario.trouble {
-            Trouble::FailFast => self.targets[0].failing = on,
-            Trouble::Drain if on => self.targets[0].queue.leave(&mut out),
-            Trouble::Drain => {
-                self.targets[0].queue.rejoin();
-                self.rejoin(0);
-            }
-            Trouble::ColdStart if on => {
-                self.targets[0].queue.rejoin();
-                self.targets[0].burst = 4.0;
-                self.rejoin(0);
-            }
-            Trouble::ColdStart => self.targets[0].burst = 1.0,
-            _ => {}
-        }
-        self.carry_out(0, out);
-    }
-
-    /// Gossip brings a target back to all entries.
-    fn rejoin(&mut self, target: usize) {
-        for entry in &mut self.entries {
-            let mut fresh = record(&self.plan.scenario, target, self.now.0);
-            fresh.load = LoadReport { slots: self.plan.scenario.slots, ..LoadReport::default() };
-            match entry.service.targets.iter_mut().find(|known| known.name == fresh.name) {
-                Some(known) => *known = fresh,
-                None => entry.service.targets.push(fresh),
-            }
-        }
-    }
-
-    fn forget(&mut self, target: usize) {
-        let name = target_name(target);
-        for entry in &mut self.entries {
-            entry.service.targets.retain(|known| known.name != name);
-        }
-    }
-
-    fn new_call(&mut self) {
+    pub(super) fn new_call(&mut self) {
         if self.now >= self.end {
             return;
         }
@@ -392,7 +245,7 @@
         self.try_call(id);
     }
 
-    fn third(&self) -> usize {
+    pub(super) fn third(&self) -> usize {
         ((self.now.0 * 3 / self.end.0.max(1)) as usize).min(2)
     }
 
@@ -400,7 +253,7 @@
         if urgent { &mut self.result.urgent } else { &mut self.result.ordinary }
     }
 
-    fn try_call(&mut self, id: u64) {
+    pub(super) fn try_call(&mut self, id: u64) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let entry = call.entry;
         if call.course.is_last_try() {
@@ -438,7 +291,7 @@
         self.schedule(at, ModelEvent::AtGuard { attempt });
     }
 
-    fn probe(&mut self, entry: usize) {
+    pub(super) fn probe(&mut self, entry: usize) {
         let targets = &self.entries[entry].service.targets;
         let target =
             target_index(&targets[self.streams.policy.random_range(0..targets.len())].name);
@@ -450,127 +303,7 @@
         }
     }
 
-    fn at_guard(&mut self, attempt: u64) {
-        let Some(&ModelAttempt { call, target, .. }) = self.attempts.get(&attempt) else { return };
-        let Some(call) = self.calls.get(&call) else { return };
-        let waiting = WaitingCall {
-            call: CallId(u128::from(attempt)),
-            account: format!("account-{}", call.account).as_str().into(),
-            share: 1,
-            priority: call.priority,
-            deadline: call.deadline,
-            give_up: call.deadline,
-            work_us: 0,
-            last: call.course.is_last_try(),
-        };
-        self.step_queue(target, AdmissionEvent::Arrive(waiting));
-    }
-
-    fn step_queue(&mut self, target: usize, event: AdmissionEvent) {
-        let mut out = Vec::new();
-        self.targets[target].queue.step(self.now, event, &mut out);
-        self.carry_out(target, out);
-    }
-
-    fn carry_out(&mut self, target: usize, actions: Vec<AdmissionAction>) {
-        for action in actions {
-            match action {
-                AdmissionAction::Start(call) => self.start(target, call.0 as u64),
-                AdmissionAction::Refuse { call, .. } => {
-                    let load = OrderedLoad(self.targets[target].queue.load(self.now));
-                    let leaving = self.targets[target].queue.is_leaving();
-                    self.reply(call.0 as u64, AttemptEnd::Refused { load, leaving });
-                }
-            }
-        }
-    }
-
-    fn start(&mut self, target: usize, attempt: u64) {
-        if let Some(attempt) = self.attempts.get_mut(&attempt) {
-            attempt.started = Some(self.now);
-        }
-        let state = &mut self.targets[target];
-        if state.running >= state.slots {
-            state.backlog.push(attempt);
-            return;
-        }
-        state.running += 1;
-        self.serve(target, attempt);
-    }
-
-    fn serve(&mut self, target: usize, attempt: u64) {
-        let state = &self.targets[target];
-        let mean = self.plan.scenario.service_us * state.factor * state.burst;
-        let took = if state.failing {
-            500.0
-        } else {
-            0.4 * mean + exponential(&mut self.streams.service, 0.6 * mean)
-        };
-        self.schedule(self.now + MicroTime(took as u64), ModelEvent::Done { attempt });
-    }
-
-    /// Starts a second attempt if the first one is still under way.
-    fn hedge(&mut self, call: u64, attempt: u64) {
-        let Some(state) = self.calls.get(&call) else { return };
-        if state.open != [attempt] || state.course.is_last_try() {
-            return;
-        }
-        if self.entries[state.entry].hedge_budget.take() {
-            self.result.hedged += 1;
-            self.try_call(call);
-        }
-    }
-
-    /// The guard hears that nobody waits for an attempt any more.
-    fn cancel(&mut self, attempt: u64) {
-        let Some(ModelAttempt { target, started, answered, .. }) = self.attempts.remove(&attempt)
-        else {
-            return;
-        };
-        if answered {
-            return;
-        }
-        let call = CallId(u128::from(attempt));
-        if started.is_none() {
-            self.step_queue(target, AdmissionEvent::Cancel(call));
-            return;
-        }
-        let state = &mut self.targets[target];
-        if let Some(index) = state.backlog.iter().position(|waiting| *waiting == attempt) {
-            state.backlog.swap_remove(index);
-        } else {
-            self.free_slot(target);
-        }
-        let event = AdmissionEvent::Finish { call, took: None, failed: false };
-        self.step_queue(target, event);
-    }
-
-    fn free_slot(&mut self, target: usize) {
-        match self.targets[target].backlog.pop() {
-            Some(next) => self.serve(target, next),
-            None => self.targets[target].running -= 1,
-        }
-    }
-
-    fn done(&mut self, attempt: u64) {
-        let Some(&ModelAttempt { target, started: Some(started), .. }) =
-            self.attempts.get(&attempt)
-        else {
-            return;
-        };
-        let failed = self.targets[target].failing;
-        let event = AdmissionEvent::Finish {
-            call: CallId(u128::from(attempt)),
-            took: Some(self.now.since(started)),
-            failed,
-        };
-        self.free_slot(target);
-        self.step_queue(target, event);
-        let load = OrderedLoad(self.targets[target].queue.load(self.now));
-        self.reply(attempt, AttemptEnd::Answered { failed, load });
-    }
-
-    fn reply(&mut self, attempt: u64, end: AttemptEnd) {
+    pub(super) fn reply(&mut self, attempt: u64, end: AttemptEnd) {
         if let Some(attempt) = self.attempts.get_mut(&attempt) {
             attempt.answered = true;
         }
@@ -578,14 +311,14 @@
         self.schedule(at, ModelEvent::AtEntry { attempt, end });
     }
 
-    fn hear(&mut self, entry: usize, target: usize, load: LoadReport) {
+    pub(super) fn hear(&mut self, entry: usize, target: usize, load: LoadReport) {
         let now = self.now;
         if let Some(record) = self.entries[entry].service.find(&target_name(target)) {
             record.hear(now, load);
         }
     }
 
-    fn at_entry(&mut self, attempt: u64, end: &AttemptEnd) {
+    pub(super) fn at_entry(&mut self, attempt: u64, end: &AttemptEnd) {
         let Some(ModelAttempt { call: id, target, sent, .. }) = self.attempts.remove(&attempt)
         else {
             return;
@@ -630,7 +363,7 @@
     }
 
     /// Books a call; one that was not served counts its whole deadline.
-    fn end_call(&mut self, id: u64, answered: bool) {
+    pub(super) fn end_call(&mut self, id: u64, answered: bool) {
         let Some(call) = self.calls.remove(&id) else { return };
         for &attempt in &call.open {
             let target = self.attempts.get(&attempt).map(|attempt| attempt.target);
@@ -655,7 +388,7 @@
         }
     }
 
-    fn finish(mut self) -> ModelResult {
+    pub(super) fn finish(mut self) -> ModelResult {
         let left: Vec<u64> = self.calls.keys().copied().collect();
         for id in left {
             self.end_call(id, false);
@@ -663,29 +396,3 @@
         self.result
     }
 }
-
-fn exponential(rng: &mut Pcg64Mcg, mean: f64) -> f64 {
-    let uniform: f64 = rng.random_range(1e-9..1.0);
-    -uniform.ln() * mean
-}
-
-/// Returns the calls in a microsecond that make the scenario's load.
-fn rate_per_us(scenario: &Scenario) -> f64 {
-    let speed =
-        |index: usize| if index.is_multiple_of(2) { 1.0 } else { 1.0 / scenario.old_factor };
-    let speeds: f64 = (0..scenario.targets).map(speed).sum();
-    let capacity = speeds * f64::from(scenario.slots) / scenario.service_us;
-    capacity * f64::from(scenario.load) / 100.0
-}
-
-fn record(scenario: &Scenario, index: usize, joined: u64) -> TargetRecord {
-    TargetRecord::new(target_name(index), None, scenario.slots, MicroTime(joined))
-}
-
-fn target_name(index: usize) -> TargetName {
-    format!("{index}").as_str().into()
-}
-
-fn target_index(name: &TargetName) -> usize {
-    name.as_str().parse().unwrap_or(0)
-}
--- a/examples/quickstart.rs
+++ b/examples/quickstart/main.rs
@@ -24,6 +24,10 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+mod users;
+
+use users::{CONSORTIUM, FUNDACION, UserFleet};
+
 type Outcome<T> = Result<T, Box<dyn Error + Send + Sync>>;
 
 /// Longest wait for the fleet to come up.
@@ -62,50 +66,6 @@
     arguments: Vec<String>,
 }
 
-/// One service of a user.
-#[derive(Clone, Copy)]
-struct ServiceSize {
-    name: &'static str,
-    targets: usize,
-    /// Whether callers also post what must not repeat.
-    posts: bool,
-}
-
-/// One user's fleet.
-struct UserFleet {
-    template: &'static str,
-    centres: [&'static str; 3],
-    tokens: [&'static str; 2],
-    slots: u16,
-    services: [ServiceSize; 4],
-}
-
-const FUNDACION: UserFleet = UserFleet {
-    template: include_str!("fundacion.jsonc"),
-    centres: ["ba-norte-1", "ba-norte-2", "ba-norte-3"],
-    tokens: ["cooperativas-token", "emergencia-token"],
-    slots: 12,
-    services: [
-        ServiceSize { name: "grillas", targets: 4, posts: false },
-        ServiceSize { name: "avisos", targets: 3, posts: true },
-        ServiceSize { name: "cuotas", targets: 3, posts: true },
-        ServiceSize { name: "estaciones", targets: 3, posts: false },
-    ],
-};
-
-const CONSORTIUM: UserFleet = UserFleet {
-    template: include_str!("consortium.jsonc"),
-    centres: ["bagmati-1", "bagmati-2", "bagmati-3"],
-    tokens: ["kathmandu-token", "pokhara-token"],
-    slots: 6,
-    services: [
-        ServiceSize { name: "pathshala", targets: 4, posts: true },
-        ServiceSize { name: "bujhaune", targets: 3, posts: false },
-        ServiceSize { name: "natija", targets: 3, posts: true },
-        ServiceSize { name: "samay", targets: 3, posts: false },
-    ],
-};
-
 fn main() -> ExitCode {
     let options = QuickOptions::parse_args_default_or_exit();
     let ended = match options.part.as_deref() {
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -7,8 +7,8 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_HEAD;
+use crate::base::fate::{CallFate, ClaimRow};
 use crate::base::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
-use crate::decide::outcome::{CallFate, ClaimRow};
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug, Snafu)]
--- a/src/call/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -12,14 +12,14 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::consts::REVOKE_MARGIN;
+use crate::base::fate::{CallFate, ClaimRow};
+use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
 use crate::base::wire::{AnswerHead, CallHead, LoadReport, RefusalReason, RevokeHead, RevokeReply};
 use crate::call::entry::EntryDuty;
-use crate::call::h2io::{self, HeadReader};
-use crate::call::intake::CallerCall;
+use crate::call::entry::intake::CallerCall;
+use crate::call::entry::watching;
 use crate::call::reply::{self, EntryBody, GuardBody};
-use crate::call::watching;
-use crate::decide::outcome::{CallFate, ClaimRow};
 use crate::decide::selection::TargetPlace;
 
 /// Wait told to a caller whose target could not be reached, in milliseconds.
--- a/src/call/hedge.rs
+++ b/src/call/entry/hedge.rs
@@ -10,11 +10,11 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::TargetName;
-use crate::call::attempt::{self, AttemptEnd};
+use crate::call::entry::attempt::{self, AttemptEnd};
+use crate::call::entry::intake::CallerCall;
 use crate::call::entry::{ChosenTarget, EntryDuty};
-use crate::call::intake::CallerCall;
 use crate::decide::retry::{CallCourse, RetryBudget, hedge_after};
-use crate::rules::config::HedgeRule;
+use crate::rules::terms::HedgeRule;
 
 /// How much longer than usual a try may take before it is hedged.
 const USUAL_FACTOR: f64 = 1.5;
--- a/src/call/intake.rs
+++ b/src/call/entry/intake.rs
@@ -18,7 +18,8 @@
 use crate::call::reply::{self, EntryBody};
 use crate::decide::benefit;
 use crate::decide::selection::SelectionPolicy;
-use crate::rules::config::{CallTerms, FleetConfig};
+use crate::rules::config::FleetConfig;
+use crate::rules::terms::CallTerms;
 
 /// When to come back to a daemon that is not ready, in milliseconds.
 pub(crate) const NOT_READY_RETRY_MS: u32 = 500;
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -1,7 +1,14 @@
 //! The duty that takes calls and chooses targets for them.
 
+mod attempt;
+mod hedge;
+mod intake;
+mod measure;
+mod pool;
+mod route_book;
 mod routing;
 mod serving;
+mod watching;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -18,20 +25,19 @@
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::ids::{CentreName, ServiceName, TargetName};
+use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::RingInbox;
 use crate::base::wire::LoadReport;
+use crate::call::entry::pool::GuardPool;
+use crate::call::entry::route_book::RouteBook;
 use crate::call::headers::HeaderNames;
-use crate::call::pool::GuardPool;
-use crate::call::route_book::RouteBook;
 use crate::decide::benefit;
 use crate::decide::probe::ProbeBudget;
 use crate::decide::registry::TargetRegistry;
 use crate::decide::retry::{RetryBudget, RetryShare};
-use crate::fleet::member::FleetView;
-use crate::process::control::DaemonReadiness;
-use crate::process::events::EntryEvent;
-use crate::process::settings::BudgetSettings;
+use crate::duty::events::EntryEvent;
+use crate::duty::readiness::DaemonReadiness;
+use crate::duty::ring::RingInbox;
 use crate::rules::config::FleetConfig;
 use crate::rules::revision::ActiveRevision;
 
@@ -83,7 +89,7 @@
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) retry_share: RetryShare,
     pub(crate) readiness: DaemonReadiness,
-    pub(crate) probe_budget: BudgetSettings,
+    pub(crate) probe_budget: ProbeBudget,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) probe_socket: std::net::UdpSocket,
 }
@@ -98,13 +104,12 @@
     let listener = TcpListener::from_std(parts.listener);
     let probe_socket = UdpSocket::from_std(parts.probe_socket);
     let (Ok(listener), Ok(probe_socket)) = (listener, probe_socket) else { return };
-    let budget = parts.probe_budget;
     let duty = Rc::new(EntryDuty {
         clock: ProcessClock::open(),
         registry: RefCell::default(),
         pool: GuardPool::default(),
         metrics,
-        probe_budget: RefCell::new(ProbeBudget::open(budget.messages_per_s, budget.bytes_per_s)),
+        probe_budget: RefCell::new(parts.probe_budget),
         probe_socket,
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
         hedge_budget: RefCell::new(RetryBudget::open_hedges()),
@@ -126,7 +131,7 @@
         logger,
     });
     spawn_local(Rc::clone(&duty).accept(listener));
-    spawn_local(crate::call::measure::hear_replies(Rc::clone(&duty)));
+    spawn_local(crate::call::entry::measure::hear_replies(Rc::clone(&duty)));
     loop {
         duty.handle(inbox.next().await);
     }
--- a/src/call/pool.rs
+++ b/src/call/entry/pool.rs
@@ -13,8 +13,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::DaemonIncarnation;
-use crate::call::h2io::{self, HeadReader};
 use crate::call::silence::{SilenceLimits, notice_silence};
 
 /// Longest wait for a connection to a guard; a host that has no power answers
--- a/src/call/route_book.rs
+++ b/src/call/entry/route_book.rs
@@ -3,9 +3,8 @@
 use std::collections::HashMap;
 
 use crate::base::clock::MicroTime;
-use crate::call::intake::CallerCall;
-use crate::decide::benefit::CallOutlook;
-use crate::rules::config::CallTerms;
+use crate::decide::selection::CallOutlook;
+use crate::rules::terms::CallTerms;
 
 /// Weight of the newest call in the smoothed figures of its route.
 const NEWEST: f64 = 0.1;
@@ -62,18 +61,18 @@
 
     /// Returns what is known of a call before a target is chosen.
     ///
-    /// `crossing_cost` is what a thousand bytes between data centres cost.
+    /// `left` is the time to its objective, `crossing_cost` what a thousand bytes
+    /// between data centres cost.
     pub(crate) fn outlook(
         &self,
-        call: &CallerCall,
-        now: MicroTime,
+        terms: &CallTerms,
+        left: MicroTime,
         crossing_cost: f64,
     ) -> CallOutlook {
-        let left = call.objective().since(now);
-        let known = self.routes.get(&call.terms.kind);
+        let known = self.routes.get(&terms.kind);
         let bytes = known.map_or(0.0, |known| known.bytes) + HEAD_BYTES;
         CallOutlook {
-            work_us: known.map_or_else(|| guess_us(&call.terms), |known| known.work_us),
+            work_us: known.map_or_else(|| guess_us(terms), |known| known.work_us),
             objective_us: left.0 as f64,
             crossing_cost: crossing_cost * bytes / 1_000.0,
         }
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -7,15 +7,16 @@
 
 use super::EntryDuty;
 use crate::base::clock::MicroTime;
+use crate::base::fate::{CallFate, ClaimRow};
 use crate::base::ids::TargetName;
 use crate::base::wire::{LoadReport, RefusalReason};
-use crate::call::attempt::{self, AttemptEnd};
-use crate::call::hedge;
-use crate::call::intake::{CallerCall, NOT_READY_RETRY_MS};
-use crate::call::measure;
+use crate::call::entry::attempt::{self, AttemptEnd};
+use crate::call::entry::hedge;
+use crate::call::entry::intake::{CallerCall, NOT_READY_RETRY_MS};
+use crate::call::entry::measure;
 use crate::call::reply::{self, EntryBody};
 use crate::decide::benefit;
-use crate::decide::outcome::{CallFate, ClaimRow, RowVerdict};
+use crate::decide::outcome::RowVerdict;
 use crate::decide::retry::{CallCourse, NextStep, TryEnd};
 use crate::decide::selection::TargetPlace;
 
@@ -111,7 +112,9 @@
         let mut registry = self.registry.borrow_mut();
         let targets = registry.services.get_mut(&call.service)?;
         let now = self.clock.now();
-        let outlook = self.route_book.borrow().outlook(call, now, self.crossing_cost);
+        let left = call.objective().since(now);
+        let book = self.route_book.borrow();
+        let outlook = book.outlook(&call.terms, left, self.crossing_cost);
         let mut rng = self.rng.borrow_mut();
         let index = targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?;
         let record = &targets.targets[index];
@@ -130,7 +133,8 @@
     pub(crate) fn can_be_in_time(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
         let now = self.clock.now();
         let book = self.route_book.borrow();
-        let mut outlook = book.outlook(call, now, self.crossing_cost);
+        let left = call.objective().since(now);
+        let mut outlook = book.outlook(&call.terms, left, self.crossing_cost);
         if !book.knows(&call.terms.kind) {
             // A guess is no reason to leave a read at a target that hangs.
             outlook.work_us = 0.0;
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -21,8 +21,8 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::SLOW_SENDER;
 use crate::base::socket::LingeringSocket;
+use crate::call::entry::intake;
 use crate::call::headers;
-use crate::call::intake;
 use crate::call::reply::EntryBody;
 
 impl EntryDuty {
--- a/src/call/guarded_call.rs
+++ b/src/call/guard/guarded_call.rs
@@ -14,14 +14,14 @@
 use tokio::time::timeout;
 
 use crate::base::consts::{CLAIM_TIMEOUT, SLOW_SENDER};
+use crate::base::fate::{CallFate, ClaimRow, ClaimState};
+use crate::base::h2io::{self, HeadReader, StreamError};
 use crate::base::ids::CallId;
 use crate::base::wire::{AnswerHead, CallHead, KeyClaim, RefusalReason, RevokeHead, RevokeReply};
+use crate::call::guard::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::call::guard::{GuardDuty, LEAVING_RETRY_MS, StartSignal};
-use crate::call::h2io::{self, HeadReader, StreamError};
-use crate::call::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::decide::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
-use crate::decide::outcome::{CallFate, ClaimRow, ClaimState};
-use crate::process::events::PlatformEvent;
+use crate::duty::events::PlatformEvent;
 use crate::store::claim::{ClaimReply, ClaimRequest};
 use crate::store::table::TableWrite;
 
--- a/src/call/health.rs
+++ b/src/call/guard/health.rs
@@ -18,11 +18,11 @@
 use crate::base::clock::MicroTime;
 use crate::base::ids::{ServiceName, TargetName};
 use crate::call::guard::GuardDuty;
+use crate::call::guard::target_call;
 use crate::call::headers;
-use crate::call::local_target::TargetAnnouncement;
-use crate::call::target_call;
 use crate::decide::lease::TargetCondition;
-use crate::process::adapter::TargetReport;
+use crate::duty::target_report::TargetAnnouncement;
+use crate::duty::target_report::TargetReport;
 
 /// Time after its last call that a target counts as in use.
 const IN_USE: MicroTime = MicroTime::from_millis(1_000);
--- a/src/call/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -1,31 +1,14 @@
 //! A target of this host as its guard knows it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use crate::base::clock::MicroTime;
-use crate::base::ids::{ServiceName, TargetName};
 use crate::base::wire::LoadReport;
 use crate::decide::admission::AdmissionQueue;
-use crate::decide::lease::{TargetCondition, TargetLease};
-
-/// A target's announcement, and its heartbeat.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct TargetAnnouncement {
-    /// The service it offers.
-    pub service: ServiceName,
-    /// Its name, unique within the service.
-    pub target: TargetName,
-    /// Where it listens, on this host.
-    pub address: SocketAddr,
-    /// Calls it runs at once.
-    pub slots: u16,
-    /// Whether it takes new work.
-    pub condition: TargetCondition,
-}
+use crate::decide::lease::TargetLease;
+use crate::duty::target_report::TargetAnnouncement;
 
 /// A target of this host.
 ///
--- a/src/call/guard.rs
+++ b/src/call/guard/mod.rs
@@ -1,5 +1,14 @@
 //! The duty beside the targets: admits calls, and alone speaks to the targets.
 
+mod guarded_call;
+mod health;
+mod local_target;
+mod reporting;
+mod served;
+mod target_call;
+mod target_life;
+mod target_pool;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -20,21 +29,20 @@
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::consts::{MAX_DATAGRAM, SLOW_SENDER};
+use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::{RingInbox, RingSender};
 use crate::base::wire::{self, AnswerHead, LoadReport, ProbeReply, ProbeRequest, RefusalReason};
-use crate::call::h2io::{self, HeadReader};
+use crate::call::guard::local_target::LocalTarget;
+use crate::call::guard::reporting::{REPORT_BYTES, REPORT_BYTES_PER_S, differs};
+use crate::call::guard::served::ServedCall;
+use crate::call::guard::target_pool::TargetPool;
 use crate::call::headers::HeaderNames;
-use crate::call::health;
-use crate::call::local_target::LocalTarget;
-use crate::call::served::ServedCall;
-use crate::call::target_pool::TargetPool;
-use crate::call::watching::{self, REPORT_BYTES, REPORT_BYTES_PER_S, differs};
 use crate::decide::admission::{AdmissionAction, AdmissionEvent};
 use crate::decide::outcome::CallLedger;
 use crate::decide::probe::ProbeBudget;
-use crate::process::events::{GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::ring::{RingInbox, RingSender};
 use crate::store::table::TableWrite;
 
 /// How often leases and deadlines are looked at.
@@ -291,7 +299,7 @@
         let reader = HeadReader::open(body);
         if parts.uri.path() == "/watch" {
             // A watch is no call: nobody waits for its end.
-            _ = watching::tell_reports(&self, reader, respond).await;
+            _ = reporting::tell_reports(&self, reader, respond).await;
             return;
         }
         self.open.send_modify(|open| *open += 1);
--- a/src/call/served/answer_pump.rs
+++ b/src/call/guard/served/answer_pump.rs
@@ -9,13 +9,13 @@
 
 use super::ServedCall;
 use crate::base::consts::{BODY_STALL, MAX_RECORDED_BODY};
+use crate::base::fate::{CallFate, RecordedAnswer};
+use crate::base::h2io;
 use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
 use crate::call::guard::LEAVING_RETRY_MS;
-use crate::call::h2io;
+use crate::call::guard::target_call::{self, AnswerMeaning, TargetAnswer};
+use crate::call::guard::target_pool::TargetFailure;
 use crate::call::headers;
-use crate::call::target_call::{self, AnswerMeaning, TargetAnswer};
-use crate::call::target_pool::TargetFailure;
-use crate::decide::outcome::{CallFate, RecordedAnswer};
 
 /// Moves a target's answer to the entry, and keeps what has to be recorded.
 pub(super) struct AnswerPump<'a> {
--- a/src/call/served/mod.rs
+++ b/src/call/guard/served/mod.rs
@@ -15,14 +15,14 @@
 use self::answer_pump::AnswerPump;
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_DEADLINE_MS;
+use crate::base::fate::{CallFate, ClaimRow, ClaimState};
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::wire::CallHead;
 use crate::call::guard::GuardDuty;
+use crate::call::guard::target_call::{self, TargetAnswer};
+use crate::call::guard::target_pool::TargetFailure;
 use crate::call::headers;
-use crate::call::target_call::{self, TargetAnswer};
-use crate::call::target_pool::TargetFailure;
 use crate::decide::admission::AdmissionEvent;
-use crate::decide::outcome::{CallFate, ClaimRow, ClaimState};
 use crate::store::table::TableWrite;
 
 /// Time a call that must not repeat may run on after its deadline.
--- a/src/call/target_call.rs
+++ b/src/call/guard/target_call.rs
@@ -9,8 +9,8 @@
 
 use crate::base::consts::MAX_WHOLE_ANSWER;
 use crate::base::wire::CallHead;
+use crate::call::guard::target_pool::{BusyConnection, TargetFailure};
 use crate::call::headers::{self, HeaderNames};
-use crate::call::target_pool::{BusyConnection, TargetFailure};
 
 /// Parts of a load header: running, waiting, slots, slowness in percent.
 const LOAD_PARTS: usize = 4;
--- a/src/call/target_life.rs
+++ b/src/call/guard/target_life.rs
@@ -6,11 +6,12 @@
 use slog::info;
 
 use crate::base::ids::TargetName;
+use crate::base::member::TargetNotice;
 use crate::call::guard::GuardDuty;
-use crate::call::local_target::{LocalTarget, TargetAnnouncement};
-use crate::fleet::member::TargetNotice;
-use crate::process::adapter::TargetReport;
-use crate::process::events::PeersEvent;
+use crate::call::guard::local_target::LocalTarget;
+use crate::duty::events::PeersEvent;
+use crate::duty::target_report::TargetAnnouncement;
+use crate::duty::target_report::TargetReport;
 
 /// Ended targets remembered; a host has one target at a time.
 const MAX_ENDED: usize = 64;
--- a/src/call/reply.rs
+++ b/src/call/reply.rs
@@ -8,10 +8,10 @@
 use http::{HeaderValue, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::base::fate::RecordedAnswer;
+use crate::base::h2io;
 use crate::base::wire::AnswerHead;
-use crate::call::h2io;
 use crate::call::headers;
-use crate::decide::outcome::RecordedAnswer;
 
 /// What the system says became of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -9,15 +9,14 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
 use serde_json::Value;
 use snafu::Snafu;
 use tokio::time::timeout;
 
-use crate::base::ids::HostName;
+use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
+use crate::base::member::{FleetView, MemberRecord, MemberState};
 use crate::command::progress::CommandProgress;
-use crate::command::status::{HostCondition, HostStatus};
-use crate::command::targets::TargetLine;
-use crate::fleet::member::{FleetView, MemberRecord, MemberState};
 
 /// Longest wait for one daemon.
 const DAEMON_TIMEOUT: Duration = Duration::from_secs(3);
@@ -60,6 +59,60 @@
     },
 }
 
+/// One target as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct TargetLine {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its name.
+    pub target: TargetName,
+    /// Its host.
+    pub host: HostName,
+    /// The host's data centre.
+    pub data_centre: CentreName,
+    /// What is believed of the host's daemon.
+    pub daemon: MemberState,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Calls it runs at once.
+    pub slots: u16,
+}
+
+/// What became of the question to a host's daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostCondition {
+    /// It serves calls.
+    Serving,
+    /// It answers, but takes no calls.
+    NotReady,
+    /// It gave no answer in time.
+    NoAnswer,
+    /// The fleet takes it for dead, so it was not asked.
+    Down,
+    /// It stopped as planned, so it was not asked.
+    Left,
+}
+
+/// Where a revision is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct HostStatus {
+    /// The host.
+    pub host: HostName,
+    /// Its data centre.
+    pub data_centre: CentreName,
+    /// What is believed of its daemon.
+    pub daemon: MemberState,
+    /// What became of the question to it.
+    pub condition: HostCondition,
+    /// The revision in force, or none if it could not be asked or has none.
+    pub revision: Option<u64>,
+    /// Whether it serves calls.
+    pub ready: bool,
+    /// Whether it could not reach the platform's store when it last tried.
+    pub store_lost: bool,
+}
+
 /// Returns all members that a daemon knows.
 ///
 /// # Errors
@@ -165,7 +218,7 @@
 /// Fails when no daemon has the target, or its daemon can't be reached.
 pub async fn drain(daemon: SocketAddr, target: &str, on: bool) -> Result<HostName, OperatorError> {
     let view = read_members(daemon).await?;
-    let has = |notice: &crate::fleet::member::TargetNotice| notice.name.as_str() == target;
+    let has = |notice: &crate::base::member::TargetNotice| notice.name.as_str() == target;
     let member = view.serving().find(|member| member.targets.iter().any(has));
     let member = member.ok_or_else(|| OperatorError::NoTarget { target: target.to_owned() })?;
     let path = format!("/drain?target={target}&on={on}");
--- a/src/command/publish.rs
+++ b/src/command/publish.rs
@@ -9,7 +9,7 @@
 use crate::command::output::{self, CommandEnd, CommandOutput};
 use crate::platform::open_store;
 use crate::rules::config::FleetConfig;
-use crate::rules::publish::{self, PublishError};
+use crate::store::publish::{self, PublishError};
 
 #[derive(Debug, Options)]
 pub(crate) struct PublishOptions {
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -5,13 +5,10 @@
 use std::net::SocketAddr;
 
 use gumdrop::Options;
-use serde::Serialize;
 use serde_json::json;
 
-use crate::base::ids::{CentreName, HostName};
-use crate::command::operator::{self, daemon_address};
+use crate::command::operator::{self, HostCondition, HostStatus, daemon_address};
 use crate::command::output::{self, CommandOutput};
-use crate::fleet::member::MemberState;
 
 /// Hosts that differ from the rest and are listed without `--all`: as many as a
 /// screen shows below the summary.
@@ -35,22 +32,6 @@
     json: bool,
 }
 
-/// What became of the question to a host's daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum HostCondition {
-    /// It serves calls.
-    Serving,
-    /// It answers, but takes no calls.
-    NotReady,
-    /// It gave no answer in time.
-    NoAnswer,
-    /// The fleet takes it for dead, so it was not asked.
-    Down,
-    /// It stopped as planned, so it was not asked.
-    Left,
-}
-
 impl HostCondition {
     const fn label(self) -> &'static str {
         match self {
@@ -63,25 +44,6 @@
     }
 }
 
-/// Where a revision is in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct HostStatus {
-    /// The host.
-    pub host: HostName,
-    /// Its data centre.
-    pub data_centre: CentreName,
-    /// What is believed of its daemon.
-    pub daemon: MemberState,
-    /// What became of the question to it.
-    pub condition: HostCondition,
-    /// The revision in force, or none if it could not be asked or has none.
-    pub revision: Option<u64>,
-    /// Whether it serves calls.
-    pub ready: bool,
-    /// Whether it could not reach the platform's store when it last tried.
-    pub store_lost: bool,
-}
-
 impl HostStatus {
     /// Returns what sets a host apart from one that serves by `newest`.
     fn differences(&self, newest: Option<u64>) -> Vec<String> {
--- a/src/command/targets.rs
+++ b/src/command/targets.rs
@@ -6,12 +6,10 @@
 use std::str::FromStr;
 
 use gumdrop::Options;
-use serde::Serialize;
 
-use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
-use crate::command::operator::{self, daemon_address};
+use crate::base::member::MemberState;
+use crate::command::operator::{self, TargetLine, daemon_address};
 use crate::command::output::{self, CommandOutput};
-use crate::fleet::member::MemberState;
 
 /// Targets that are listed without a filter or `--all`, if there are no more: a
 /// screen's worth. In a larger fleet only those that take no new work are.
@@ -69,25 +67,6 @@
     json: bool,
 }
 
-/// One target as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct TargetLine {
-    /// Its service.
-    pub service: ServiceName,
-    /// Its name.
-    pub target: TargetName,
-    /// Its host.
-    pub host: HostName,
-    /// The host's data centre.
-    pub data_centre: CentreName,
-    /// What is believed of the host's daemon.
-    pub daemon: MemberState,
-    /// Whether it takes new work.
-    pub ready: bool,
-    /// Calls it runs at once.
-    pub slots: u16,
-}
-
 impl TargetLine {
     const fn state(&self) -> TargetState {
         match self.daemon {
--- a/src/decide/benefit.rs
+++ b/src/decide/benefit.rs
@@ -11,7 +11,9 @@
 
 use crate::base::clock::MicroTime;
 use crate::decide::host_speed::USUAL_PERCENT;
-use crate::decide::selection::{SelectionInput, SelectionPolicy, TargetRecord, half_life};
+use crate::decide::selection::{
+    CallOutlook, SelectionInput, SelectionPolicy, TargetRecord, half_life,
+};
 
 /// Name of the policy.
 pub const BENEFIT_POLICY: &str = "expected_benefit";
@@ -51,24 +53,6 @@
 /// Time over which a target that joined gets its full part, in microseconds.
 const SLOW_START_US: f64 = 2_000_000.0;
 
-/// What an entry knows of a call before it chooses a target.
-#[derive(Clone, Copy, Debug)]
-pub struct CallOutlook {
-    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
-    pub work_us: f64,
-    /// Time left to the latency objective, in microseconds.
-    pub objective_us: f64,
-    /// What its bytes cost if they cross to another data centre, as a part of
-    /// the benefit of one call.
-    pub crossing_cost: f64,
-}
-
-impl Default for CallOutlook {
-    fn default() -> Self {
-        Self { work_us: 0.0, objective_us: 1_000_000.0, crossing_cost: 0.0 }
-    }
-}
-
 inventory::submit! { EXPECTED_BENEFIT }
 
 /// The policy of calls that go by routes.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,8 +1,8 @@
 //! Every decision about a call: choose, admit, limit, retry, order, remember.
 //!
 //! Kernels only: plain structs driven by the time and an event, without clock,
-//! socket or runtime, so that tests play any order of events. They use `base`
-//! and the member records of `fleet`.
+//! socket or runtime, so that tests play any order of events. They use
+//! `base` alone.
 
 pub(crate) mod admission;
 pub(crate) mod benefit;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -9,9 +9,9 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, ServiceName, TargetName};
-use crate::decide::benefit::CallOutlook;
+use crate::base::member::FleetView;
+use crate::decide::selection::CallOutlook;
 use crate::decide::selection::{SelectionInput, SelectionPolicy, TargetPlace, TargetRecord};
-use crate::fleet::member::FleetView;
 
 /// The targets of one service as an entry sees them.
 #[derive(Debug, Default, Serialize)]
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -10,7 +10,6 @@
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, TargetName};
 use crate::base::wire::LoadReport;
-use crate::decide::benefit::CallOutlook;
 use crate::decide::clock_lead::ClockLead;
 
 /// Name of the policy of a template that names none.
@@ -202,6 +201,24 @@
     }
 }
 
+/// What an entry knows of a call before it chooses a target.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOutlook {
+    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
+    pub work_us: f64,
+    /// Time left to the latency objective, in microseconds.
+    pub objective_us: f64,
+    /// What its bytes cost if they cross to another data centre, as a part of
+    /// the benefit of one call.
+    pub crossing_cost: f64,
+}
+
+impl Default for CallOutlook {
+    fn default() -> Self {
+        Self { work_us: 0.0, objective_us: 1_000_000.0, crossing_cost: 0.0 }
+    }
+}
+
 /// The input of one choice.
 #[derive(Debug)]
 pub struct SelectionInput<'a> {
--- a/src/store/durable/mod.rs
+++ b/src/durable/mod.rs
@@ -18,11 +18,11 @@
 use tokio::task::spawn_local;
 
 use crate::base::clock::ProcessClock;
+use crate::base::member::MemberRecord;
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::{RingInbox, RingSender};
 use crate::decide::pace::CommitPace;
-use crate::fleet::member::MemberRecord;
-use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::ring::{RingInbox, RingSender};
 use crate::rules::revision::RevisionState;
 use crate::store::claim::PendingWrite;
 use crate::store::table::{PlatformClient, PlatformError};
--- a/src/store/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -9,9 +9,9 @@
 
 use super::{PlatformDuty, RETRY_PAUSES};
 use crate::base::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S};
-use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent};
-use crate::rules::publish::{body_name, read_head};
+use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent};
 use crate::rules::revision::{ActiveRevision, RevisionHead};
+use crate::store::publish::{body_name, read_head};
 use crate::store::table::{ConfigNews, OperatorConfig, PlatformError};
 
 impl PlatformDuty {
--- a/src/store/durable/rows.rs
+++ b/src/durable/rows.rs
@@ -8,8 +8,8 @@
 use tokio::sync::oneshot;
 
 use super::PlatformDuty;
-use crate::fleet::member::MemberRecord;
-use crate::process::events::PeersEvent;
+use crate::base::member::MemberRecord;
+use crate::duty::events::PeersEvent;
 use crate::store::table::{PlatformError, TableWrite};
 
 /// Start of the keys of member rows.
--- a/src/process/events.rs
+++ b/src/duty/events.rs
@@ -10,10 +10,10 @@
 use tokio::sync::oneshot;
 
 use crate::base::ids::TargetName;
-use crate::call::local_target::TargetAnnouncement;
+use crate::base::member::{FleetView, MemberRecord, TargetNotice};
 use crate::decide::retry::RetryShare;
-use crate::fleet::member::{FleetView, MemberRecord, TargetNotice};
-use crate::process::adapter::TargetReport;
+use crate::duty::target_report::TargetAnnouncement;
+use crate::duty::target_report::TargetReport;
 use crate::rules::config::FleetConfig;
 use crate::rules::revision::{ActiveRevision, RevisionHead};
 use crate::store::claim::ClaimRequest;
--- a/src/fleet/follow.rs
+++ b/src/fleet/follow.rs
@@ -7,7 +7,7 @@
 //! store says so, and the next in order takes its place.
 
 use crate::base::ids::HostName;
-use crate::fleet::member::{MemberRecord, MemberState};
+use crate::base::member::{MemberRecord, MemberState};
 
 /// Daemons that follow the store, at most.
 ///
--- a/src/fleet/membership/hearing.rs
+++ b/src/fleet/membership/hearing.rs
@@ -9,7 +9,7 @@
 use super::{MembershipAction, MembershipState};
 use crate::base::clock::MicroTime;
 use crate::base::ids::HostName;
-use crate::fleet::member::{GossipKind, GossipMessage, MemberRecord};
+use crate::base::member::{GossipKind, GossipMessage, MemberRecord};
 
 impl MembershipState {
     pub(super) fn receive(
--- a/src/fleet/membership/mod.rs
+++ b/src/fleet/membership/mod.rs
@@ -25,10 +25,10 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::HostName;
-use crate::fleet::follow;
-use crate::fleet::member::{
+use crate::base::member::{
     FleetView, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
+use crate::fleet::follow;
 use news::NewsBook;
 use probing::{OpenProbe, ProxyProbe};
 use rounds::ProbeRounds;
--- a/src/fleet/membership/news.rs
+++ b/src/fleet/membership/news.rs
@@ -11,8 +11,8 @@
 
 use crate::base::consts::MAX_DATAGRAM;
 use crate::base::ids::HostName;
+use crate::base::member::MemberRecord;
 use crate::base::wire;
-use crate::fleet::member::MemberRecord;
 
 /// How often an update is sent, as a multiple of log2 of the fleet's size.
 const SPREAD: u32 = 3;
--- a/src/fleet/membership/probing.rs
+++ b/src/fleet/membership/probing.rs
@@ -10,7 +10,7 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::{GOSSIP_PERIOD, SUSPECT_PERIODS};
 use crate::base::ids::HostName;
-use crate::fleet::member::{GossipKind, MemberRecord, MemberState};
+use crate::base::member::{GossipKind, MemberRecord, MemberState};
 
 /// Daemons asked to probe on one's behalf: one on another way than the own data
 /// centre's.
--- a/src/fleet/membership/rounds.rs
+++ b/src/fleet/membership/rounds.rs
@@ -13,7 +13,7 @@
 use super::KnownMember;
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, HostName};
-use crate::fleet::member::MemberRecord;
+use crate::base::member::MemberRecord;
 
 /// Periods between two probes of another data centre: often enough that a data
 /// centre hears of another within a period or two from some of its daemons.
--- a/src/fleet/membership/telling.rs
+++ b/src/fleet/membership/telling.rs
@@ -8,7 +8,7 @@
 use super::{MembershipAction, MembershipState};
 use crate::base::clock::MicroTime;
 use crate::base::ids::HostName;
-use crate::fleet::member::{GossipKind, GossipMessage, MemberRecord};
+use crate::base::member::{GossipKind, GossipMessage, MemberRecord};
 
 /// Updates still to be spread from which on a full exchange is cheaper: more
 /// than gossip carries in two periods.
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers/mod.rs
@@ -1,5 +1,7 @@
 //! The duty that keeps the fleet together: gossip, full exchanges, revisions.
 
+mod rpc;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,13 +21,12 @@
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
+use crate::base::member::{FleetView, GossipMessage, MemberRecord};
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::{RingInbox, RingSender};
 use crate::base::wire;
-use crate::fleet::member::{FleetView, GossipMessage, MemberRecord};
+use crate::duty::events::{EntryEvent, PeersEvent, PlatformEvent};
+use crate::duty::ring::{RingInbox, RingSender};
 use crate::fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
-use crate::fleet::rpc;
-use crate::process::events::{EntryEvent, PeersEvent, PlatformEvent};
 use crate::rules::revision::{ActiveRevision, unpack};
 
 /// Peers a fresh daemon asks before it serves.
--- a/src/fleet/rpc.rs
+++ b/src/fleet/peers/rpc.rs
@@ -16,8 +16,8 @@
 use tokio_serde::{Deserializer, Serializer};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::call::h2io::{self, ByteStream};
-use crate::fleet::member::MemberRecord;
+use crate::base::h2io::{self, ByteStream};
+use crate::base::member::MemberRecord;
 use crate::fleet::membership::MembershipEvent;
 use crate::fleet::peers::PeersDuty;
 use crate::rules::revision::RevisionHead;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,8 @@
 mod call;
 mod command;
 mod decide;
+mod durable;
+mod duty;
 mod fleet;
 #[path = "../platform/mod.rs"]
 mod platform;
@@ -40,55 +42,57 @@
 
 pub use base::clock::MicroTime;
 pub use base::consts::*;
+pub use base::fate::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
 pub use base::findings::{FileFinding, FindingList, TextPlace, nearest};
 pub use base::ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName,
 };
+pub use base::member::{
+    FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
+};
 pub use base::wire::{
     AnswerHead, CallHead, CallPriority, KeyClaim, LoadReport, ProbeReply, ProbeRequest,
     RefusalReason, RevokeHead, RevokeReply, WatchHead, WireError, decode, encode,
 };
 pub use call::headers::*;
-pub use call::local_target::TargetAnnouncement;
 pub use call::reply::CallOutcome;
 pub use command::cli::run_command;
-pub use command::status::{HostCondition, HostStatus, render_status};
+pub use command::operator::{HostCondition, HostStatus, TargetLine};
+pub use command::status::render_status;
 pub use command::story::{RequestStory, StoryLine};
-pub use command::targets::{TargetLine, render_targets};
+pub use command::targets::render_targets;
 pub use decide::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
-pub use decide::benefit::{BENEFIT_POLICY, CallOutlook};
+pub use decide::benefit::BENEFIT_POLICY;
 pub use decide::clock_lead::ClockLead;
 pub use decide::host_speed::HostSpeed;
 pub use decide::lease::{TargetCondition, TargetLease};
 pub use decide::limit::ConcurrencyLimit;
-pub use decide::outcome::{CallFate, CallLedger, ClaimRow, ClaimState, RecordedAnswer, RowVerdict};
+pub use decide::outcome::{CallLedger, RowVerdict};
 pub use decide::pace::CommitPace;
 pub use decide::probe::ProbeBudget;
 pub use decide::registry::{ServiceTargets, TargetRegistry};
 pub use decide::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use decide::selection::{
-    DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord, default_policy,
-    policy, policy_names,
+    CallOutlook, DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord,
+    default_policy, policy, policy_names,
 };
+pub use duty::target_report::{TargetAnnouncement, TargetReport};
 pub use fleet::follow::{FOLLOWERS, follows_store};
-pub use fleet::member::{
-    FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
-};
 pub use fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
 pub use platform::{ConfigurationError, adapter, open_store};
 pub use process::adapter::{
-    ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, ReadTerms, TargetReport,
+    ControlReply, ControlRequest, DeploymentAdapter, DeploymentTerms, ReadTerms,
 };
-pub use process::daemon::{DaemonAddresses, DaemonParts, RunningDaemon, spawn};
-pub use process::listen::StartError;
+pub use process::daemon::{DaemonParts, RunningDaemon, spawn};
+pub use process::listen::{DaemonAddresses, StartError};
 pub use process::settings::{BudgetSettings, DaemonSettings, DeploymentSettings, is_settings};
 pub use rules::config::{
-    AccountParameters, CallTerms, FleetConfig, HedgeRule, KindParameters, KindTerms, RequestKind,
-    ServiceTemplate,
+    AccountParameters, FleetConfig, KindParameters, KindTerms, RequestKind, ServiceTemplate,
 };
-pub use rules::publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use rules::revision::{ActiveRevision, AdoptRefusal, RevisionHead, RevisionState};
 pub use rules::route::{CallerLimits, HealthCheck, RouteIndex, RouteRule, RouteTarget};
+pub use rules::terms::{CallTerms, HedgeRule};
+pub use store::publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use store::table::{
     CommitReply, ConfigNews, ObjectWrite, OperatorConfig, PlatformClient, PlatformError, StoreCall,
     StoreCalls, StoreFuture, TableRow, TableWrite,
--- a/src/process/adapter.rs
+++ b/src/process/adapter.rs
@@ -5,9 +5,8 @@
 use http::{Method, StatusCode};
 
 use crate::base::consts::TARGET_LEASE;
-use crate::base::ids::TargetName;
 use crate::call::headers::HeaderNames;
-use crate::call::local_target::TargetAnnouncement;
+use crate::duty::target_report::TargetReport;
 
 /// The adapter of one kind of platform; a table that never changes.
 #[derive(Debug)]
@@ -42,22 +41,6 @@
     pub text: String,
 }
 
-/// What a target tells of itself.
-#[derive(Clone, Debug)]
-pub enum TargetReport {
-    /// It runs, and takes new work or not.
-    Alive {
-        /// Where it is and what it offers.
-        announcement: TargetAnnouncement,
-        /// Grows with every report of one target.
-        sequence: u64,
-        /// How much longer it stays slow after its start.
-        cold: Duration,
-    },
-    /// It is about to end and takes no new work.
-    Left(TargetName),
-}
-
 /// Terms that a deployment's platform sets for all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DeploymentTerms {
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -15,11 +15,11 @@
 use tokio::time::timeout;
 
 use crate::base::ids::{HostName, TargetName};
+use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::{RingInbox, RingSender};
-use crate::call::local_target::TargetAnnouncement;
-use crate::fleet::member::FleetView;
-use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::ring::{RingInbox, RingSender};
+use crate::duty::target_report::TargetAnnouncement;
 use crate::process::httpd;
 use crate::rules::revision::RevisionHead;
 
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -1,8 +1,6 @@
 //! What the host's target and the platform ask of a deployed daemon.
 
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -10,28 +8,13 @@
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
-use crate::base::ring::RingSender;
+use crate::duty::events::GuardEvent;
+use crate::duty::readiness::DaemonReadiness;
+use crate::duty::ring::RingSender;
 use crate::process::adapter::{ControlRequest, DeploymentAdapter};
 use crate::process::admin::ask;
-use crate::process::events::GuardEvent;
 use crate::process::httpd;
 
-/// Whether a daemon takes new calls; shared by its duties.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct DaemonReadiness(Arc<AtomicBool>);
-
-impl DaemonReadiness {
-    /// Notes whether the daemon takes new calls.
-    pub(crate) fn set(&self, ready: bool) {
-        self.0.store(ready, Ordering::Relaxed);
-    }
-
-    /// Tells whether the daemon takes new calls.
-    pub(crate) fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// Answers the platform's question whether the daemon takes new calls.
 pub(crate) async fn serve_ready(
     listener: TcpListener,
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -1,60 +1,41 @@
 //! One daemon: its threads, their rings, its start and its stop.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
 use crate::base::consts::{MAX_REQUEST_BODY, RING_CAPACITY, TARGET_LEASE};
-use crate::base::duty::{self, DutyBody};
 use crate::base::findings::FindingList;
-use crate::base::ids::{DaemonIncarnation, HostName};
+use crate::base::ids::DaemonIncarnation;
 use crate::base::log::{self, LogTail};
+use crate::base::member::{MemberRecord, MemberState};
 use crate::base::metrics::DaemonMetrics;
-use crate::base::ring::{RingInbox, RingSender};
 use crate::call::entry::{self, EntryParts};
 use crate::call::guard::{self, GuardParts, GuardRings};
 use crate::call::headers::OWN_NAMES;
-use crate::fleet::member::{MemberRecord, MemberState};
+use crate::decide::probe::ProbeBudget;
+use crate::durable::{self, ConfigSource, DurableParts, PlatformRings};
+use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::readiness::DaemonReadiness;
+use crate::duty::ring::{RingInbox, RingSender};
+use crate::duty::threads::{self, DutyBody};
 use crate::fleet::peers::{self, PeersParts, PeersRings};
 use crate::process::adapter::DeploymentAdapter;
 use crate::process::admin::{AdminDuty, AdminRings};
-use crate::process::control::DaemonReadiness;
-use crate::process::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::process::listen::DaemonAddresses;
 use crate::process::listen::{self, DaemonListeners, MetricsSnafu, StartError, ThreadSnafu};
 use crate::process::reload::{self, Reloading};
 use crate::process::settings::DaemonSettings;
 use crate::process::stop;
-use crate::store::durable::{self, ConfigSource, DurableParts, PlatformRings};
 use crate::store::table::PlatformClient;
 
 /// Largest body of a call in a deployment, in bytes: what its operator may allow.
 const MAX_DEPLOYED_BODY: usize = 64 << 20;
 
-/// Where a running daemon listens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DaemonAddresses {
-    /// Its host.
-    pub host: HostName,
-    /// For callers.
-    pub caller: SocketAddr,
-    /// For other daemons' entries.
-    pub guard: SocketAddr,
-    /// For gossip.
-    pub peer: SocketAddr,
-    /// For operators and the host's targets.
-    pub admin: SocketAddr,
-    /// For the platform's question whether it is ready, if deployed on one.
-    pub ready: Option<SocketAddr>,
-    /// For the reports of the host's target, if deployed on a platform.
-    pub control: Option<SocketAddr>,
-}
-
 /// A running daemon.
 ///
 /// Dropping the handle does not stop it; a signal or [`RunningDaemon::stop`]
@@ -153,12 +134,15 @@
         own_service: deployment.map(|deployment| deployment.service.clone()),
         retry_share: reload::retry_share(terms),
         readiness: readiness.clone(),
-        probe_budget: settings.probe_budget,
+        probe_budget: ProbeBudget::open(
+            settings.probe_budget.messages_per_s,
+            settings.probe_budget.bytes_per_s,
+        ),
         listener: caller,
         probe_socket: probe,
     };
     let (inbox, counters, log) = (rings.entry, Arc::clone(&metrics), logger.clone());
-    bodies.push(("entry", duty::body(move || entry::run(parts, inbox, counters, log))));
+    bodies.push(("entry", threads::body(move || entry::run(parts, inbox, counters, log))));
 
     let parts = GuardParts {
         host: settings.host.clone(),
@@ -174,7 +158,7 @@
     };
     let (inbox, counters, log) = (rings.guard, Arc::clone(&metrics), logger.clone());
     let out = rings.from_guard;
-    bodies.push(("guard", duty::body(move || guard::run(parts, inbox, out, counters, log))));
+    bodies.push(("guard", threads::body(move || guard::run(parts, inbox, out, counters, log))));
 
     let parts = PeersParts {
         own: own.clone(),
@@ -185,14 +169,15 @@
     };
     let (inbox, counters, log) = (rings.peers, Arc::clone(&metrics), logger.clone());
     let out = rings.from_peers;
-    bodies.push(("peers", duty::body(move || peers::run(parts, inbox, out, counters, log))));
+    bodies.push(("peers", threads::body(move || peers::run(parts, inbox, out, counters, log))));
 
     let source = if deployed.is_some() { ConfigSource::Operator } else { ConfigSource::Published };
     let first_start = settings.first_start;
     let parts = DurableParts { client, own, seed: seed.wrapping_add(2), source, first_start };
     let (inbox, counters, log) = (rings.platform, Arc::clone(&metrics), logger.clone());
     let out = rings.from_platform;
-    bodies.push(("platform", duty::body(move || durable::run(parts, inbox, out, counters, log))));
+    bodies
+        .push(("platform", threads::body(move || durable::run(parts, inbox, out, counters, log))));
 
     let (stop, stopped) = oneshot::channel();
     let plan = stop::stop_plan(settings, terms);
@@ -217,8 +202,8 @@
         }
         stop::stop_all(&duty.rings, plan, &logger).await;
     };
-    bodies.push(("admin", duty::body(body)));
-    let admin = duty::spawn_all(bodies, settings.one_thread).context(ThreadSnafu)?;
+    bodies.push(("admin", threads::body(body)));
+    let admin = threads::spawn_all(bodies, settings.one_thread).context(ThreadSnafu)?;
     Ok(RunningDaemon { addresses, stop: Some(stop), admin, log_tail })
 }
 
--- a/src/process/listen.rs
+++ b/src/process/listen.rs
@@ -3,14 +3,16 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 
+use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 use tokio::task::spawn_local;
 
-use crate::base::ring::RingSender;
+use crate::base::ids::HostName;
+use crate::duty::events::GuardEvent;
+use crate::duty::readiness::DaemonReadiness;
+use crate::duty::ring::RingSender;
 use crate::process::adapter::DeploymentAdapter;
-use crate::process::control::{self, DaemonReadiness};
-use crate::process::daemon::DaemonAddresses;
-use crate::process::events::GuardEvent;
+use crate::process::control;
 use crate::process::settings::{DaemonSettings, DeploymentSettings};
 
 /// Tries to find a port that is free for TCP and UDP alike.
@@ -42,6 +44,25 @@
     },
 }
 
+/// Where a running daemon listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonAddresses {
+    /// Its host.
+    pub host: HostName,
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other daemons' entries.
+    pub guard: SocketAddr,
+    /// For gossip.
+    pub peer: SocketAddr,
+    /// For operators and the host's targets.
+    pub admin: SocketAddr,
+    /// For the platform's question whether it is ready, if deployed on one.
+    pub ready: Option<SocketAddr>,
+    /// For the reports of the host's target, if deployed on a platform.
+    pub control: Option<SocketAddr>,
+}
+
 /// A daemon's listeners for its deployment's platform.
 pub(crate) struct DeployedListeners {
     pub(crate) ready: TcpListener,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,13 +1,11 @@
 //! The daemon as a process: start, settings, addresses, reload, planned stop.
 //!
-//! `daemon` puts the duties together; `events` has the messages between them;
-//! `adapter` is what a deployment's platform fills in.
+//! `daemon` puts the duties together; `adapter` is what a deployment's platform fills in.
 
 pub(crate) mod adapter;
 pub(crate) mod admin;
 pub(crate) mod control;
 pub(crate) mod daemon;
-pub(crate) mod events;
 pub(crate) mod httpd;
 pub(crate) mod listen;
 pub(crate) mod reload;
--- a/src/process/reload.rs
+++ b/src/process/reload.rs
@@ -6,9 +6,9 @@
 
 use crate::base::findings::FindingList;
 use crate::decide::retry::RetryShare;
+use crate::duty::events::{EntryEvent, GuardEvent};
 use crate::process::adapter::{DeploymentAdapter, DeploymentTerms};
 use crate::process::admin::AdminRings;
-use crate::process::events::{EntryEvent, GuardEvent};
 use crate::process::settings::DaemonSettings;
 
 /// Part of the fleet's further tries that the daemons share out.
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -5,9 +5,9 @@
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 
+use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::process::adapter::DeploymentTerms;
 use crate::process::admin::AdminRings;
-use crate::process::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::process::settings::DaemonSettings;
 
 /// Time for the good-bye to reach some peers.
--- a/src/rules/config.rs
+++ b/src/rules/config.rs
@@ -14,6 +14,7 @@
 use crate::rules::checking::{ConfigNames, RULES, read_value};
 use crate::rules::route::{CallerLimits, HealthCheck, RouteIndex, RouteRule};
 use crate::rules::schema::CheckedText;
+use crate::rules::terms::{CallTerms, HedgeRule};
 
 /// Everything that one revision sets.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,37 +119,6 @@
     pub terms: KindTerms,
 }
 
-/// The terms on which one call is served.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallTerms {
-    /// Name of the kind, or `other`.
-    pub kind: String,
-    /// How the call competes.
-    pub priority: CallPriority,
-    /// Whether the call may run twice.
-    pub repeatable: bool,
-    /// Time the call has, in milliseconds.
-    pub deadline_ms: u32,
-    /// Time within which an answer is worth most, in milliseconds.
-    pub objective_ms: u32,
-    /// Targets that one call may be sent to, at most.
-    pub attempts: u32,
-    /// Whether a slow call gets a second try beside the first.
-    pub hedge: HedgeRule,
-}
-
-/// Whether a slow call gets a second try beside the first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HedgeRule {
-    /// Never.
-    Never,
-    /// When it takes long for its target, from the budget of hedges.
-    BesideSlow,
-    /// While the second can still be within the latency objective, from the
-    /// budget of all further tries.
-    WithinObjective,
-}
-
 const fn default_deadline() -> u32 {
     DEFAULT_DEADLINE_MS
 }
@@ -243,6 +213,24 @@
     }
 }
 
+impl FleetConfig {
+    /// Returns the path at which a service's targets tell their health.
+    #[must_use]
+    pub fn check_path(&self, service: &ServiceName) -> Option<&str> {
+        let check = self.checks.iter().find(|check| check.service == *service);
+        check.map(|check| check.path.as_str())
+    }
+
+    /// Returns the route of a request: the longest prefix of its host.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let of_host = self.route_index.of_host(&self.routes, host);
+        let mut routes = of_host.iter().map(|index| &self.routes[*index]);
+        routes.find(|route| path.starts_with(&route.prefix))
+    }
+}
+
 impl ServiceTemplate {
     /// Returns the policy that chooses among the service's targets.
     pub(crate) fn selection_policy(&self) -> &'static SelectionPolicy {
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -5,7 +5,7 @@
 
 pub(crate) mod checking;
 pub(crate) mod config;
-pub(crate) mod publish;
 pub(crate) mod revision;
 pub(crate) mod route;
 pub(crate) mod schema;
+pub(crate) mod terms;
--- a/src/rules/route.rs
+++ b/src/rules/route.rs
@@ -11,7 +11,7 @@
 use crate::base::consts::{DEFAULT_DEADLINE_MS, MAX_ATTEMPTS, MAX_DEADLINE_MS};
 use crate::base::ids::ServiceName;
 use crate::base::wire::CallPriority;
-use crate::rules::config::{CallTerms, FleetConfig, HedgeRule};
+use crate::rules::terms::{CallTerms, HedgeRule};
 
 /// Rank of a route from which on it is not urgent; zero is the most urgent.
 const FIRST_ROUTINE_RANK: u8 = 1;
@@ -96,7 +96,7 @@
 
 impl RouteIndex {
     /// Returns the places of a host's routes in `routes`.
-    fn of_host(&self, routes: &[RouteRule], host: &str) -> &[usize] {
+    pub(crate) fn of_host(&self, routes: &[RouteRule], host: &str) -> &[usize] {
         let hosts = self.0.get_or_init(|| Self::build(routes));
         let found = hosts.get(host).or_else(|| hosts.get(&host.to_ascii_lowercase()));
         found.map_or(&[], Vec::as_slice)
@@ -120,24 +120,6 @@
     }
 }
 
-impl FleetConfig {
-    /// Returns the path at which a service's targets tell their health.
-    #[must_use]
-    pub fn check_path(&self, service: &ServiceName) -> Option<&str> {
-        let check = self.checks.iter().find(|check| check.service == *service);
-        check.map(|check| check.path.as_str())
-    }
-
-    /// Returns the route of a request: the longest prefix of its host.
-    #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let of_host = self.route_index.of_host(&self.routes, host);
-        let mut routes = of_host.iter().map(|index| &self.routes[*index]);
-        routes.find(|route| path.starts_with(&route.prefix))
-    }
-}
-
 impl RouteRule {
     /// Draws the service of one request, by weight.
     pub(crate) fn draw(&self, rng: &mut Pcg64Mcg) -> &ServiceName {
--- a/src/store/claim.rs
+++ b/src/store/claim.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::decide::outcome::ClaimRow;
+use crate::base::fate::ClaimRow;
 use crate::store::table::{TableRow, TableWrite};
 
 /// A claim to be written.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,8 +1,9 @@
 //! The platform's store as this product sees it, and what is kept there.
 //!
-//! `table` is the interface that an adapter fills; `durable` is the duty that
-//! follows the store; `claim` makes a call with a key run at most once.
+//! `table` is the interface that an adapter fills; `publish` makes a revision the
+//! newest; `claim` makes a call with a key run at most once. The duty that follows the
+//! store is in `durable`.
 
 pub(crate) mod claim;
-pub(crate) mod durable;
+pub(crate) mod publish;
 pub(crate) mod table;
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -1,9 +1,9 @@
-//! A target as the users' platform runs them, and a client of its host.
+//! A target as the users' platform runs them.
 //!
 //! The target speaks bytes, so that it can also answer wrongly.
 
 use std::collections::HashMap;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,12 +11,11 @@
 
 use serde_json::json;
 
+use crate::hosted_client::{hosted_call, read_head};
+
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 
-/// Longest wait of the client for one answer.
-const CLIENT_LIMIT: Duration = Duration::from_secs(20);
-
 /// How a hosted target answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostedMood {
@@ -77,19 +76,6 @@
     state: Arc<HostedState>,
 }
 
-/// What the client got.
-#[derive(Clone, Debug)]
-pub struct HostedAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers by lower-case name.
-    pub headers: HashMap<String, String>,
-    /// The body, whole.
-    pub body: Vec<u8>,
-    /// Time from the first byte sent to the last one received.
-    pub took: Duration,
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -349,89 +335,3 @@
     }
     Ok(true)
 }
-
-type Head = (String, HashMap<String, String>);
-
-/// Reads a head's first line and headers; nothing at the end of the stream.
-fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
-    let mut line = String::new();
-    if reader.read_line(&mut line)? == 0 {
-        return Ok(None);
-    }
-    let mut headers = HashMap::new();
-    loop {
-        let mut header = String::new();
-        reader.read_line(&mut header)?;
-        let Some((name, value)) = header.trim_end().split_once(':') else { break };
-        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
-    }
-    Ok(Some((line.trim_end().to_owned(), headers)))
-}
-
-/// Makes one HTTP request on a connection of its own.
-///
-/// # Errors
-///
-/// Fails when the connection breaks before the answer is whole.
-pub fn hosted_call(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> io::Result<HostedAnswer> {
-    HostedConnection::open(address, CLIENT_LIMIT)?.call(method, path, headers, body)
-}
-
-/// A client's connection, for one request after the other.
-#[derive(Debug)]
-pub struct HostedConnection {
-    reader: BufReader<TcpStream>,
-}
-
-impl HostedConnection {
-    /// Connects, and waits at most `limit` for each answer.
-    ///
-    /// # Errors
-    ///
-    /// Fails when nobody listens there.
-    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let socket = TcpStream::connect(address)?;
-        socket.set_read_timeout(Some(limit))?;
-        socket.set_nodelay(true)?;
-        Ok(Self { reader: BufReader::new(socket) })
-    }
-
-    /// Makes one request.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the connection breaks before the answer is whole, or when it
-    /// does not come in time.
-    pub fn call(
-        &mut self,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> io::Result<HostedAnswer> {
-        let start = Instant::now();
-        let mut lines = vec![format!("{method} {path} HTTP/1.1")];
-        lines.extend(headers.iter().map(|(name, value)| format!("{name}: {value}")));
-        if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
-            lines.push("Host: localhost".to_owned());
-        }
-        lines.push(format!("Content-Length: {}\r\n\r\n", body.len()));
-        let mut request = lines.join("\r\n").into_bytes();
-        request.extend_from_slice(body);
-        self.reader.get_mut().write_all(&request)?;
-        let head = read_head(&mut self.reader)?;
-        let (line, headers) = head.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
-        let status = status.ok_or(io::ErrorKind::InvalidData)?;
-        let length = headers.get("content-length").and_then(|text| text.parse().ok());
-        let mut body = vec![0; length.unwrap_or(0)];
-        self.reader.read_exact(&mut body)?;
-        Ok(HostedAnswer { status, headers, body, took: start.elapsed() })
-    }
-}
--- /dev/null
+++ b/standins/src/hosted_client.rs
@@ -0,0 +1,108 @@
+//! A client as the users' platform has them: one request after the other.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+pub(crate) type Head = (String, HashMap<String, String>);
+
+/// Longest wait of the client for one answer.
+const CLIENT_LIMIT: Duration = Duration::from_secs(20);
+
+/// What the client got.
+#[derive(Clone, Debug)]
+pub struct HostedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers by lower-case name.
+    pub headers: HashMap<String, String>,
+    /// The body, whole.
+    pub body: Vec<u8>,
+    /// Time from the first byte sent to the last one received.
+    pub took: Duration,
+}
+
+/// Makes one HTTP request on a connection of its own.
+///
+/// # Errors
+///
+/// Fails when the connection breaks before the answer is whole.
+pub fn hosted_call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<HostedAnswer> {
+    HostedConnection::open(address, CLIENT_LIMIT)?.call(method, path, headers, body)
+}
+
+/// A client's connection, for one request after the other.
+#[derive(Debug)]
+pub struct HostedConnection {
+    reader: BufReader<TcpStream>,
+}
+
+impl HostedConnection {
+    /// Connects, and waits at most `limit` for each answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nobody listens there.
+    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let socket = TcpStream::connect(address)?;
+        socket.set_read_timeout(Some(limit))?;
+        socket.set_nodelay(true)?;
+        Ok(Self { reader: BufReader::new(socket) })
+    }
+
+    /// Makes one request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks before the answer is whole, or when it
+    /// does not come in time.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<HostedAnswer> {
+        let start = Instant::now();
+        let mut lines = vec![format!("{method} {path} HTTP/1.1")];
+        lines.extend(headers.iter().map(|(name, value)| format!("{name}: {value}")));
+        if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+            lines.push("Host: localhost".to_owned());
+        }
+        lines.push(format!("Content-Length: {}\r\n\r\n", body.len()));
+        let mut request = lines.join("\r\n").into_bytes();
+        request.extend_from_slice(body);
+        self.reader.get_mut().write_all(&request)?;
+        let head = read_head(&mut self.reader)?;
+        let (line, headers) = head.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
+        let status = status.ok_or(io::ErrorKind::InvalidData)?;
+        let length = headers.get("content-length").and_then(|text| text.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        self.reader.read_exact(&mut body)?;
+        Ok(HostedAnswer { status, headers, body, took: start.elapsed() })
+    }
+}
+
+/// Reads a head's first line and headers; nothing at the end of the stream.
+pub(crate) fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header)?;
+        let Some((name, value)) = header.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    Ok(Some((line.trim_end().to_owned(), headers)))
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,7 +1,9 @@
 //! Small stand-ins for the platform, a target and a caller.
 
+mod bucket;
 mod caller;
 mod hosted;
+mod hosted_client;
 mod http;
 mod link;
 mod platform;
@@ -9,9 +11,8 @@
 mod target;
 
 pub use caller::{CallReport, CallRequest, CallerClient, Verdict, fetch, fetch_runs};
-pub use hosted::{
-    HostedAnswer, HostedConnection, HostedMood, HostedRun, HostedTarget, hosted_call,
-};
+pub use hosted::{HostedMood, HostedRun, HostedTarget};
+pub use hosted_client::{HostedAnswer, HostedConnection, hosted_call};
 pub use link::{FaultyLink, LinkWay};
 pub use platform::{PlatformFaults, PlatformLimits, PlatformStandin};
 pub use process::{DaemonPlace, DaemonProcess, DaemonSpec};
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::runtime::Runtime;
 
+use crate::bucket::TokenBucket;
 use crate::http;
 
 const CONNECTIONS: http::ConnectionLimits =
@@ -64,38 +65,14 @@
     pub history_gone: bool,
 }
 
-#[derive(Debug)]
-struct Bucket {
-    level: f64,
-    filled: Instant,
-}
-
-impl Bucket {
-    fn full(per_s: f64) -> Self {
-        Self { level: per_s, filled: Instant::now() }
-    }
-
-    fn take(&mut self, per_s: f64) -> bool {
-        let now = Instant::now();
-        let passed = now.duration_since(self.filled).as_secs_f64();
-        self.level = (self.level + passed * per_s).min(per_s);
-        self.filled = now;
-        let granted = self.level >= 1.0;
-        if granted {
-            self.level -= 1.0;
-        }
-        granted
-    }
-}
-
 #[derive(Debug)]
 struct State {
     rows: BTreeMap<RowKey, (u64, String)>,
     objects: HashMap<String, Bytes>,
     faults: PlatformFaults,
     limits: PlatformLimits,
-    writes: Bucket,
-    reads: Bucket,
+    writes: TokenBucket,
+    reads: TokenBucket,
     version: u64,
     /// Counts of requests by kind, refused ones included.
     counts: BTreeMap<&'static str, u64>,
@@ -159,8 +136,8 @@
             objects: HashMap::new(),
             faults: PlatformFaults::default(),
             limits,
-            writes: Bucket::full(limits.writes_per_s),
-            reads: Bucket::full(limits.reads_per_s),
+            writes: TokenBucket::full(limits.writes_per_s),
+            reads: TokenBucket::full(limits.reads_per_s),
             version: 0,
             counts: BTreeMap::new(),
         }));
