Say the time that is left once there is a connection; a guard that stands still in the soak

Trace: host-5 logged "sent" with 1,431 ms left, stood still 15 ms later for 1.16 s (a planned freeze) and wrote the request after that. Change: the request is made when the connection is there, and anew when a kept one was closed unused. No test of its own can hold the guard between two lines; the soak is the test.

--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -107,12 +107,12 @@
 /// Asks a target for its health; returns the headers of a good answer.
 async fn ask(duty: &GuardDuty, address: SocketAddr, path: &str) -> Option<HeaderMap> {
     duty.metrics.health_asks.inc();
-    let request = Request::get(path)
-        .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .ok()?;
+    let make_request = || {
+        let request = Request::get(path).header(http::header::HOST, address.to_string());
+        request.body(Full::new(Bytes::new())).ok()
+    };
     let asked = async {
-        let (response, connection) = duty.pool.send(address, request, true).await.ok()?;
+        let (response, connection) = duty.pool.send(address, make_request, true).await.ok()?;
         let (parts, body) = response.into_parts();
         body.collect().await.ok()?;
         connection.release(&parts.headers);
--- a/src/call/guard/served/mod.rs
+++ b/src/call/guard/served/mod.rs
@@ -196,11 +196,11 @@
             targets.get(&self.key).map(|target| target.announcement.address)
         };
         let address = address.ok_or(TargetFailure::NotSent)?;
-        let left = self.deadline.since(duty.clock.now());
-        let left_ms = left.duration().as_millis() as u32;
-        let request = target_call::make_request(head, body, address, left_ms, duty.names);
-        let request = request.ok_or(TargetFailure::NotSent)?;
-        let (response, connection) = duty.pool.send(address, request, head.repeatable).await?;
+        let make_request = || {
+            let left_ms = self.deadline.since(duty.clock.now()).duration().as_millis() as u32;
+            target_call::make_request(head, body.clone(), address, left_ms, duty.names)
+        };
+        let (response, connection) = duty.pool.send(address, make_request, head.repeatable).await?;
         if let Some(percent) = target_call::slowness(response.headers(), duty.names) {
             duty.note_slowness(&self.key, percent);
         }
--- a/src/call/guard/target_pool.rs
+++ b/src/call/guard/target_pool.rs
@@ -71,10 +71,13 @@
 
 impl TargetPool {
     /// Sends a call on an unused connection, or on a new one.
+    ///
+    /// The request is made once there is a connection, so that the time it says is left
+    /// does not count the wait for one.
     pub(crate) async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        make_request: impl Fn() -> Option<Request<Full<Bytes>>>,
         repeatable: bool,
     ) -> Result<(Response<Incoming>, BusyConnection), TargetFailure> {
         let longest = if repeatable { Duration::MAX } else { FRESH_FOR };
@@ -85,6 +88,7 @@
                 Some(sender) => sender,
                 None => dial(address).await.ok_or(TargetFailure::NotSent)?,
             };
+            let request = make_request().ok_or(TargetFailure::NotSent)?;
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let pool = Rc::clone(self);
@@ -92,7 +96,7 @@
                 }
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before a byte was written.
-                    Some(unsent) if !fresh => request = unsent,
+                    Some(_unsent) if !fresh => {}
                     Some(_unsent) => return Err(TargetFailure::NotSent),
                     None => return Err(TargetFailure::Broken),
                 },
