--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -170,6 +170,17 @@
         }
         self.expire(out);
         self.start(out);
+        self.check();
+    }
+
+    /// Checks the invariants, in builds with debug assertions.
+    fn check(&self) {
+        let full = self.running.len() >= self.limit();
+        let held = |call: &WaitingCall| full || self.should_wait(call);
+        debug_assert!(self.waiting.iter().all(held), "a call waits beside a free slot");
+        let runs = |call: &WaitingCall| self.running.contains_key(&call.call);
+        debug_assert!(!self.waiting.iter().any(runs), "a call waits and runs");
+        debug_assert!(!self.leaving || self.waiting.is_empty(), "a call waits for a leaver");
     }
 
     /// Refuses all that waits, and all that comes, from now on.
--- a/src/decide/host_speed.rs
+++ b/src/decide/host_speed.rs
@@ -17,6 +17,9 @@
 /// that nothing will be in time.
 const MOST_PERCENT: f64 = 5_000.0;
 
+/// Least slowness that can be told, as a factor.
+const LEAST_SLOWNESS: f64 = 1.0 / USUAL_PERCENT;
+
 /// Multiple of the best recent slowness from which on a moment is a slow spell;
 /// below it, waiting gains less than a spell lasts.
 const SPELL_FROM: f64 = 1.5;
@@ -75,12 +78,22 @@
         self.best = match self.heard {
             Some(heard) if self.slowness > self.best => {
                 let kept = (-(now.since(heard).0 as f64) / BEST_OVER_US).exp();
-                self.slowness + (self.best - self.slowness) * kept
+                let best = self.slowness + (self.best - self.slowness) * kept;
+                // What is rounded in between may leave the bounds.
+                best.clamp(LEAST_SLOWNESS, self.slowness)
             }
             _ => self.slowness,
         };
         self.heard = Some(self.heard.map_or(now, |heard| heard.max(now)));
         self.note_spell(now);
+        self.check();
+    }
+
+    /// Checks the invariants, in builds with debug assertions.
+    fn check(&self) {
+        let sound = self.slowness.is_finite() && self.best >= LEAST_SLOWNESS;
+        debug_assert!(sound, "{} and {} are finite and positive", self.slowness, self.best);
+        debug_assert!(self.best <= self.slowness, "{} of {}", self.best, self.slowness);
     }
 
     fn note_spell(&mut self, now: MicroTime) {
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -179,6 +179,18 @@
         if self.is_settled() && now.since(self.settled) >= TRIED_AGAIN {
             self.try_around();
         }
+        self.check();
+    }
+
+    /// Checks the invariants, in builds with debug assertions.
+    fn check(&self) {
+        let grow = self.levels.is_sorted_by(|left, right| left.most < right.most);
+        debug_assert!(grow, "levels grow: {:?}", self.levels);
+        let most = self.levels.last().map(|last| last.most);
+        debug_assert!(most == Some(self.slots), "the last level has all slots");
+        let ordered = self.lowered <= self.level && self.level <= self.raised;
+        debug_assert!(ordered, "{} to {} to {}", self.lowered, self.level, self.raised);
+        debug_assert!(self.raised < self.levels.len(), "{} is a level", self.raised);
     }
 
     const fn is_settled(&self) -> bool {
@@ -204,6 +216,7 @@
         figures.answers += 1.0;
         figures.stretch += stretch.clamp(STRETCH_BOUNDS.0, STRETCH_BOUNDS.1);
         self.judge(now);
+        self.check();
     }
 
     fn age(&mut self, now: MicroTime) {
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -48,6 +48,14 @@
             self.accepted = 0;
             self.pause = MicroTime(self.pause.0 * 7 / 8).max(PAUSE_BOUNDS.0);
         }
+        self.check();
+    }
+
+    /// Checks the invariants, in builds with debug assertions.
+    fn check(&self) {
+        let bounds = PAUSE_BOUNDS.0..=PAUSE_BOUNDS.1;
+        debug_assert!(bounds.contains(&self.pause), "{:?} is out of bounds", self.pause);
+        debug_assert!(self.accepted < CALM, "{} transactions count", self.accepted);
     }
 
     /// Notes that the table refused a transaction, or can't be reached.
@@ -55,6 +63,7 @@
         self.accepted = 0;
         self.refused_since.get_or_insert(now);
         self.pause = MicroTime(self.pause.0 * 2).min(PAUSE_BOUNDS.1);
+        self.check();
     }
 
     /// Tells whether the table is down rather than busy.
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -58,6 +58,7 @@
         if granted {
             self.tokens -= 1.0;
             self.granted += 1;
+            debug_assert!((0.0..=self.saved).contains(&self.tokens), "{} tokens", self.tokens);
         }
         granted
     }
