Tell a caller that is refused in a slow spell when the spell ends

Cause: Retry-After said when a slot is free; on a host in a slow spell with free slots that was the least wait, 5 ms, and who came back then was sent on again. Change: the wait is the longer of the queue's and of what is left of the spell, by the smoothed length of spells; nothing where a spell lasts longer than that.

--- a/src/decide/admission/forecast.rs
+++ b/src/decide/admission/forecast.rs
@@ -50,10 +50,15 @@
         *least(&mut free)
     }
 
-    /// Returns when the present queue will have been served.
+    /// Returns when a refused caller may come back: once the present queue has been
+    /// served and the host's slow spell is over.
+    ///
+    /// Guards a caller that comes back into the spell that it was refused for, and is
+    /// refused again: with free slots it was told the least wait, 5 ms.
     #[must_use]
     pub fn retry_after_ms(&self) -> u32 {
-        let wait = self.wait_behind(self.waiting.iter()).ceil_millis();
+        let served = self.wait_behind(self.waiting.iter());
+        let wait = served.max(self.speed.spell_left(self.now)).ceil_millis();
         wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
     }
 }
--- a/src/decide/host_speed.rs
+++ b/src/decide/host_speed.rs
@@ -111,6 +111,14 @@
         self.slowness >= SPELL_FROM * self.best
     }
 
+    /// Returns the time until the present slow spell is expected to end; zero if there
+    /// is none, or if it lasts longer than spells did.
+    #[must_use]
+    pub fn spell_left(&self, now: MicroTime) -> MicroTime {
+        let Some(since) = self.spell_since else { return MicroTime(0) };
+        MicroTime(self.spell_us as u64).since(now.since(since))
+    }
+
     /// Returns how much longer than usual a call takes that begins now.
     #[must_use]
     pub const fn slowness(&self) -> f64 {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -267,6 +267,25 @@
     assert!(matches!(sent_on[..], [AdmissionAction::Refuse { reason: RefusalReason::Slow, .. }]));
 }
 
+/// Who comes back before the spell is over is sent on again.
+#[test]
+fn a_call_that_is_sent_on_is_told_when_the_slow_spell_ends() {
+    let mut queue = slow_queue(8);
+    let told = |queue: &mut AdmissionQueue, after_ms: u64| {
+        let now_ms = SLOW_SINCE_MS + after_ms;
+        let sent_on = offer_work(queue, u128::from(after_ms), now_ms, now_ms + 300, false);
+        let [AdmissionAction::Refuse { retry_after_ms, .. }] = sent_on[..] else {
+            panic!("{sent_on:?}")
+        };
+        retry_after_ms
+    };
+    // Spells last some 150 ms here, and no call runs.
+    let at_first = told(&mut queue, 0);
+    assert!((100..=200).contains(&at_first), "{at_first}");
+    let later = told(&mut queue, 60);
+    assert!(later + 55 <= at_first && later >= 5, "{later} of {at_first}");
+}
+
 #[test]
 fn a_call_with_no_other_target_waits_until_the_host_is_fast_again() {
     let mut queue = slow_queue(8);
