A limit that was just lowered is judged by its own figures

Cause: judge() lowered the limit and in the same step compared the levels above it with the rate of the level just left, which was lower because of what lowered it; so a limit could jump from there to all slots, the opposite of what the answers said. Change: after a limit is lowered, the next answer judges it anew.

--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -235,26 +235,32 @@
             return;
         }
         let Some(present) = self.rate(self.level.saturating_sub(1), self.level) else { return };
-        self.judge_lowered(&present);
-        self.judge_raised(&present);
+        // What is known of a level that was just left judges none above the new one.
+        if !self.judge_lowered(&present) {
+            self.judge_raised(&present);
+        }
         if self.is_settled() {
             self.settled = now;
         }
     }
 
-    fn judge_lowered(&mut self, present: &LevelRate) {
+    /// Lowers the limit where clearly more was answered; `true` if it did.
+    fn judge_lowered(&mut self, present: &LevelRate) -> bool {
         if self.lowered == self.level {
-            return;
+            return false;
         }
-        let Some(lowered) = self.rate(self.lowered, self.lowered) else { return };
+        let Some(lowered) = self.rate(self.lowered, self.lowered) else { return false };
         let spread = |known: &LevelRate| SPREAD / known.answers.sqrt();
         let least = lowered.rate * (1.0 - spread(&lowered));
         if least > present.rate * (1.0 + spread(present)) {
             self.level = self.lowered;
             self.try_around();
-        } else if lowered.answers >= ENOUGH_LOWERED {
+            return true;
+        }
+        if lowered.answers >= ENOUGH_LOWERED {
             self.lowered = self.level;
         }
+        false
     }
 
     fn judge_raised(&mut self, present: &LevelRate) {
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -126,3 +126,19 @@
         }
     }
 }
+
+/// The level that is left is no measure for one above it.
+#[test]
+fn a_limit_that_is_lowered_does_not_jump_to_the_top() {
+    let mut limit = ConcurrencyLimit::open(16);
+    let mut note = |beside: f64, stretch: f64, answers: u32| {
+        (0..answers).for_each(|_| limit.note(MicroTime(0), beside, stretch));
+        limit.limit()
+    };
+    // All slots answer 8.9 calls in the time of one, the first limit 10.
+    note(16.0, 1.8, 24);
+    assert_eq!(note(12.0, 1.2, 24), 12);
+    // Then it bends: 6, and 11 with ten at once.
+    assert_eq!(note(12.0, 2.2, 100), 12);
+    assert_eq!(note(10.0, 0.9, 24), 10);
+}
