--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -66,6 +66,12 @@
 }
 
 impl OutstandingCall {
+    /// Notes that the guard could not be reached at all.
+    fn lose_contact(&mut self, place: &TargetPlace) {
+        self.unreachable = true;
+        self.duty.tell_unreached(&place.host);
+    }
+
     fn hear(&self, load: LoadReport) {
         self.duty.hear_load(&self.service, &self.target, load);
     }
@@ -115,15 +121,14 @@
     }
     let deadline = Instant::now() + left;
     let Some(sender) = connect(duty, place, deadline).await else {
-        outstanding.unreachable = true;
-        duty.tell_unreached(&place.host);
+        outstanding.lose_contact(place);
         return AttemptEnd::unreachable();
     };
     // Before the first word nobody could tell how long a call was on its way.
     let mut guard_time = duty.time_at_guard(&call.service, target);
     if guard_time.is_none() {
         if !watching::hear_first(duty, &call.service, target, place).await {
-            outstanding.unreachable = true;
+            outstanding.lose_contact(place);
             return AttemptEnd::unreachable();
         }
         guard_time = duty.time_at_guard(&call.service, target);
