--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,4 +1,4 @@
-//! What every other folder may use: words, numbers and means without a decision.
+//! What every other folder may use: names, numbers and means without a decision.
 //!
 //! Names and identities, clocks, figures that all daemons agree on, messages
 //! between daemons and what they carry, connections, metrics and logs. Nothing here
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -80,7 +80,7 @@
     pub slowness: u16,
     /// Smoothed share of failed answers, in thousandths.
     pub failing: u16,
-    /// Grows with every word of one guard incarnation.
+    /// Grows with every report of one guard incarnation.
     pub sequence: u64,
     /// When the guard said it, by its own clock.
     pub told: MicroTime,
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -25,7 +25,7 @@
 /// Wait told to a caller whose target could not be reached, in milliseconds.
 const UNREACHABLE_RETRY_MS: u32 = 100;
 
-/// Longest wait for a guard's word about an earlier call.
+/// Longest wait for a guard's answer about an earlier call.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest body that goes out in one piece with its head, in bytes.
@@ -124,7 +124,7 @@
         outstanding.lose_contact(place);
         return AttemptEnd::unreachable();
     };
-    // Before the first word nobody could tell how long a call was on its way.
+    // Before the first report nobody could tell how long a call was on its way.
     let mut guard_time = duty.time_at_guard(&call.service, target);
     if guard_time.is_none() {
         if !watching::hear_first(duty, &call.service, target, place).await {
@@ -161,7 +161,7 @@
                 };
             }
             if fate.is_none() {
-                // Neither the call nor the question got a word: it may be the
+                // Neither the call nor the question got an answer: it may be the
                 // connection alone that fell silent.
                 duty.pool.forget(place.guard, place.incarnation);
                 duty.tell_unreached(&place.host);
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -235,7 +235,7 @@
         record.is_some_and(|record| std::mem::replace(&mut record.watched, watched) != watched)
     }
 
-    /// Notes a target's load, unless a newer word is known.
+    /// Notes a target's load, unless a newer report is known.
     pub(crate) fn hear_load(&self, service: &ServiceName, target: &TargetName, load: LoadReport) {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
--- a/src/call/entry/watching.rs
+++ b/src/call/entry/watching.rs
@@ -22,7 +22,7 @@
 /// Entries of large fleets hear of the rest on answers.
 const MAX_WATCHED: usize = 48;
 
-/// Longest wait for the first word of a target; a guard says it at once, so
+/// Longest wait for the first report of a target; a guard says it at once, so
 /// longer means that its host or the way there stands still.
 const FIRST_REPORT: Duration = Duration::from_millis(200);
 
@@ -47,7 +47,7 @@
     });
 }
 
-/// Hears one word of a target that nothing was heard of yet; `false` if none came
+/// Hears one report of a target that nothing was heard of yet; `false` if none came
 /// in time.
 pub(crate) async fn hear_first(
     duty: &EntryDuty,
@@ -60,8 +60,8 @@
         let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
         reader.head::<LoadReport>().await.ok()
     };
-    let Ok(Some(word)) = timeout(FIRST_REPORT, asked).await else { return false };
-    duty.hear_load(service, target, word);
+    let Ok(Some(report)) = timeout(FIRST_REPORT, asked).await else { return false };
+    duty.hear_load(service, target, report);
     true
 }
 
@@ -75,7 +75,7 @@
     let head = WatchHead { service: service.clone(), target: target.clone() };
     let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
     loop {
-        let word: LoadReport = reader.head().await.ok()?;
-        duty.hear_load(service, target, word);
+        let report: LoadReport = reader.head().await.ok()?;
+        duty.hear_load(service, target, report);
     }
 }
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -1,7 +1,7 @@
 //! A guard's questions to its own target: who are you, and how slow is work now?
 //!
-//! Answers carry the same word, but a target whose work has just become slow
-//! answers late. A question is asked only when no word came for a while and
+//! Answers carry the same report, but a target whose work has just become slow
+//! answers late. A question is asked only when no report came for a while and
 //! calls run or came lately; it is answered at once and costs little, but not
 //! nothing.
 
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Takes the target's newer word; `false` if it is one that came late.
+    /// Takes the target's newer announcement; `false` if it is one that came late.
     pub(crate) fn renew(
         &mut self,
         now: MicroTime,
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -67,7 +67,7 @@
     /// The service and the address of the host's target, where settings tell.
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) own_target: Option<SocketAddr>,
-    /// Time a target's word stays valid without a further one.
+    /// Time a target's heartbeat stays valid without a further one.
     pub(crate) target_lease: Duration,
     /// Longest body of a call, in bytes.
     pub(crate) max_body: usize,
@@ -231,8 +231,8 @@
     fn tell_watchers(&self, now: MicroTime) {
         let mut targets = self.targets.borrow_mut();
         let changed = targets.values().any(|target| differs(&target.told, &target.queue.peek()));
-        let words = self.load_changes.receiver_count() as u32;
-        if !changed || !self.report_budget.borrow_mut().take(now, words, words * REPORT_BYTES) {
+        let reports = self.load_changes.receiver_count() as u32;
+        if !changed || !self.report_budget.borrow_mut().take(now, reports, reports * REPORT_BYTES) {
             return;
         }
         targets.values_mut().for_each(|target| target.told = target.queue.peek());
--- a/src/call/guard/reporting.rs
+++ b/src/call/guard/reporting.rs
@@ -11,20 +11,20 @@
 use crate::base::h2io::{self, HeadReader};
 use crate::base::wire::{LoadReport, WatchHead};
 
-/// Bytes of one word on its stream, with the frame around it.
+/// Bytes of one report on its stream, with the frame around it.
 pub(crate) const REPORT_BYTES: u32 = 50;
 
-/// Bytes of words that one guard sends in a second: half of what the letter
+/// Bytes of reports that one guard sends in a second: half of what the letter
 /// allows for all of control.
 pub(crate) const REPORT_BYTES_PER_S: u32 = 10_000;
 
-/// Change of slowness, in percent of its value, that is worth a word.
+/// Change of slowness, in percent of its value, that is worth a report.
 const SLOWNESS_STEP: u16 = 20;
 
 /// Steps of occupancy that are told apart: parts of the slots in use.
 const OCCUPANCY_STEPS: u16 = 4;
 
-/// Tells whether a word says something that the one told before did not.
+/// Tells whether a report says something that the one told before did not.
 pub(crate) fn differs(told: &LoadReport, now: &LoadReport) -> bool {
     let gap = told.slowness.abs_diff(now.slowness);
     let slower = u32::from(gap) * 100 > u32::from(told.slowness) * u32::from(SLOWNESS_STEP);
@@ -46,8 +46,8 @@
     let mut stream = respond.send_response(Response::new(()), false).ok()?;
     let mut changes = duty.load_changes.subscribe();
     loop {
-        let word = duty.load(&key);
-        h2io::send_all(&mut stream, h2io::frame(&word).ok()?, false).await.ok()?;
+        let report = duty.load(&key);
+        h2io::send_all(&mut stream, h2io::frame(&report).ok()?, false).await.ok()?;
         tokio::select! {
             told = changes.changed() => told.ok()?,
             _ = poll_fn(|cx| stream.poll_reset(cx)) => return None,
--- a/src/call/guard/target_call.rs
+++ b/src/call/guard/target_call.rs
@@ -30,7 +30,7 @@
 pub(crate) enum AnswerMeaning {
     /// The target ran the call and answers it.
     Answer,
-    /// The target did not run the call, by its own word.
+    /// The target did not run the call, as it says itself.
     NotRun,
     /// Another target has this address; it did not run the call.
     OtherTarget,
--- a/src/call/guard/target_life.rs
+++ b/src/call/guard/target_life.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Takes a target's word; one with a number is ignored if it is late.
+    /// Takes a target's announcement; one with a number is ignored if it is late.
     pub(crate) fn announce(&self, announcement: TargetAnnouncement, sequence: Option<u64>) {
         if self.ended.borrow().contains(&announcement.target) {
             return;
--- a/src/call/guard/target_pool.rs
+++ b/src/call/guard/target_pool.rs
@@ -29,7 +29,7 @@
 
 /// Longest time unused before a call that must not repeat.
 ///
-/// A target may have dropped the connection without a word, and then nobody
+/// A target may have dropped the connection without a sign, and then nobody
 /// can tell whether the call ran; a new connection costs about a millisecond.
 const FRESH_FOR: Duration = Duration::from_secs(1);
 
--- a/src/call/silence.rs
+++ b/src/call/silence.rs
@@ -1,4 +1,4 @@
-//! Connections whose other end may go without a word.
+//! Connections whose other end may go without a sign.
 //!
 //! A host without power, or a path that swallows everything, resets nothing. The
 //! system notices when it is told how long to wait for acknowledgements.
@@ -22,7 +22,7 @@
 /// Time between two such questions, and how many stay unanswered at most.
 pub(crate) const QUESTIONS: (Duration, u32) = (Duration::from_secs(1), 2);
 
-/// Lets a connection break soon when its other end has gone without a word.
+/// Lets a connection break soon when its other end has gone without a sign.
 ///
 /// # Errors
 ///
--- a/src/decide/benefit.rs
+++ b/src/decide/benefit.rs
@@ -47,7 +47,7 @@
 const MOST_LATE: f64 = 10.0;
 
 /// Targets whose benefits differ by less are drawn among, so that entries which
-/// see the same words do not all choose the same one.
+/// see the same reports do not all choose the same one.
 const DRAWN_WITHIN: f64 = 0.005;
 
 /// Time over which a target that joined gets its full part, in microseconds.
--- a/src/decide/clock_lead.rs
+++ b/src/decide/clock_lead.rs
@@ -1,8 +1,8 @@
 //! How far another process's clock is ahead of the own one.
 //!
 //! Clocks of processes have no common origin, and links may hold messages up. A
-//! word that tells when it was sent bounds the lead from below: it was sent no
-//! later than it came. The word that travelled fastest bounds it best. So a
+//! message that tells when it was sent bounds the lead from below: it was sent no
+//! later than it came. The message that travelled fastest bounds it best. So a
 //! sender can say when a message left, in the receiver's time, and the receiver
 //! can take off what the message lost on its way.
 
@@ -25,13 +25,13 @@
 }
 
 impl ClockLead {
-    /// Takes the first word, sent at `told` by the other clock, come at `now`.
+    /// Takes the first message, sent at `told` by the other clock, come at `now`.
     #[must_use]
     pub const fn open(now: MicroTime, told: MicroTime) -> Self {
         Self { lead_us: told.0.cast_signed() - now.0.cast_signed(), noted: now }
     }
 
-    /// Takes a further word; returns how much longer it was on its way than the
+    /// Takes a further message; returns how much longer it was on its way than the
     /// fastest one.
     pub fn note(&mut self, now: MicroTime, told: MicroTime) -> MicroTime {
         let newest = Self::open(now, told);
--- a/src/decide/host_speed.rs
+++ b/src/decide/host_speed.rs
@@ -31,7 +31,7 @@
 /// few of the questions that a guard asks its target.
 const FIRST_SPELL_US: f64 = 200_000.0;
 
-/// Shortest and longest age of a word that wants a newer one: more often costs
+/// Shortest and longest age of a report that wants a newer one: more often costs
 /// more than it tells, and a spell that lasts longer may still end soon.
 const STALE_BOUNDS: (MicroTime, MicroTime) =
     (MicroTime::from_millis(40), MicroTime::from_millis(100));
@@ -57,7 +57,7 @@
     spell_us: f64,
     /// When the present slow spell began.
     spell_since: Option<MicroTime>,
-    /// When the newest word came; nothing before the first.
+    /// When the newest report came; nothing before the first.
     heard: Option<MicroTime>,
 }
 
@@ -125,7 +125,7 @@
         self.slowness
     }
 
-    /// Returns after how long a word of slowness wants a newer one: within a quarter
+    /// Returns after how long a report of slowness wants a newer one: within a quarter
     /// of a spell few calls begin that do not know of it.
     #[must_use]
     pub fn stale_after(&self) -> MicroTime {
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -51,7 +51,7 @@
 /// First time a target is left alone; doubles up to 32 times as long.
 const EJECT_FOR: MicroTime = MicroTime::from_millis(250);
 
-/// Time since the last word of a target after which the fleet's doubt counts for more:
+/// Time since the last report of a target after which the fleet's doubt counts for more:
 /// one that is in use here tells of itself several times as often.
 const HEARD_LATELY: MicroTime = MicroTime::from_millis(500);
 
@@ -79,9 +79,9 @@
     pub outstanding: u32,
     /// The newest load report.
     pub load: LoadReport,
-    /// When that word came; zero if none came yet.
+    /// When that report came; zero if none came yet.
     pub heard: MicroTime,
-    /// Own calls under way when that word came.
+    /// Own calls under way when that report came.
     pub outstanding_then: u32,
     /// Smoothed latency of this entry's calls, in microseconds.
     pub latency_us: f64,
@@ -97,7 +97,7 @@
     pub far: bool,
     /// Whether its guard tells this entry each change of its load.
     pub watched: bool,
-    /// The lead of its guard's clock; nothing before the first word.
+    /// The lead of its guard's clock; nothing before the first report.
     pub clock_lead: Option<ClockLead>,
 }
 
@@ -136,7 +136,7 @@
         let clock = self.clock_lead.get_or_insert_with(|| ClockLead::open(now, load.told));
         let held_up = clock.note(now, load.told);
         self.load = load;
-        // Held up on its way, a word is as old as that.
+        // Held up on its way, a report is as old as that.
         self.heard = now - held_up;
         self.outstanding_then = self.outstanding;
     }
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -47,7 +47,7 @@
     Report { report: TargetReport, reply: oneshot::Sender<()> },
     /// A revision came in force.
     Config(Arc<FleetConfig>),
-    /// A target's word stays valid for this long from now on.
+    /// A target's heartbeat stays valid for this long from now on.
     Lease(Duration),
     /// An operator drains a target, or takes that back.
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
--- a/src/fleet/peers/mod.rs
+++ b/src/fleet/peers/mod.rs
@@ -33,7 +33,7 @@
 /// Time after which a store that could not be reached is hoped to be back.
 const STORE_DOUBT: MicroTime = MicroTime::from_millis(10_000);
 
-/// Time without a word of any peer after which a daemon takes itself for alone:
+/// Time without a message of any peer after which a daemon takes itself for alone:
 /// three gossip periods.
 const SILENCE: MicroTime = MicroTime::from_millis(1_500);
 
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Waits for a signal, or for the handle's word.
+/// Waits for a signal, or for the handle's request.
 pub(crate) async fn wait_for_stop(stopped: oneshot::Receiver<()>) {
     use tokio::signal::unix::{SignalKind, signal};
     let (Ok(mut term), Ok(mut int)) =
