Commands: one check that a filter names something there is; sort targets without copies

The same check stood four times (status, targets twice, dump); the lines of targets were sorted by cloned keys.

--- a/src/command/dump.rs
+++ b/src/command/dump.rs
@@ -49,9 +49,7 @@
 /// Leaves one service in the entry's part.
 fn keep_service(state: &mut Value, name: &str) -> Result<(), CommandOutput> {
     let Some(services) = state["entry"]["services"].as_object_mut() else { return Ok(()) };
-    if !services.contains_key(name) {
-        return Err(output::no_such("service", name, services.keys().map(String::as_str)));
-    }
+    output::expect_known("service", name, services.keys().map(String::as_str))?;
     services.retain(|known, _| known == name);
     Ok(())
 }
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -145,10 +145,8 @@
         }));
     }
     lines.sort_by(|a, b| {
-        let key = |line: &TargetLine| {
-            (line.service.clone(), line.data_centre.clone(), line.target.clone())
-        };
-        key(a).cmp(&key(b))
+        let left = (&a.service, &a.data_centre, &a.target);
+        left.cmp(&(&b.service, &b.data_centre, &b.target))
     });
     Ok(lines)
 }
--- a/src/command/output.rs
+++ b/src/command/output.rs
@@ -52,15 +52,18 @@
     serde_json::to_string_pretty(value).unwrap_or_default()
 }
 
-/// Makes the end of a command whose filter names nothing that there is.
-pub(crate) fn no_such<'a>(
+/// Makes sure that a filter names something that there is; `Err` is the command's end.
+pub(crate) fn expect_known<'a>(
     what: &str,
     name: &str,
     known: impl Iterator<Item = &'a str>,
-) -> CommandOutput {
+) -> Result<(), CommandOutput> {
     let mut known: Vec<&str> = known.collect();
+    if known.contains(&name) {
+        return Ok(());
+    }
     known.sort_unstable();
     known.dedup();
     let text = format!("no {what} `{name}`; there are: {}", known.join(", "));
-    CommandOutput::new(CommandEnd::Refused, text)
+    Err(CommandOutput::new(CommandEnd::Refused, text))
 }
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -72,8 +72,8 @@
     };
     if let Some(name) = &options.data_centre {
         let known = hosts.iter().map(|host| host.data_centre.as_str());
-        if !known.clone().any(|known| known == name) {
-            return output::no_such("data centre", name, known);
+        if let Err(end) = output::expect_known("data centre", name, known) {
+            return end;
         }
         hosts.retain(|host| host.data_centre.as_str() == name);
     }
--- a/src/command/targets.rs
+++ b/src/command/targets.rs
@@ -119,17 +119,12 @@
         listed.retain(|line| line.state() == state);
     }
     if let Some(name) = &filter.service {
-        let known = lines.iter().map(|line| line.service.as_str());
-        if !known.clone().any(|known| known == name) {
-            return Err(output::no_such("service", name, known));
-        }
+        output::expect_known("service", name, lines.iter().map(|line| line.service.as_str()))?;
         listed.retain(|line| line.service.as_str() == name);
     }
     if let Some(name) = &filter.data_centre {
         let known = lines.iter().map(|line| line.data_centre.as_str());
-        if !known.clone().any(|known| known == name) {
-            return Err(output::no_such("data centre", name, known));
-        }
+        output::expect_known("data centre", name, known)?;
         listed.retain(|line| line.data_centre.as_str() == name);
     }
     Ok(listed.into_iter().cloned().collect())
