--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -21,8 +21,7 @@
 use crate::call::guard::target_call;
 use crate::call::headers;
 use crate::decide::lease::TargetCondition;
-use crate::duty::target_report::TargetAnnouncement;
-use crate::duty::target_report::TargetReport;
+use crate::duty::target_report::{TargetAnnouncement, TargetReport};
 
 /// Time after its last call that a target counts as in use.
 const IN_USE: MicroTime = MicroTime::from_millis(1_000);
--- a/src/call/guard/target_life.rs
+++ b/src/call/guard/target_life.rs
@@ -10,8 +10,7 @@
 use crate::call::guard::GuardDuty;
 use crate::call::guard::local_target::LocalTarget;
 use crate::duty::events::PeersEvent;
-use crate::duty::target_report::TargetAnnouncement;
-use crate::duty::target_report::TargetReport;
+use crate::duty::target_report::{TargetAnnouncement, TargetReport};
 
 /// Ended targets remembered; a host has one target at a time.
 const MAX_ENDED: usize = 64;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -10,8 +10,9 @@
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, ServiceName, TargetName};
 use crate::base::member::FleetView;
-use crate::decide::selection::CallOutlook;
-use crate::decide::selection::{SelectionInput, SelectionPolicy, TargetPlace, TargetRecord};
+use crate::decide::selection::{
+    CallOutlook, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord,
+};
 
 /// The targets of one service as an entry sees them.
 #[derive(Debug, Default, Serialize)]
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -26,8 +26,9 @@
 use crate::fleet::peers::{self, PeersParts, PeersRings};
 use crate::process::adapter::DeploymentAdapter;
 use crate::process::admin::{AdminDuty, AdminRings};
-use crate::process::listen::DaemonAddresses;
-use crate::process::listen::{self, DaemonListeners, MetricsSnafu, StartError, ThreadSnafu};
+use crate::process::listen::{
+    self, DaemonAddresses, DaemonListeners, MetricsSnafu, StartError, ThreadSnafu,
+};
 use crate::process::reload::{self, Reloading};
 use crate::process::settings::DaemonSettings;
 use crate::process::stop;
