Load reports by distance: evenly, most within the data centre, few across

Cause: a guard's budget of 10 kB of reports a second was spent at the start of each second, on four reports to all 48 listeners, two thirds of them in other data centres: then nothing was told for the rest of the second, and the bytes were the greatest part of what crosses. Change: two groups of listeners, 8 kB/s near and 2 kB/s far, each told no sooner than the last report is paid for.

--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -8,7 +8,9 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_HEAD;
 use crate::base::fate::{CallFate, ClaimRow};
-use crate::base::ids::{AccountName, CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::base::ids::{
+    AccountName, CallId, CentreName, DaemonIncarnation, ServiceName, TargetName,
+};
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug, Snafu)]
@@ -272,6 +274,8 @@
     pub service: ServiceName,
     /// The target watched.
     pub target: TargetName,
+    /// The data centre of the entry.
+    pub data_centre: CentreName,
 }
 
 /// A guard's answer to a revocation.
--- a/src/call/entry/watching.rs
+++ b/src/call/entry/watching.rs
@@ -55,7 +55,7 @@
     target: &TargetName,
     place: &TargetPlace,
 ) -> bool {
-    let head = WatchHead { service: service.clone(), target: target.clone() };
+    let head = watch_head(duty, service, target);
     let asked = async {
         let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
         reader.head::<LoadReport>().await.ok()
@@ -72,10 +72,15 @@
     target: &TargetName,
     place: &TargetPlace,
 ) -> Option<()> {
-    let head = WatchHead { service: service.clone(), target: target.clone() };
+    let head = watch_head(duty, service, target);
     let mut reader = duty.pool.ask(place.guard, place.incarnation, "/watch", &head).await?;
     loop {
         let report: LoadReport = reader.head().await.ok()?;
         duty.hear_load(service, target, report);
     }
 }
+
+fn watch_head(duty: &EntryDuty, service: &ServiceName, target: &TargetName) -> WatchHead {
+    let data_centre = duty.data_centre.clone();
+    WatchHead { service: service.clone(), target: target.clone(), data_centre }
+}
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -25,8 +25,9 @@
     /// Whether the peers were told that it takes calls. An evacuation of the data
     /// centre is told once for all, not by each target.
     pub(crate) told_ready: bool,
-    /// The load that watchers were told last.
-    pub(crate) told: LoadReport,
+    /// The loads that watchers of this data centre, and of others, were told last.
+    pub(crate) told_near: LoadReport,
+    pub(crate) told_far: LoadReport,
     /// When a call last came.
     pub(crate) used: MicroTime,
     /// When the target last told its slowness, or was asked for it.
@@ -50,7 +51,8 @@
             life,
             claiming: 0,
             told_ready: false,
-            told: LoadReport::default(),
+            told_near: LoadReport::default(),
+            told_far: LoadReport::default(),
             used: now,
             slowness_heard: MicroTime(0),
         }
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -28,14 +28,14 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::clock::ProcessClock;
 use crate::base::consts::{MAX_DATAGRAM, SLOW_SENDER};
 use crate::base::h2io::{self, HeadReader};
-use crate::base::ids::{CallId, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::base::ids::{CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::metrics::DaemonMetrics;
 use crate::base::wire::{self, AnswerHead, LoadReport, ProbeReply, ProbeRequest, RefusalReason};
 use crate::call::guard::local_target::LocalTarget;
-use crate::call::guard::reporting::{REPORT_BYTES, REPORT_BYTES_PER_S, differs};
+use crate::call::guard::reporting::GuardWatchers;
 use crate::call::guard::served::ServedCall;
 use crate::call::guard::target_pool::TargetPool;
 use crate::call::headers::HeaderNames;
@@ -43,7 +43,6 @@
 use crate::decide::cold_start::ColdTerms;
 use crate::decide::life_order::TargetLife;
 use crate::decide::outcome::CallLedger;
-use crate::decide::probe::ProbeBudget;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::rules::config::FleetConfig;
@@ -66,6 +65,7 @@
 #[derive(Debug)]
 pub(crate) struct GuardParts {
     pub(crate) host: HostName,
+    pub(crate) data_centre: CentreName,
     pub(crate) incarnation: DaemonIncarnation,
     pub(crate) names: &'static HeaderNames,
     /// The service and the address of the host's target, where settings tell.
@@ -88,6 +88,7 @@
 pub(crate) struct GuardDuty {
     pub(crate) clock: ProcessClock,
     pub(crate) host: HostName,
+    pub(crate) data_centre: CentreName,
     pub(crate) incarnation: DaemonIncarnation,
     pub(crate) address: SocketAddr,
     pub(crate) targets: RefCell<HashMap<(ServiceName, TargetName), LocalTarget>>,
@@ -110,9 +111,8 @@
     pub(crate) max_body: usize,
     pub(crate) metrics: Arc<DaemonMetrics>,
     pub(crate) rings: GuardRings,
-    /// Says that a target's load changed by more than a little.
-    pub(crate) load_changes: watch::Sender<()>,
-    report_budget: RefCell<ProbeBudget>,
+    /// Who is told each change of a target's load that matters.
+    pub(crate) watchers: GuardWatchers,
     pub(crate) logger: Logger,
 }
 
@@ -130,6 +130,7 @@
     let duty = Rc::new(GuardDuty {
         clock: ProcessClock::open(),
         host: parts.host,
+        data_centre: parts.data_centre,
         incarnation: parts.incarnation,
         address: parts.address,
         targets: RefCell::default(),
@@ -138,8 +139,7 @@
         waiters: RefCell::default(),
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
-        load_changes: watch::Sender::new(()),
-        report_budget: RefCell::new(ProbeBudget::open(u32::MAX, REPORT_BYTES_PER_S)),
+        watchers: GuardWatchers::open(),
         pool: Rc::default(),
         names: parts.names,
         own_service: parts.own_service,
@@ -249,18 +249,6 @@
         }
     }
 
-    /// Wakes the streams of watchers when a load changed that much.
-    fn tell_watchers(&self, now: MicroTime) {
-        let mut targets = self.targets.borrow_mut();
-        let changed = targets.values().any(|target| differs(&target.told, &target.queue.peek()));
-        let reports = self.load_changes.receiver_count() as u32;
-        if !changed || !self.report_budget.borrow_mut().take(now, reports, reports * REPORT_BYTES) {
-            return;
-        }
-        targets.values_mut().for_each(|target| target.told = target.queue.peek());
-        self.load_changes.send_replace(());
-    }
-
     /// Answers measuring messages.
     async fn answer_probes(self: Rc<Self>, socket: UdpSocket) {
         let mut buffer = vec![0; MAX_DATAGRAM];
--- a/src/call/guard/reporting.rs
+++ b/src/call/guard/reporting.rs
@@ -1,22 +1,32 @@
 //! Load reports that a guard sends to the entries that use its target: each change
-//! that matters, within a budget of bytes.
+//! that matters, within a budget of bytes for those near it and one for the others.
+//!
+//! Answers load that shifts faster than all who use a target can be told. What is told
+//! in the own data centre is cheap and decides most calls; what crosses to another one
+//! is paid for, and decides only where calls go that find no room near.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 
 use bytes::Bytes;
 use h2::server::SendResponse;
 use http::Response;
+use tokio::sync::watch;
 
 use super::GuardDuty;
+use crate::base::clock::MicroTime;
 use crate::base::h2io::{self, HeadReader};
 use crate::base::wire::{LoadReport, WatchHead};
 
 /// Bytes of one report on its stream, with the frame around it.
 pub(crate) const REPORT_BYTES: u32 = 50;
 
-/// Bytes of reports that one guard sends in a second: half of what the letter
-/// allows for all of control.
-pub(crate) const REPORT_BYTES_PER_S: u32 = 10_000;
+/// Bytes of reports that one guard sends in a second within its data centre: with
+/// [`FAR_BYTES_PER_S`] half of what all of control may send.
+const NEAR_BYTES_PER_S: u32 = 8_000;
+
+/// The same to other data centres.
+const FAR_BYTES_PER_S: u32 = 2_000;
 
 /// Change of slowness, in percent of its value, that is worth a report.
 const SLOWNESS_STEP: u16 = 20;
@@ -27,6 +37,69 @@
 /// Change of a cold target's room that is worth a report, in calls.
 const ROOM_STEP: u16 = 8;
 
+/// The entries of one distance that listen to a guard.
+///
+/// Invariant: they are told no sooner than the bytes told before are paid for at the
+/// group's rate, so that news come evenly and not all at the start of each second.
+pub(crate) struct WatcherGroup {
+    changes: watch::Sender<()>,
+    bytes_per_s: u32,
+    /// When they may be told next.
+    next: Cell<MicroTime>,
+}
+
+/// The entries that listen to a guard, in its data centre and in others.
+pub(crate) struct GuardWatchers {
+    pub(crate) near: WatcherGroup,
+    pub(crate) far: WatcherGroup,
+}
+
+impl WatcherGroup {
+    fn open(bytes_per_s: u32) -> Self {
+        Self { changes: watch::Sender::new(()), bytes_per_s, next: Cell::new(MicroTime(0)) }
+    }
+
+    /// Tells whether the group may be told something now; if so, it counts as told.
+    fn take_turn(&self, now: MicroTime) -> bool {
+        if now < self.next.get() {
+            return false;
+        }
+        let bytes = self.changes.receiver_count() as u64 * u64::from(REPORT_BYTES);
+        let paid_after = MicroTime(bytes * 1_000_000 / u64::from(self.bytes_per_s));
+        self.next.set(now + paid_after);
+        true
+    }
+}
+
+impl GuardWatchers {
+    pub(crate) fn open() -> Self {
+        Self {
+            near: WatcherGroup::open(NEAR_BYTES_PER_S),
+            far: WatcherGroup::open(FAR_BYTES_PER_S),
+        }
+    }
+}
+
+impl GuardDuty {
+    /// Wakes the streams of watchers when a load changed that much.
+    pub(crate) fn tell_watchers(&self, now: MicroTime) {
+        let mut targets = self.targets.borrow_mut();
+        let GuardWatchers { near, far } = &self.watchers;
+        if targets.values().any(|target| differs(&target.told_near, &target.queue.peek()))
+            && near.take_turn(now)
+        {
+            targets.values_mut().for_each(|target| target.told_near = target.queue.peek());
+            near.changes.send_replace(());
+        }
+        if targets.values().any(|target| differs(&target.told_far, &target.queue.peek()))
+            && far.take_turn(now)
+        {
+            targets.values_mut().for_each(|target| target.told_far = target.queue.peek());
+            far.changes.send_replace(());
+        }
+    }
+}
+
 /// Tells whether a report says something that the one told before did not.
 pub(crate) fn differs(told: &LoadReport, now: &LoadReport) -> bool {
     let gap = told.slowness.abs_diff(now.slowness);
@@ -54,7 +127,9 @@
     let head: WatchHead = reader.head().await.ok()?;
     let key = (head.service, head.target);
     let mut stream = respond.send_response(Response::new(()), false).ok()?;
-    let mut changes = duty.load_changes.subscribe();
+    let watchers = &duty.watchers;
+    let group = if head.data_centre == duty.data_centre { &watchers.near } else { &watchers.far };
+    let mut changes = group.changes.subscribe();
     loop {
         let report = duty.load(&key);
         h2io::send_all(&mut stream, h2io::frame(&report).ok()?, false).await.ok()?;
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -149,6 +149,7 @@
 
     let parts = GuardParts {
         host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
         incarnation,
         names,
         own_service: deployment.map(|deployment| deployment.service.clone()),
