--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -111,6 +111,8 @@
     pub ready: bool,
     /// Whether it could not reach the platform's store when it last tried.
     pub store_lost: bool,
+    /// Whether it holds its data centre for evacuated.
+    pub evacuated: bool,
 }
 
 /// Returns all members that a daemon knows.
@@ -191,12 +193,16 @@
         revision: None,
         ready: false,
         store_lost: member.store_lost,
+        evacuated: false,
     }
 }
 
 fn take_answer(host: &mut HostStatus, answer: &Value) {
     host.revision = answer["in_force"].as_u64();
     host.ready = answer["ready"] == Value::Bool(true);
+    let evacuated = answer["evacuated"].as_array();
+    host.evacuated =
+        evacuated.is_some_and(|all| all.iter().any(|name| name == host.data_centre.as_str()));
     host.condition = if host.ready { HostCondition::Serving } else { HostCondition::NotReady };
 }
 
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -120,6 +120,9 @@
         let known = hosts.iter().filter(|host| host.revision.is_some()).count();
         _ = write!(text, "\nrevision {newest} is in force at {current} of {known} that tell one");
     }
+    for (centre, said, known) in evacuated_centres(hosts) {
+        _ = write!(text, "\n{centre} is evacuated, as {said} of {known} hosts there say");
+    }
     if count(HostCondition::NoAnswer) > 0 {
         text.push_str("\npartial: what hosts without an answer have in force is not known");
     }
@@ -127,6 +130,19 @@
     text
 }
 
+/// Returns the data centres that are evacuated, how many of their hosts say so, and how
+/// many answered.
+fn evacuated_centres(hosts: &[HostStatus]) -> Vec<(&str, usize, usize)> {
+    let mut centres: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for host in hosts.iter().filter(|host| host.condition <= HostCondition::NotReady) {
+        let (said, known) = centres.entry(host.data_centre.as_str()).or_default();
+        *said += usize::from(host.evacuated);
+        *known += 1;
+    }
+    let evacuated = centres.into_iter().filter(|(_, (said, _))| *said > 0);
+    evacuated.map(|(centre, (said, known))| (centre, said, known)).collect()
+}
+
 /// Writes one line for each data centre, if there is more than one.
 fn write_centres(text: &mut String, hosts: &[HostStatus]) {
     let mut centres: BTreeMap<&str, Vec<&HostStatus>> = BTreeMap::new();
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -115,6 +115,7 @@
             "host": self.host,
             "ready": entry["ready"],
             "in_force": entry["revision"],
+            "evacuated": entry["evacuated"],
             "head": *self.head.borrow(),
         })
     }
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -18,9 +18,18 @@
         revision: Some(12),
         ready: true,
         store_lost: false,
+        evacuated: false,
     }
 }
 
+#[test]
+fn an_evacuated_data_centre_is_named() {
+    let mut hosts: Vec<HostStatus> = (0..10).map(host).collect();
+    hosts[0].evacuated = true;
+    let text = railspan::render_status(&hosts, false);
+    assert!(text.contains("ba-norte-1 is evacuated, as 1 of 2 hosts there say"), "{text}");
+}
+
 fn silent(mut host: HostStatus, daemon: MemberState, condition: HostCondition) -> HostStatus {
     host.daemon = daemon;
     host.condition = condition;
