--- a/src/call/guard/reporting.rs
+++ b/src/call/guard/reporting.rs
@@ -5,7 +5,7 @@
 //! in the own data centre is cheap and decides most calls; what crosses to another one
 //! is paid for, and decides only where calls go that find no room near.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::future::poll_fn;
 
 use bytes::Bytes;
@@ -17,9 +17,10 @@
 use crate::base::clock::MicroTime;
 use crate::base::h2io::{self, HeadReader};
 use crate::base::wire::{LoadReport, WatchHead};
+use crate::decide::report_pace::ReportPace;
 
 /// Bytes of one report on its stream, with the frame around it.
-pub(crate) const REPORT_BYTES: u32 = 50;
+const REPORT_BYTES: u64 = 50;
 
 /// Bytes of reports that one guard sends in a second within its data centre: with
 /// [`FAR_BYTES_PER_S`] half of what all of control may send.
@@ -38,14 +39,9 @@
 const ROOM_STEP: u16 = 8;
 
 /// The entries of one distance that listen to a guard.
-///
-/// Invariant: they are told no sooner than the bytes told before are paid for at the
-/// group's rate, so that news come evenly and not all at the start of each second.
 pub(crate) struct WatcherGroup {
     changes: watch::Sender<()>,
-    bytes_per_s: u32,
-    /// When they may be told next.
-    next: Cell<MicroTime>,
+    pace: RefCell<ReportPace>,
 }
 
 /// The entries that listen to a guard, in its data centre and in others.
@@ -56,18 +52,14 @@
 
 impl WatcherGroup {
     fn open(bytes_per_s: u32) -> Self {
-        Self { changes: watch::Sender::new(()), bytes_per_s, next: Cell::new(MicroTime(0)) }
+        let pace = RefCell::new(ReportPace::open(bytes_per_s));
+        Self { changes: watch::Sender::new(()), pace }
     }
 
     /// Tells whether the group may be told something now; if so, it counts as told.
     fn take_turn(&self, now: MicroTime) -> bool {
-        if now < self.next.get() {
-            return false;
-        }
-        let bytes = self.changes.receiver_count() as u64 * u64::from(REPORT_BYTES);
-        let paid_after = MicroTime(bytes * 1_000_000 / u64::from(self.bytes_per_s));
-        self.next.set(now + paid_after);
-        true
+        let bytes = self.changes.receiver_count() as u64 * REPORT_BYTES;
+        self.pace.borrow_mut().take(now, bytes)
     }
 }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,5 +16,6 @@
 pub(crate) mod pace;
 pub(crate) mod probe;
 pub(crate) mod registry;
+pub(crate) mod report_pace;
 pub(crate) mod retry;
 pub(crate) mod selection;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub use decide::pace::CommitPace;
 pub use decide::probe::ProbeBudget;
 pub use decide::registry::{ServiceTargets, TargetRegistry};
+pub use decide::report_pace::ReportPace;
 pub use decide::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
 pub use decide::selection::{
     CallOutlook, DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord,
