--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -9,6 +9,7 @@
 //! than it bears; the order of the queue decides which. What can't be served in
 //! time is refused at once, but for room that nobody else needs.
 
+mod events;
 mod forecast;
 mod order;
 
@@ -16,11 +17,13 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, CallId};
-use crate::base::wire::{CallPriority, LoadReport, RefusalReason};
+use crate::base::wire::{LoadReport, RefusalReason};
 use crate::decide::cold_start::ColdGate;
 use crate::decide::host_speed::HostSpeed;
 use crate::decide::limit::ConcurrencyLimit;
 
+pub use events::{AdmissionAction, AdmissionEvent, WaitingCall};
+
 /// Waiting calls for each slot of the target.
 const QUEUE_PER_SLOT: usize = 2;
 
@@ -41,63 +44,6 @@
 /// Service time assumed before the first answer, in microseconds.
 const FIRST_SERVICE_US: f64 = 10_000.0;
 
-/// A call at the queue of a guard.
-#[derive(Clone, Debug)]
-pub struct WaitingCall {
-    /// The call.
-    pub call: CallId,
-    /// Who calls.
-    pub account: AccountName,
-    /// The account's share.
-    pub share: u16,
-    /// How it competes.
-    pub priority: CallPriority,
-    /// When its caller stops waiting.
-    pub deadline: MicroTime,
-    /// When it is refused if it has no slot yet; not after the deadline.
-    pub give_up: MicroTime,
-    /// Time a target at its usual speed takes, in microseconds; zero if unknown.
-    pub work_us: u32,
-    /// Whether its entry has no other target left to try.
-    pub last: bool,
-}
-
-/// What happens at a guard.
-#[derive(Clone, Debug)]
-pub enum AdmissionEvent {
-    /// A call came.
-    Arrive(WaitingCall),
-    /// A started call ended after `took`; `failed` if the target broke it.
-    Finish {
-        /// The call.
-        call: CallId,
-        /// Time in the target, or none if it was never dispatched.
-        took: Option<MicroTime>,
-        /// Whether the target failed it.
-        failed: bool,
-    },
-    /// A call that was not dispatched was revoked or its caller left.
-    Cancel(CallId),
-    /// Time passed.
-    Tick,
-}
-
-/// What a guard has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AdmissionAction {
-    /// Start the call now.
-    Start(CallId),
-    /// Refuse the call now.
-    Refuse {
-        /// The call.
-        call: CallId,
-        /// Why.
-        reason: RefusalReason,
-        /// When its caller may come back.
-        retry_after_ms: u32,
-    },
-}
-
 /// A call that has a slot.
 #[derive(Clone, Debug)]
 struct RunningCall {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod hosted_client;
 mod http;
 mod link;
+mod other_writers;
 mod platform;
 mod process;
 mod target;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -26,7 +26,7 @@
     http::ConnectionLimits { at_once: 10_000, open: Duration::ZERO };
 
 /// Table that only the operator writes.
-const OPERATOR_TABLE: &str = "op";
+pub(crate) const OPERATOR_TABLE: &str = "op";
 
 /// Rows of one page, at most.
 const MAX_PAGE: usize = 500;
@@ -175,41 +175,20 @@
         rows.map(|((_, _, key), (_, value))| (key.clone(), decode(value))).collect()
     }
 
-    /// Writes the operator's configuration, which the system may only read.
-    pub fn write_config(&self, text: &str) {
+    /// Writes a row past all conditions, or removes it.
+    pub(crate) fn put_row(&self, table: &str, key: &str, value: Option<&[u8]>) {
         let mut state = lock(&self.state);
         state.version += 1;
         let version = state.version;
-        let key = (OPERATOR_TABLE.to_owned(), String::new(), "config".to_owned());
-        state.rows.insert(key, (version, BASE64.encode(text)));
-    }
-
-    /// Writes a row of the operator's, as it is, or removes it.
-    pub fn write_operator_row(&self, key: &str, value: Option<&[u8]>) {
-        let mut state = lock(&self.state);
-        state.version += 1;
-        let version = state.version;
-        let row = (OPERATOR_TABLE.to_owned(), String::new(), key.to_owned());
-        match value {
-            Some(value) => {
-                state.rows.insert(row, (version, BASE64.encode(value)));
-            }
-            None => {
-                state.rows.remove(&row);
-                state.removed.insert(row, version);
-            }
+        let row = (table.to_owned(), String::new(), key.to_owned());
+        if let Some(value) = value {
+            state.rows.insert(row, (version, BASE64.encode(value)));
+        } else {
+            state.rows.remove(&row);
+            state.removed.insert(row, version);
         }
     }
 
-    /// Writes a row of the system's, as another writer would.
-    pub fn write_own_row(&self, key: &str, value: &[u8]) {
-        let mut state = lock(&self.state);
-        state.version += 1;
-        let version = state.version;
-        let row = ("railspan".to_owned(), String::new(), key.to_owned());
-        state.rows.insert(row, (version, BASE64.encode(value)));
-    }
-
     /// Returns how many requests of a kind came, such as `commit` or `row`.
     #[must_use]
     pub fn count(&self, kind: &str) -> u64 {
@@ -362,13 +341,9 @@
         let mut rows: Vec<Row> =
             self.rows.iter().filter(|(key, (ver, _))| newer(key, *ver)).map(tell).collect();
         let removed = self.removed.iter().filter(|(key, ver)| newer(key, **ver));
-        rows.extend(removed.map(|((table, part, key), ver)| Row {
-            table: table.clone(),
-            part: part.clone(),
-            key: key.clone(),
-            ver: *ver,
-            deleted: true,
-            ..Row::default()
+        rows.extend(removed.map(|(key, ver)| {
+            let (table, part, key) = key.clone();
+            Row { table, part, key, ver: *ver, deleted: true, ..Row::default() }
         }));
         rows.sort_by_key(|row| row.ver);
         rows
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -86,7 +86,9 @@
         gate.hear_answer(MicroTime(0), MicroTime::from_millis(30_000));
         let mut begun = begun_ms;
         begun.sort_unstable();
-        begun.iter().for_each(|ms| gate.begin(MicroTime::from_millis(*ms)));
+        for ms in &begun {
+            gate.begin(MicroTime::from_millis(*ms));
+        }
         let mut now = MicroTime::from_millis(1_000);
         let foreseen = now + gate.wait_behind(now, ahead);
         for _ in 0..ahead {
@@ -247,14 +249,15 @@
         queue.step(now, AdmissionEvent::Tick, &mut out);
         for action in out {
             match action {
-                AdmissionAction::Start(call) => match target.take(now_ms) {
-                    Some(took) => ends.push((now_ms + took, call, now_ms)),
-                    None => {
+                AdmissionAction::Start(call) => {
+                    if let Some(took) = target.take(now_ms) {
+                        ends.push((now_ms + took, call, now_ms));
+                    } else {
                         counts.lost += 1;
                         let event = AdmissionEvent::Finish { call, took: None, failed: true };
                         queue.step(now, event, &mut Vec::new());
                     }
-                },
+                }
                 AdmissionAction::Refuse { call, .. } => {
                     counts.refused += 1;
                     let waited = now_ms - arrived[call.0 as usize];
@@ -267,7 +270,7 @@
 }
 
 /// 60 calls a second, twice what the target bears while it is cold. Let through, it
-/// falls over again and again and answers 126 of 360 in time; with the bound 263.
+/// falls over four times and 128 of 360 are in time; with the bound 209.
 #[test]
 fn a_cold_target_under_load_gets_warm() {
     let (target, counts) = play(60, Some(BEARS as u32));
@@ -275,7 +278,6 @@
     assert!(counts.in_time > 200, "{counts:?}");
     assert!(counts.refused_after <= 100, "{counts:?}");
     let (fallen, without) = play(60, None);
-    eprintln!("{counts:?} {without:?} {}", fallen.falls);
     assert!(fallen.falls >= 2, "the load is none that a cold target falls over under");
     assert!(without.in_time * 3 < counts.in_time * 2, "{without:?} of {counts:?}");
 }
--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -56,7 +56,7 @@
     for index in 0..3 {
         eventually("evacuated", || evacuated(&fleet, index) == json!(["ba-norte-2"]));
     }
-    let places: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.place().clone()).collect();
+    let places: Vec<_> = fleet.daemons.iter().map(|daemon| *daemon.place()).collect();
     for daemon in &mut fleet.daemons {
         daemon.kill().expect("kill");
     }
