--- a/src/rules/route.rs
+++ b/src/rules/route.rs
@@ -132,8 +132,9 @@
 }
 
 impl RouteRule {
-    /// Draws the service of one request, by weight.
-    pub(crate) fn draw(&self, rng: &mut Pcg64Mcg) -> &ServiceName {
+    /// Draws the service of one request, by weight: once for all its tries, so that what
+    /// one part has no room for is refused, not moved to another.
+    pub fn draw(&self, rng: &mut Pcg64Mcg) -> &ServiceName {
         let whole: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
         let mut left = if whole == 0 { 0 } else { rng.random_range(0..whole) };
         for target in &self.targets {
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -4,7 +4,9 @@
 mod seeded;
 
 use proptest::prelude::*;
-use railspan::{FleetConfig, RouteRule, RouteTarget};
+use railspan::{FleetConfig, RouteRule, RouteTarget, ServiceName};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use seeded::seeded;
 
 fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
@@ -67,3 +69,33 @@
         prop_assert_eq!(chosen, longest);
     }
 }
+
+proptest! {
+    #![proptest_config(seeded(60))]
+
+    /// Of any 300 requests that 69 entries draw, each for itself, each part gets its
+    /// weight's share within a tenth; a part without weight gets nothing.
+    #[test]
+    fn a_split_is_kept_by_the_fleet(weights in proptest::collection::vec(0_u32..100, 1..4), seed: u64) {
+        prop_assume!(weights.iter().sum::<u32>() > 0);
+        let mut split = route("split", "a.example", "/");
+        split.targets = weights
+            .iter()
+            .enumerate()
+            .map(|(part, weight)| RouteTarget { service: (*format!("part-{part}")).into(), weight: *weight })
+            .collect();
+        let mut entries: Vec<Pcg64Mcg> =
+            (0..69).map(|entry| Pcg64Mcg::seed_from_u64(seed.wrapping_add(entry))).collect();
+        let drawn: Vec<ServiceName> =
+            (0..1_500).map(|turn| split.draw(&mut entries[turn * 31 % 69]).clone()).collect();
+        let whole = f64::from(weights.iter().sum::<u32>());
+        for span in drawn.windows(300).step_by(50) {
+            for target in &split.targets {
+                let got = span.iter().filter(|service| **service == target.service).count();
+                let off = got as f64 / 300.0 - f64::from(target.weight) / whole;
+                prop_assert!(off.abs() < 0.1, "{off} at {target:?}");
+                prop_assert!(target.weight > 0 || got == 0);
+            }
+        }
+    }
+}
