--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -97,7 +97,8 @@
         let request = ControlRequest { method: &Method::POST, path, body };
         (adapter().read_report)(&request)
     };
-    assert!(read(b"{\"born\":\"now\"}").is_err());
+    let refused = read(b"{\"born\":\"now\"}").expect_err("no end");
+    assert_eq!(refused.status.as_u16(), 400);
     assert!(matches!(read(b""), Ok(TargetReport::Left { born: None, .. })));
     assert!(matches!(read(b"{\"born\":9}"), Ok(TargetReport::Left { born: Some(9), .. })));
 }
