A guard that starts before its configuration begins next to nothing at a cold target

Found by the soak, seed 1000 (kept, unchanged): i-5 at host-5, cold, got 21 calls in a second where it bears 13. Its guard was killed and started beside it, and heard its heartbeat before the configuration: how long a start is cold was taken for zero, so the target seemed to have turned cold just then, and what the guard before had begun was not waited for; and without a bound all came through. Now a target's age is judged only where that is known, and one that is cold for longer than a start lasts is no younger for that; before the first configuration one call begins in 1.1 s. The soak gets cold and reborn targets and evacuations, for seeds from 1,000 on, so that the kept seeds keep their plans.

--- a/src/call/guard/cold.rs
+++ b/src/call/guard/cold.rs
@@ -11,11 +11,6 @@
 use crate::base::ids::{ServiceName, TargetName};
 use crate::decide::admission::AdmissionEvent;
 
-/// Time for which an earlier guard of a target was away before this one started, at
-/// the least: a target that turned cold within it had nothing from that one. Of 28
-/// daemons that were killed on a platform each was away for 0.54 s or more.
-const LEAST_RESTART: MicroTime = MicroTime::from_millis(200);
-
 /// Who told that a target is cold, or that it is not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ColdSource {
@@ -39,6 +34,8 @@
             config.as_ref().and_then(|config| config.cold_start(&target.announcement.service));
         let bound =
             start.map(|start| self.cold_terms.get().bound(f64::from(start.per_1000_s) / 1_000.0));
+        // Before the first configuration nobody knows what a cold target bears.
+        let bound = if config.is_some() { bound } else { Some(0) };
         target.queue.cold_mut().set_bound(bound);
     }
 
@@ -60,10 +57,8 @@
                 ColdSource::Heartbeat => gate.hear_heartbeat(now, told),
                 ColdSource::Answer => gate.hear_answer(now, told),
             }
-            let lasts = start.map_or(0, |start| u64::from(start.lasts_ms));
-            let turned = MicroTime::from_millis(lasts).since(told);
-            if !left.is_zero() && turned < now + LEAST_RESTART {
-                gate.forget_predecessor();
+            if let Some(start) = start.filter(|_| !left.is_zero()) {
+                gate.note_turn(now, told, MicroTime::from_millis(u64::from(start.lasts_ms)));
             }
             if before != gate.is_cold(now) {
                 info!(self.logger, "cold"; "target" => %key.1, "cold" => !before,
--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -26,6 +26,11 @@
 /// guard and are on their way.
 const KEPT_BACK: u32 = 2;
 
+/// Time for which an earlier guard of a target was away before this one started, at
+/// the least: a target that turned cold within it had nothing from that one. Of 28
+/// daemons that were killed on a platform each was away for 0.54 s or more.
+const LEAST_RESTART: MicroTime = MicroTime::from_millis(200);
+
 /// What a deployment allows cold targets beyond the rate of their service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdTerms {
@@ -110,9 +115,13 @@
         self.blocked_until = started + COUNTED_OVER;
     }
 
-    /// Notes that the target turned cold when no earlier guard was there any more.
-    pub fn forget_predecessor(&mut self) {
-        self.blocked_until = MicroTime(0);
+    /// Notes that a target which is cold for `lasts` after its start says at `now`, since
+    /// this guard's start, that it stays so for `left`: if it turned cold when no earlier
+    /// guard was there any more, it had nothing from one.
+    pub fn note_turn(&mut self, now: MicroTime, left: MicroTime, lasts: MicroTime) {
+        if left <= lasts && lasts.since(left) < now + LEAST_RESTART {
+            self.blocked_until = MicroTime(0);
+        }
     }
 
     /// Notes the target's own answer that it stays cold for `left`.
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -131,7 +131,14 @@
     gate.hear_answer(MicroTime(0), MicroTime::from_millis(2_000));
     assert!(!gate.has_room(MicroTime::from_millis(1_099)));
     assert!(gate.has_room(COUNTED_OVER));
-    gate.forget_predecessor();
+    // What is cold for longer than a start lasts may have been so for any time.
+    let lasts = MicroTime::from_millis(1_500);
+    gate.note_turn(MicroTime(0), MicroTime::from_millis(2_000), lasts);
+    assert!(!gate.has_room(MicroTime(0)));
+    // It was cold for 0.4 s when this guard had run for 0.1 s.
+    gate.note_turn(MicroTime::from_millis(100), MicroTime::from_millis(1_100), lasts);
+    assert!(!gate.has_room(MicroTime(0)));
+    gate.note_turn(MicroTime::from_millis(300), MicroTime::from_millis(1_100), lasts);
     assert!(gate.has_room(MicroTime(0)));
 }
 
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -7,6 +7,7 @@
 
 use super::caller::{RequestEnd, RequestKind, RequestNote};
 use super::fleet::{DrainNote, MAX_ATTEMPTS, RETRY_RATIO, RETRY_SLACK, SoakFleet, lock};
+use super::places;
 
 /// Statuses that say that a request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -27,12 +28,12 @@
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 
 /// A request that reached a target.
-struct Arrival {
-    target: String,
+pub struct Arrival {
+    pub target: String,
     service: String,
     /// The place of its guard's host.
-    host: usize,
-    run: HostedRun,
+    pub host: usize,
+    pub run: HostedRun,
 }
 
 /// Judges a run; returns what broke, a line each.
@@ -59,6 +60,7 @@
         findings.extend(faults.iter().map(|fault| format!("{} ({}): {fault}", note.id, note.line)));
     }
     judge_drains(&lock(&fleet.drains), &arrivals, &mut findings);
+    places::judge(fleet, &arrivals, &mut findings);
     judge_versions(notes, &mut findings);
     judge_budget(notes, &by_id, &mut findings);
     findings
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
 
+use super::places::{COLD_OVER, COLD_PER_S, COLD_SLACK, ColdNote, EvacuationNote, TargetTurn};
 use super::plan::{LinkKind, PlannedTrouble, Trouble};
 
 /// Services of the fleet; hosts take turns.
@@ -72,6 +73,8 @@
     pub life: AtomicU64,
     /// When the daemon stood still, from and to.
     freezes: Mutex<Vec<(Instant, Instant)>>,
+    /// When its lives began.
+    starts: Mutex<Vec<Instant>>,
     daemon: Mutex<DaemonProcess>,
     target: Mutex<Arc<HostedTarget>>,
     spec: DaemonSpec,
@@ -84,6 +87,11 @@
         self.first_freeze(from, to).is_some()
     }
 
+    /// Tells whether the daemon was started in a span.
+    pub fn started_within(&self, from: Instant, to: Instant) -> bool {
+        lock(&self.starts).iter().any(|start| *start > from && *start <= to)
+    }
+
     /// Returns when the daemon first stood still in a span.
     pub fn first_freeze(&self, from: Instant, to: Instant) -> Option<Instant> {
         let freezes = lock(&self.freezes);
@@ -110,6 +118,8 @@
     /// Every target that ever ran, for what it saw.
     pub targets: Mutex<Vec<SoakTarget>>,
     pub drains: Mutex<Vec<DrainNote>>,
+    pub colds: Mutex<Vec<ColdNote>>,
+    pub evacuations: Mutex<Vec<EvacuationNote>>,
     /// What went wrong with the processes themselves.
     pub findings: Mutex<Vec<String>>,
     /// The newest configuration that the store acknowledged.
@@ -132,6 +142,8 @@
             hosts: Vec::new(),
             targets: Mutex::default(),
             drains: Mutex::default(),
+            colds: Mutex::default(),
+            evacuations: Mutex::default(),
             findings: Mutex::default(),
             version: AtomicU64::new(1),
             platform,
@@ -170,7 +182,7 @@
                 "target_address": links.target.address(),
                 "terms": format!(
                     "heartbeat=500ms,retry_budget_ratio={RETRY_RATIO},budget_slack={RETRY_SLACK},\
-                     grace={}s", GRACE.as_secs()
+                     grace={}s,cold_over={COLD_OVER},cold_slack={COLD_SLACK}", GRACE.as_secs()
                 ),
             })),
         };
@@ -184,6 +196,7 @@
             place,
             life: AtomicU64::new(1),
             freezes: Mutex::default(),
+            starts: Mutex::new(vec![Instant::now()]),
             daemon: Mutex::new(daemon),
             target: Mutex::new(target),
             spec,
@@ -194,6 +207,7 @@
     fn spawn_target(&self, service: &str, link: &FaultyLink) -> Arc<HostedTarget> {
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         let target = HostedTarget::spawn(service, &format!("i-{number}"), WORK).expect("target");
+        target.restart(number + 1);
         let target = Arc::new(target);
         link.lead_to(target.address());
         let ran = SoakTarget { target: Arc::clone(&target), link: link.address() };
@@ -341,6 +355,27 @@
         self.version.store(version, Ordering::Relaxed);
     }
 
+    /// Writes the operator's row of an evacuation, or takes it away.
+    pub fn evacuate(&self, centre: usize, evacuated: bool) {
+        let value = evacuated.then_some(&b"{}"[..]);
+        self.platform.write_operator_row(&format!("evacuate/centre-{centre}"), value);
+    }
+
+    /// Has a host's present target turn cold, or start again under its name.
+    pub fn turn_target(&self, host: usize, turn: TargetTurn) {
+        let target = Arc::clone(&lock(&self.hosts[host].target));
+        match turn {
+            TargetTurn::Reborn => target.restart(self.number.fetch_add(1, Ordering::Relaxed) + 1),
+            TargetTurn::Cold(lasts) => {
+                let from = Instant::now();
+                target.turn_cold(lasts);
+                let name = target.name().to_owned();
+                let note = ColdNote { target: name, host, from, to: from + lasts };
+                lock(&self.colds).push(note);
+            }
+        }
+    }
+
     /// Ends all faults of links, targets and the store.
     pub fn heal(&self) {
         for host in &self.hosts {
@@ -392,6 +427,7 @@
 
 fn restart(host: &SoakHost, daemon: &mut DaemonProcess) {
     host.life.fetch_add(1, Ordering::Relaxed);
+    lock(&host.starts).push(Instant::now());
     *daemon = DaemonProcess::spawn_at(&host.spec, &host.place).expect("daemon");
 }
 
@@ -443,7 +479,12 @@
         };
     let services: Vec<Value> = SERVICES
         .iter()
-        .map(|name| json!({"name": name, "health_path": "/health", "max_connections": 220}))
+        .map(|name| {
+            json!({
+                "name": name, "health_path": "/health", "max_connections": 220,
+                "cold_start": "3s", "cold_per_s": COLD_PER_S,
+            })
+        })
         .collect();
     json!({
         "version": format!("r{version}"),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod check;
 mod fleet;
+mod places;
 mod plan;
 
 use std::path::PathBuf;
@@ -33,6 +34,7 @@
 #[test_case(3; "planned work alone")]
 #[test_case(7; "answers held up past the question for a fate")]
 #[test_case(23; "hedges beside lost tries")]
+#[test_case(1_000; "cold and reborn targets, an evacuation")]
 fn a_short_run_keeps_every_promise(seed: u64) {
     play(&SoakPlan::draw(seed, HOSTS, SHORT));
 }
@@ -83,6 +85,7 @@
                 })
             })
             .collect();
+        let places = scope.spawn(|| places::play(&fleet, &plan.places, start));
         let troubles: Vec<_> = plan
             .troubles
             .iter()
@@ -94,6 +97,7 @@
         for trouble in troubles {
             trouble.join().expect("trouble");
         }
+        places.join().expect("places");
         fleet.heal();
         fleet.wait_recovered();
         std::thread::sleep((start + plan.length).saturating_duration_since(Instant::now()));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,6 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::places::PlacePlan;
+
 /// Mean time between two troubles, in milliseconds.
 const TROUBLE_EVERY_MS: u64 = 450;
 
@@ -90,6 +92,7 @@
     /// Whether there is planned work alone, so that nothing may be lost.
     pub calm: bool,
     pub troubles: Vec<PlannedTrouble>,
+    pub places: PlacePlan,
 }
 
 impl SoakPlan {
@@ -118,7 +121,8 @@
             }
         }
         troubles.sort_by_key(|planned| planned.at);
-        Self { seed, hosts, length, calm, troubles }
+        let places = PlacePlan::draw(seed, hosts, length);
+        Self { seed, hosts, length, calm, troubles, places }
     }
 }
 
