--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -6,7 +6,8 @@
 use railspan_standins::HostedRun;
 
 use super::caller::{RequestEnd, RequestKind, RequestNote};
-use super::fleet::{DrainNote, MAX_ATTEMPTS, RETRY_RATIO, RETRY_SLACK, SoakFleet, lock};
+use super::fleet::{DrainNote, MAX_ATTEMPTS, RETRY_RATIO, RETRY_SLACK, SoakFleet};
+use super::host::lock;
 use super::places;
 
 /// Statuses that say that a request did not run and never will.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -4,16 +4,17 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use railspan_standins::{
-    DaemonPlace, DaemonProcess, DaemonSpec, FaultyLink, HostedMood, HostedTarget, LinkWay,
-    PlatformFaults, PlatformLimits, PlatformStandin, hosted_call,
+    DaemonProcess, DaemonSpec, FaultyLink, HostedMood, HostedTarget, PlatformFaults,
+    PlatformLimits, PlatformStandin,
 };
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
 
+use super::host::{HostLinks, SoakHost, cut, freeze, lock, report, restart, serves};
 use super::places::{COLD_OVER, COLD_PER_S, COLD_SLACK, ColdNote, EvacuationNote, TargetTurn};
 use super::plan::{LinkKind, PlannedTrouble, Trouble};
 
@@ -46,60 +47,6 @@
 /// Longest wait for a thing that must come to pass.
 const EVENTUALLY: Duration = Duration::from_secs(60);
 
-/// The links before one host.
-struct HostLinks {
-    guard: FaultyLink,
-    peer: FaultyLink,
-    store: FaultyLink,
-    target: FaultyLink,
-}
-
-impl HostLinks {
-    const fn of(&self, kind: LinkKind) -> &FaultyLink {
-        match kind {
-            LinkKind::Guard => &self.guard,
-            LinkKind::Peer => &self.peer,
-            LinkKind::Store => &self.store,
-            LinkKind::Target => &self.target,
-        }
-    }
-}
-
-/// One host with its daemon and its present target.
-pub struct SoakHost {
-    pub service: &'static str,
-    pub place: DaemonPlace,
-    /// Grows with each start of the daemon.
-    pub life: AtomicU64,
-    /// When the daemon stood still, from and to.
-    freezes: Mutex<Vec<(Instant, Instant)>>,
-    /// When its lives began.
-    starts: Mutex<Vec<Instant>>,
-    daemon: Mutex<DaemonProcess>,
-    target: Mutex<Arc<HostedTarget>>,
-    spec: DaemonSpec,
-    links: HostLinks,
-}
-
-impl SoakHost {
-    /// Tells whether the daemon stood still at some time of a span.
-    pub fn was_frozen(&self, from: Instant, to: Instant) -> bool {
-        self.first_freeze(from, to).is_some()
-    }
-
-    /// Tells whether the daemon was started in a span.
-    pub fn started_within(&self, from: Instant, to: Instant) -> bool {
-        lock(&self.starts).iter().any(|start| *start > from && *start <= to)
-    }
-
-    /// Returns when the daemon first stood still in a span.
-    pub fn first_freeze(&self, from: Instant, to: Instant) -> Option<Instant> {
-        let freezes = lock(&self.freezes);
-        let within = freezes.iter().filter(|(start, end)| *start < to && *end > from);
-        within.map(|(start, _)| (*start).max(from)).min()
-    }
-}
-
 /// A target that acknowledged that it drains, and when.
 pub struct DrainNote {
     pub target: String,
@@ -128,10 +75,6 @@
     number: AtomicU64,
 }
 
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl SoakFleet {
     /// Starts everything; logs go to files in `logs`.
     pub fn spawn(runtime: &Handle, hosts: usize, seed: u64, logs: &Path) -> Self {
@@ -412,46 +355,6 @@
     }
 }
 
-/// Asks a daemon for something on the newest route of a service.
-fn serves(host: &SoakHost, service: &str, version: u64) -> bool {
-    let domain = format!("{service}.example");
-    let headers = [("Host", &*domain), ("X-Request-Id", "recovery"), ("X-Deadline-Ms", "1000")];
-    let path = format!("/v{version}/recovery");
-    let answer = hosted_call(host.place.caller, "GET", &path, &headers, b"");
-    answer.is_ok_and(|answer| answer.status == 200)
-}
-
-fn report(target: &HostedTarget, link: &FaultyLink, place: &DaemonPlace) {
-    target.report_as(link.address(), place.control.expect("control"));
-}
-
-fn restart(host: &SoakHost, daemon: &mut DaemonProcess) {
-    host.life.fetch_add(1, Ordering::Relaxed);
-    lock(&host.starts).push(Instant::now());
-    *daemon = DaemonProcess::spawn_at(&host.spec, &host.place).expect("daemon");
-}
-
-fn freeze(host: &SoakHost, lasts: Duration) {
-    let life = host.life.load(Ordering::Relaxed);
-    let from = Instant::now();
-    if lock(&host.daemon).freeze().is_err() {
-        return;
-    }
-    std::thread::sleep(lasts);
-    let daemon = lock(&host.daemon);
-    lock(&host.freezes).push((from, Instant::now()));
-    if host.life.load(Ordering::Relaxed) == life {
-        // It may have ended just now; then there is nothing to thaw.
-        drop(daemon.thaw());
-    }
-}
-
-fn cut(link: &FaultyLink, way: LinkWay, lasts: Duration) {
-    link.cut(way, true);
-    std::thread::sleep(lasts);
-    link.cut(way, false);
-}
-
 fn log_file(logs: &Path, index: usize) -> PathBuf {
     logs.join(format!("host-{index}.log"))
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod check;
 mod fleet;
+mod host;
 mod places;
 mod plan;
 
--- a/tests/soak/places.rs
+++ b/tests/soak/places.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::check::Arrival;
-use super::fleet::{SoakFleet, lock};
+use super::fleet::SoakFleet;
+use super::host::lock;
 
 /// The first seed that has them.
 pub const FIRST_SEED: u64 = 1_000;
