Handle signals before saying where the daemon listens

The life before ended well at 36.377, the next line is of the life after at 36.416: the one between was told to stop when it had just said where it listens, and the handlers were set a moment later. Ruled out: a second signal to the life before, whose handlers stay. Test of twelve real daemons that get both signals at once: failed on the first before (ended by SIGHUP), passes now.

--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -31,6 +31,7 @@
 };
 use crate::process::reload::{self, Reloading};
 use crate::process::settings::DaemonSettings;
+use crate::process::signals::DaemonSignals;
 use crate::process::stop;
 use crate::store::table::PlatformClient;
 
@@ -188,7 +189,10 @@
     let plan = stop::stop_plan(settings, terms);
     let duty = (settings.host.clone(), rings.from_admin, metrics);
     let (inbox, reports) = (rings.admin, rings.reports);
+    let (handled, handles_signals) = std::sync::mpsc::channel();
     let body = move || async move {
+        let Some(mut signals) = DaemonSignals::catch(&logger) else { return };
+        _ = handled.send(());
         let duty = AdminDuty::new(duty.0, duty.1, duty.2);
         let Ok(listener) = tokio::net::TcpListener::from_std(admin) else { return };
         spawn_local(std::rc::Rc::clone(&duty).serve(listener));
@@ -201,14 +205,18 @@
         }
         info!(logger, "started"; "incarnation" => incarnation.0, "terms" => ?terms);
         let reloading = Reloading { reload, adapter, in_force: terms };
+        let DaemonSignals { terminate, interrupt, hang_up } = &mut signals;
         tokio::select! {
-            () = stop::wait_for_stop(stopped) => {}
-            () = reload::reload_always(reloading, &duty.rings, &logger) => {}
+            () = stop::wait_for_stop(terminate, interrupt, stopped) => {}
+            () = reload::reload_always(reloading, hang_up, &duty.rings, &logger) => {}
         }
         stop::stop_all(&duty.rings, plan, &logger).await;
     };
     bodies.push(("admin", threads::body(body)));
     let admin = threads::spawn_all(bodies, settings.one_thread).context(ThreadSnafu)?;
+    // Whoever is told where the daemon listens may signal to it. Fails only if the duty
+    // ended, which the handle shows.
+    _ = handles_signals.recv();
     Ok(RunningDaemon { addresses, stop: Some(stop), admin, log_tail })
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod listen;
 pub(crate) mod reload;
 pub(crate) mod settings;
+pub(crate) mod signals;
 pub(crate) mod stop;
--- a/src/process/reload.rs
+++ b/src/process/reload.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use tokio::signal::unix::Signal;
 
 use crate::base::findings::FindingList;
 use crate::decide::retry::RetryShare;
@@ -52,15 +53,12 @@
 ///
 /// Of a running daemon only the deployment's terms change; addresses are
 /// bound for its life. Settings that can't be read leave the old in force.
-pub(crate) async fn reload_always(mut reloading: Reloading, rings: &AdminRings, logger: &Logger) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let mut hang_up = match signal(SignalKind::hangup()) {
-        Ok(hang_up) => hang_up,
-        Err(error) => {
-            warn!(logger, "can't reload settings"; "error" => %error);
-            return std::future::pending().await;
-        }
-    };
+pub(crate) async fn reload_always(
+    mut reloading: Reloading,
+    hang_up: &mut Signal,
+    rings: &AdminRings,
+    logger: &Logger,
+) {
     loop {
         let signalled = tokio::select! {
             _ = hang_up.recv() => true,
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
+use tokio::signal::unix::Signal;
 use tokio::sync::oneshot;
 
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
@@ -47,16 +48,14 @@
 }
 
 /// Waits for a signal, or for the handle's request.
-pub(crate) async fn wait_for_stop(stopped: oneshot::Receiver<()>) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut term), Ok(mut int)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return;
-    };
+pub(crate) async fn wait_for_stop(
+    terminate: &mut Signal,
+    interrupt: &mut Signal,
+    stopped: oneshot::Receiver<()>,
+) {
     tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
         Ok(()) = stopped => {}
     }
 }
--- a/tests/hosted_life.rs
+++ b/tests/hosted_life.rs
@@ -158,3 +158,22 @@
         fleet.state(0)["entry"]["services"][common::hosted::SERVICE].is_null()
     });
 }
+
+/// Whoever knows where a daemon listens may tell it to stop, or that its settings
+/// changed: it must handle signals by then. By the signal's default it would be gone.
+#[test]
+fn a_daemon_handles_signals_as_soon_as_it_says_where_it_listens() {
+    let fleet = HostedFleet::spawn(1, WORK);
+    let mut daemons: Vec<_> = (1..=12)
+        .map(|index| {
+            let daemon = fleet.start_daemon(index);
+            daemon.hang_up().expect("signal");
+            daemon.terminate().expect("signal");
+            daemon
+        })
+        .collect();
+    for daemon in &mut daemons {
+        let ended = daemon.wait(Duration::from_secs(20)).expect("wait");
+        assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    }
+}
