Test: an evacuation outlives all daemons, with new ones on other hosts

Cause: the address was taken; shown by a run of railspand with a taken address ("can't listen ... in use", no line). Any process may get a port between the kill and the start, and the test killed three daemons before it started the first. Now fresh daemons on other hosts of the same data centres take over, which knew nothing of the evacuation either: as strict.

--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -56,12 +56,14 @@
     for index in 0..3 {
         eventually("evacuated", || evacuated(&fleet, index) == json!(["ba-norte-2"]));
     }
-    let places: Vec<_> = fleet.daemons.iter().map(|daemon| *daemon.place()).collect();
     for daemon in &mut fleet.daemons {
         daemon.kill().expect("kill");
     }
-    for (index, place) in places.iter().enumerate() {
-        fleet.daemons[index] = fleet.start_daemon_at(index, place);
+    // On other hosts of the same data centres: another test's process may have got one of
+    // the old addresses by now.
+    for index in 0..3 {
+        fleet.daemons[index] = fleet.start_daemon(index + 3);
+        fleet.targets[index].report_to(fleet.control(index));
     }
     for index in 0..3 {
         eventually("evacuated anew", || evacuated(&fleet, index) == json!(["ba-norte-2"]));
