One piece of code for both groups of listeners; the health path only where it is asked

The telling of load reports stood twice, for the own data centre and for others: tell_group serves both. The path of health was looked up and copied at every look of 20 ms: now only for a question. A test's heartbeat stood twice; a method of a stand-in that nobody called is gone. Behaviour and assertions are as they were.

--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -42,7 +42,6 @@
 
 /// Asks targets in use whose slowness is not known any more.
 pub(crate) fn ask_stale(duty: &Rc<GuardDuty>, now: MicroTime) {
-    let Some(path) = duty.check_path() else { return };
     let mut targets = duty.targets.borrow_mut();
     for (key, target) in targets.iter_mut() {
         let doubted = target.queue.cold().is_doubted() && target.queue.cold().is_cold(now);
@@ -52,10 +51,11 @@
         if !(used && stale && target.is_open()) {
             continue;
         }
+        let Some(path) = duty.check_path() else { return };
         // Counts as heard, so that the next question comes after the answer.
         target.slowness_heard = now;
         let address = target.announcement.address;
-        tokio::task::spawn_local(ask_one(Rc::clone(duty), key.clone(), address, path.clone()));
+        tokio::task::spawn_local(ask_one(Rc::clone(duty), key.clone(), address, path));
     }
 }
 
--- a/src/call/guard/reporting.rs
+++ b/src/call/guard/reporting.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use super::GuardDuty;
+use super::local_target::LocalTarget;
 use crate::base::clock::MicroTime;
 use crate::base::h2io::{self, HeadReader};
 use crate::base::wire::{LoadReport, WatchHead};
@@ -75,20 +76,30 @@
 impl GuardDuty {
     /// Wakes the streams of watchers when a load changed that much.
     pub(crate) fn tell_watchers(&self, now: MicroTime) {
-        let mut targets = self.targets.borrow_mut();
         let GuardWatchers { near, far } = &self.watchers;
-        if targets.values().any(|target| differs(&target.told_near, &target.queue.peek()))
-            && near.take_turn(now)
-        {
-            targets.values_mut().for_each(|target| target.told_near = target.queue.peek());
-            near.changes.send_replace(());
+        self.tell_group(now, near, |target| &mut target.told_near);
+        self.tell_group(now, far, |target| &mut target.told_far);
+    }
+
+    /// Wakes the watchers of one distance; `told` is what these were told last.
+    fn tell_group(
+        &self,
+        now: MicroTime,
+        group: &WatcherGroup,
+        told: fn(&mut LocalTarget) -> &mut LoadReport,
+    ) {
+        let mut targets = self.targets.borrow_mut();
+        let changed = targets.values_mut().any(|target| {
+            let load = target.queue.peek();
+            differs(told(target), &load)
+        });
+        if !changed || !group.take_turn(now) {
+            return;
         }
-        if targets.values().any(|target| differs(&target.told_far, &target.queue.peek()))
-            && far.take_turn(now)
-        {
-            targets.values_mut().for_each(|target| target.told_far = target.queue.peek());
-            far.changes.send_replace(());
+        for target in targets.values_mut() {
+            *told(target) = target.queue.peek();
         }
+        group.changes.send_replace(());
     }
 }
 
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -183,16 +183,6 @@
         send_beat(&self.state, self.address, control, "ready", 1)
     }
 
-    /// Sends a heartbeat of a life, with a number of it; returns the status.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the daemon can't be reached.
-    pub fn send_beat_of(&self, control: SocketAddr, born: u64, sequence: u64) -> io::Result<u16> {
-        self.state.born.store(born, Ordering::Relaxed);
-        send_beat(&self.state, self.address, control, "ready", sequence)
-    }
-
     /// Starts anew under its name: the numbers of its heartbeats begin again.
     pub fn restart(&self, born: u64) {
         self.state.born.store(born, Ordering::Relaxed);
--- a/tests/evacuated.rs
+++ b/tests/evacuated.rs
@@ -118,6 +118,15 @@
     }
 }
 
+/// Sends a heartbeat to the first daemon; returns the status.
+fn send_beat(fleet: &HostedFleet, name: &str, body: &Value) -> u16 {
+    let path = format!("/instances/{name}/heartbeat");
+    let bytes = body.to_string();
+    let sent =
+        railspan_standins::hosted_call(fleet.control(0), "POST", &path, &[], bytes.as_bytes());
+    sent.expect("answer").status
+}
+
 fn target_state(fleet: &HostedFleet, index: usize) -> Value {
     let targets = fleet.state(index)["guard"]["targets"].clone();
     targets.as_array().and_then(|targets| targets.first().cloned()).unwrap_or_default()
@@ -173,11 +182,7 @@
             "status": {"state": "ready", "sequence": 1, "cold_remaining": "0ms"},
         });
         change(&mut body);
-        let path = "/instances/i-other/heartbeat";
-        let bytes = body.to_string();
-        let sent =
-            railspan_standins::hosted_call(fleet.control(0), "POST", path, &[], bytes.as_bytes());
-        sent.expect("answer").status
+        send_beat(&fleet, "i-other", &body)
     };
     for pointer in ["address", "info", "status"] {
         assert_eq!(beat(&|body| _ = body.as_object_mut().expect("object").remove(pointer)), 400);
@@ -212,7 +217,7 @@
 #[test]
 fn of_two_targets_at_one_address_the_later_born_holds() {
     let fleet = HostedFleet::spawn(1, WORK);
-    let (target, control) = (&fleet.targets[0], fleet.control(0));
+    let target = &fleet.targets[0];
     target.restart(2_000);
     eventually("born", || target_state(&fleet, 0)["life"]["born"] == 2_000);
     let beat = |name: &str, born: u64| {
@@ -221,15 +226,7 @@
             "info": {"service": SERVICE, "version": "v1", "zone": "z", "slots": 4},
             "status": {"state": "ready", "sequence": 9, "cold_remaining": "0ms"},
         });
-        let path = format!("/instances/{name}/heartbeat");
-        let sent = railspan_standins::hosted_call(
-            control,
-            "POST",
-            &path,
-            &[],
-            body.to_string().as_bytes(),
-        );
-        assert_eq!(sent.expect("answer").status, 200);
+        assert_eq!(send_beat(&fleet, name, &body), 200);
     };
     let ready = |fleet: &HostedFleet, name: &str| {
         let targets = fleet.state(0)["guard"]["targets"].clone();
