A request's digest in the log lines of its choice and its end

Change: a digest of account, place, method, path with query and body travels with each call and stands in 'chosen' and 'ended'. No decision uses it yet.

--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -7,6 +7,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_HEAD;
+use crate::base::digest::RequestDigest;
 use crate::base::fate::{CallFate, ClaimRow};
 use crate::base::ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, ServiceName, TargetName,
@@ -124,6 +125,8 @@
 pub struct CallHead {
     /// The call; each attempt has an id of its own.
     pub call: CallId,
+    /// The request that is tried.
+    pub digest: RequestDigest,
     /// The guard life this attempt is for; any other must refuse it.
     pub incarnation: DaemonIncarnation,
     /// The service called.
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -214,6 +214,7 @@
     let patience_ms = patience(call, work_us, duty.clock.now()).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
+        digest: call.digest,
         incarnation: place.incarnation,
         service: call.service.clone(),
         target: target.clone(),
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -11,6 +11,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::consts::{MAX_DEADLINE_MS, MAX_KEY, MAX_REQUEST_BODY, SLOW_SENDER};
+use crate::base::digest::{RequestDigest, hash_parts};
 use crate::base::ids::{AccountName, ServiceName};
 use crate::base::wire::KeyClaim;
 use crate::call::entry::EntryDuty;
@@ -35,6 +36,8 @@
 pub(crate) struct CallerCall {
     /// The caller's id of the request; empty where callers give none.
     pub(crate) id: Arc<str>,
+    /// The same for each attempt at the same request, at any host.
+    pub(crate) digest: RequestDigest,
     pub(crate) service: ServiceName,
     pub(crate) account: AccountName,
     pub(crate) share: u16,
@@ -98,8 +101,10 @@
     let limit = config.limits.body_bytes.unwrap_or(MAX_ROUTED_BODY);
     let service = route.draw(&mut duty.rng.borrow_mut()).clone();
     let body = read_body(body, &parts.headers, limit as usize).await?;
+    let host = host.unwrap_or_default().to_ascii_lowercase();
     Ok(CallerCall {
         id: Arc::clone(id),
+        digest: digest_of(NO_ACCOUNT, &host, parts.method.as_str(), path_and_query(parts), &body),
         service,
         account: AccountName::from(NO_ACCOUNT),
         share: 1,
@@ -134,8 +139,10 @@
         .ok_or_else(|| refuse(StatusCode::BAD_REQUEST, "bad_deadline"))?;
     let deadline = arrived + MicroTime::from_millis(u64::from(deadline_ms));
     let body = read_body(body, &parts.headers, MAX_REQUEST_BODY).await?;
+    let (account_name, place) = (account.name.as_str(), service.name.as_str());
     let mut call = CallerCall {
         id: Arc::from(""),
+        digest: digest_of(account_name, place, parts.method.as_str(), &path, &body),
         service: service.name.clone(),
         account: account.name.clone(),
         share: account.share,
@@ -219,15 +226,12 @@
     let row =
         hash_parts(&[call.account.as_str().as_bytes(), call.service.as_str().as_bytes(), key]);
     let print = hash_parts(&[call.method.as_bytes(), call.path.as_bytes(), &call.body]);
-    KeyClaim { row: format!("claim-{row}"), print, takeover: None }
+    KeyClaim { row: format!("claim-{}", row.to_hex()), print: print.to_string(), takeover: None }
 }
 
-/// Hashes parts so that no two lists of parts read alike.
-fn hash_parts(parts: &[&[u8]]) -> String {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().to_hex().to_string()
+/// Digests a request; `place` is the host name that it asks, or the service.
+fn digest_of(account: &str, place: &str, method: &str, path: &str, body: &[u8]) -> RequestDigest {
+    let texts = [account, place, method, path].map(str::as_bytes);
+    let [account, place, method, path] = texts;
+    RequestDigest::of(&[account, place, method, path, body])
 }
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -148,7 +148,7 @@
     fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
         let revision = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
         let load = chosen.load;
-        info!(self.logger, "chosen"; "id" => &*call.id, "route" => &*call.terms.kind, "worth" => call.terms.priority.worth,
+        info!(self.logger, "chosen"; "id" => &*call.id, "digest" => %call.digest, "route" => &*call.terms.kind, "worth" => call.terms.priority.worth,
             "objective_ms" => call.terms.objective_ms, "service" => %call.service,
             "target" => %chosen.name, "at" => %chosen.place.host, "revision" => revision,
             "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
--- a/src/call/guard/served/mod.rs
+++ b/src/call/guard/served/mod.rs
@@ -15,6 +15,7 @@
 use self::answer_pump::AnswerPump;
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_DEADLINE_MS;
+use crate::base::digest::RequestDigest;
 use crate::base::fate::{CallFate, ClaimRow, ClaimState};
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::wire::CallHead;
@@ -66,6 +67,7 @@
 pub(crate) struct ServedCall {
     duty: Rc<GuardDuty>,
     pub(crate) call: CallId,
+    pub(crate) digest: RequestDigest,
     /// The caller's id of the request; empty where callers give none.
     pub(crate) id: String,
     pub(crate) key: (ServiceName, TargetName),
@@ -110,6 +112,7 @@
         Self {
             duty: Rc::clone(duty),
             call: head.call,
+            digest: head.digest,
             id: id.unwrap_or_default().to_owned(),
             key: (head.service.clone(), head.target.clone()),
             arrived: now,
@@ -173,7 +176,7 @@
         } else if fate == CallFate::Unknown {
             self.failed.set(true);
         }
-        info!(duty.logger, "ended"; "id" => &*self.id, "target" => %self.key.1,
+        info!(duty.logger, "ended"; "id" => &*self.id, "digest" => %self.digest, "target" => %self.key.1,
             "fate" => fate.label(), "failed" => self.failed.get(), "cancelled" => cancelled,
             "took_us" => duty.clock.now().since(self.arrived).0);
         self.record(claim, &fate);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 
 pub use base::clock::MicroTime;
 pub use base::consts::*;
+pub use base::digest::RequestDigest;
 pub use base::evacuation::{EvacuationNews, EvacuationNotice};
 pub use base::fate::{CallFate, ClaimRow, ClaimState, RecordedAnswer};
 pub use base::findings::{FileFinding, FindingList, TextPlace, nearest};
