--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -69,6 +69,10 @@
     ended: AtomicBool,
     draining: AtomicBool,
     crashed: AtomicBool,
+    /// Set once nobody is to find its port open.
+    stops_listening: AtomicBool,
+    /// Start of the paths that end it while it runs them, if any do.
+    ends_on: Mutex<Option<String>>,
     /// Connections that are open; they end with the target.
     open: Mutex<Vec<TcpStream>>,
 }
@@ -84,6 +88,23 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+impl HostedState {
+    fn crash(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.crashed.store(true, Ordering::Relaxed);
+        for socket in lock(&self.open).drain(..) {
+            // One that its peer closed can't be shut down any more.
+            drop(socket.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Tells whether a request ends the target that runs it.
+    fn is_ended_by(&self, line: &str) -> bool {
+        let path = line.split(' ').nth(1).unwrap_or_default();
+        lock(&self.ends_on).as_deref().is_some_and(|start| path.starts_with(start))
+    }
+}
+
 impl HostedTarget {
     /// Starts a target that takes each request `work` long.
     ///
@@ -106,6 +127,8 @@
             ended: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
+            stops_listening: AtomicBool::new(false),
+            ends_on: Mutex::default(),
             open: Mutex::default(),
         });
         let shared = Arc::clone(&state);
@@ -132,12 +155,19 @@
 
     /// Ends without a word: no heartbeat, no answer, no new connection served.
     pub fn crash(&self) {
-        self.state.ended.store(true, Ordering::Relaxed);
-        self.state.crashed.store(true, Ordering::Relaxed);
-        for socket in lock(&self.state.open).drain(..) {
-            // One that its peer closed can't be shut down any more.
-            drop(socket.shutdown(Shutdown::Both));
-        }
+        self.state.crash();
+    }
+
+    /// Ends as a process that crashes does, while it runs a request of such a path:
+    /// all its connections are gone at once, and nobody listens any more.
+    pub fn end_on(&self, path: &str) {
+        *lock(&self.state.ends_on) = Some(path.to_owned());
+    }
+
+    /// Tells whether it ended without a word.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.state.crashed.load(Ordering::Relaxed)
     }
 
     /// Returns the service it offers.
@@ -204,6 +234,12 @@
         *lock(&self.state.work) = work;
     }
 
+    /// Returns how long a request takes.
+    #[must_use]
+    pub fn work(&self) -> Duration {
+        *lock(&self.state.work)
+    }
+
     /// Changes what it tells of its host's speed, in percent of the usual time.
     pub fn tell_slowness(&self, percent: u64) {
         self.state.slowness.store(percent, Ordering::Relaxed);
@@ -265,6 +301,9 @@
 
 fn accept(listener: &TcpListener, state: &Arc<HostedState>) {
     for socket in listener.incoming().flatten() {
+        if state.stops_listening.load(Ordering::Relaxed) {
+            return;
+        }
         let state = Arc::clone(state);
         lock(&state.open).extend(socket.try_clone());
         std::thread::spawn(move || {
@@ -296,10 +335,17 @@
             mood = HostedMood::OtherTarget;
         }
         if !matches!(mood, HostedMood::Decline | HostedMood::OtherTarget) {
+            let deadly = state.is_ended_by(&line);
             let run = HostedRun { line, headers, body, at: Instant::now() };
             lock(&state.runs).push(run);
             let work = *lock(&state.work);
             std::thread::sleep(work);
+            if deadly {
+                state.stops_listening.store(true, Ordering::Relaxed);
+                // Wakes who accepts, so that the port is shut before the answer is lost.
+                drop(TcpStream::connect(writer.local_addr()?));
+                state.crash();
+            }
         }
         if state.crashed.load(Ordering::Relaxed) || !answer(&mut writer, &mood, &id)? {
             return Ok(());
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -2,7 +2,9 @@
 //! beside each, and the store's stand-in.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use railspan_standins::{
     DaemonPlace, DaemonProcess, DaemonSpec, HostedAnswer, HostedTarget, PlatformLimits,
@@ -162,6 +164,83 @@
     }
 }
 
+/// Path of a request that ends each target that runs it.
+pub const DEADLY: &str = "/read/deadly";
+
+/// Time until a target that ended is back.
+const BACK_AFTER: Duration = Duration::from_millis(400);
+
+/// A fleet with a request that ends targets, and new targets in their place.
+pub struct DeadlyFleet {
+    fleet: HostedFleet,
+    /// All targets that ever ran; the last ones of each host are up.
+    lives: Mutex<Vec<(usize, HostedTarget)>>,
+}
+
+impl std::ops::Deref for DeadlyFleet {
+    type Target = HostedFleet;
+
+    fn deref(&self) -> &HostedFleet {
+        &self.fleet
+    }
+}
+
+impl DeadlyFleet {
+    pub fn spawn(hosts: usize, work: Duration) -> Self {
+        let mut fleet = HostedFleet::spawn(hosts, work);
+        let targets = std::mem::take(&mut fleet.targets);
+        targets.iter().for_each(|target| target.end_on(DEADLY));
+        let lives = Mutex::new(targets.into_iter().enumerate().collect());
+        Self { fleet, lives }
+    }
+
+    /// Starts a new target on each host whose target ended, until told to stop.
+    pub fn revive(&self, stop: &AtomicBool) {
+        let mut seen = vec![None; self.daemons.len()];
+        while !stop.load(Ordering::Relaxed) {
+            for (host, since) in seen.iter_mut().enumerate() {
+                let mut lives = self.lives.lock().expect("lives");
+                let last = lives.iter().rev().find(|(own, _)| *own == host);
+                let ended = last.is_some_and(|(_, target)| target.has_crashed());
+                if !ended {
+                    *since = None;
+                } else if since.get_or_insert_with(Instant::now).elapsed() >= BACK_AFTER {
+                    let name = format!("i-{}", lives.len());
+                    let target = HostedTarget::spawn(SERVICE, &name, lives[0].1.work());
+                    let target = target.expect("target");
+                    target.end_on(DEADLY);
+                    target.restart(lives.len() as u64);
+                    target.report_to(self.control(host));
+                    lives.push((host, target));
+                }
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends a copy of the request; its id is that of the attempt.
+    pub fn call_deadly(&self, host: usize, id: &str) -> Option<HostedAnswer> {
+        let headers = [("Host", HOST), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
+        hosted_call(self.daemons[host].place().caller, "GET", DEADLY, &headers, b"").ok()
+    }
+
+    /// Returns when copies of the request began to run, in order.
+    pub fn deadly_arrivals(&self) -> Vec<Instant> {
+        let lives = self.lives.lock().expect("lives");
+        let runs = lives.iter().flat_map(|(_, target)| target.runs());
+        let deadly = runs.filter(|run| run.line.contains(DEADLY));
+        let mut times: Vec<Instant> = deadly.map(|run| run.at).collect();
+        times.sort_unstable();
+        times
+    }
+
+    /// Returns how many targets ended.
+    pub fn crashes(&self) -> usize {
+        let lives = self.lives.lock().expect("lives");
+        lives.iter().filter(|(_, target)| target.has_crashed()).count()
+    }
+}
+
 pub fn deployment(terms: &str) -> Value {
     json!({
         "service": SERVICE,
