--- a/benches/capacity/members.rs
+++ b/benches/capacity/members.rs
@@ -88,6 +88,8 @@
         number,
         revision: 1,
         evacuation: railspan::EvacuationNotice::default(),
+        blamed: 0,
+        suspects: Vec::new(),
         digest: 0,
         updates: Vec::new(),
     }
--- a/benches/capacity/table.rs
+++ b/benches/capacity/table.rs
@@ -63,7 +63,7 @@
             // Nobody listens there.
             record.peer = SocketAddr::from(([127, 0, 0, 1], 9));
             TableWrite {
-                key: format!("member-{}", record.host),
+                key: format!("fleet-member-{}", record.host),
                 expect: None,
                 value: serde_json::to_string(&record).ok(),
             }
--- a/src/base/member.rs
+++ b/src/base/member.rs
@@ -6,6 +6,7 @@
 
 use crate::base::evacuation::EvacuationNotice;
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::base::suspect::SuspectNotice;
 
 /// Buckets that full exchanges compare.
 pub const SYNC_BUCKETS: usize = 64;
@@ -147,6 +148,10 @@
     /// The evacuations that the sender knows of: a few bytes, and none is so urgent that
     /// it could wait for a question.
     pub evacuation: EvacuationNotice,
+    /// Hash over the requests that reach no target at the sender, to notice differences.
+    pub blamed: u64,
+    /// News of suspected requests.
+    pub suspects: Vec<SuspectNotice>,
     /// News.
     pub updates: Vec<MemberRecord>,
 }
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters of one daemon, shared by its threads.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bounds of the latency histogram, in seconds.
@@ -38,6 +39,12 @@
     pub(crate) claims: IntCounterVec,
     /// Questions for a target's health.
     pub(crate) health_asks: IntCounter,
+    /// Targets that ended without a word while calls ran there.
+    pub(crate) crashes: IntCounter,
+    /// Calls turned away since their request ends targets.
+    pub(crate) held_back: IntCounter,
+    /// Requests that reach no target now.
+    pub(crate) blamed: IntGauge,
     /// Log lines dropped because nobody took them in time.
     pub(crate) log_dropped: IntCounter,
     /// Messages shed because a ring was full, by duty.
@@ -61,6 +68,8 @@
         let options = HistogramOpts::new("railspan_call_seconds", "Time to the head of an answer");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
+        let blamed = IntGauge::new("railspan_blamed_requests", "Requests that reach no target")?;
+        registry.register(Box::new(blamed.clone()))?;
         Ok(Self {
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
@@ -75,6 +84,9 @@
             platform: family("railspan_platform_total", "Calls to the platform", "end")?,
             claims: family("railspan_claims_total", "Claims and their transactions", "kind")?,
             health_asks: counter("railspan_health_asks_total", "Questions for health")?,
+            crashes: counter("railspan_target_crashes_total", "Targets that ended under calls")?,
+            held_back: counter("railspan_held_back_total", "Calls of requests that end targets")?,
+            blamed,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             shed: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -16,4 +16,5 @@
 pub(crate) mod member;
 pub(crate) mod metrics;
 pub(crate) mod socket;
+pub(crate) mod suspect;
 pub(crate) mod wire;
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -12,6 +12,7 @@
 use crate::base::ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, ServiceName, TargetName,
 };
+use crate::base::suspect::SuspectRecord;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug, Snafu)]
@@ -127,6 +128,8 @@
     pub call: CallId,
     /// The request that is tried.
     pub digest: RequestDigest,
+    /// What the entry knows of the request's part in crashes.
+    pub suspect: SuspectRecord,
     /// The guard life this attempt is for; any other must refuse it.
     pub incarnation: DaemonIncarnation,
     /// The service called.
@@ -191,6 +194,8 @@
     PlatformDown,
     /// The request breaks a rule of this protocol.
     Malformed,
+    /// Targets that ran the request ended.
+    EndsTargets,
 }
 
 impl RefusalReason {
@@ -210,6 +215,7 @@
             Self::Declined => "declined",
             Self::PlatformDown => "platform_down",
             Self::Malformed => "malformed",
+            Self::EndsTargets => "ends_targets",
         }
     }
 }
@@ -242,6 +248,8 @@
         retry_after_ms: u32,
         /// Load at the refusal.
         load: LoadReport,
+        /// What the guard knows of the request's part in crashes.
+        suspect: SuspectRecord,
     },
     /// The call may have run; no answer can be had.
     Lost {
@@ -249,6 +257,8 @@
         call: CallId,
         /// Load at the loss.
         load: LoadReport,
+        /// What the guard knows of the request's part in crashes, this one included.
+        suspect: SuspectRecord,
     },
     /// The idempotency key is claimed by an earlier call.
     Claimed {
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -181,6 +181,9 @@
             let bytes = call.body.len() as u64 + length.unwrap_or_default();
             duty.route_book.borrow_mut().note(&call.terms.kind, *work_us, bytes);
         }
+        if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = &answer {
+            duty.learn_suspect(call, *suspect);
+        }
         return conclude(outstanding, head.call, &answer, reader);
     }
     // The connection broke, as those to a host that is gone do after a while.
@@ -215,6 +218,7 @@
     CallHead {
         call: CallId::random(),
         digest: call.digest,
+        suspect: duty.standing(call),
         incarnation: place.incarnation,
         service: call.service.clone(),
         target: target.clone(),
--- a/src/call/entry/hedge.rs
+++ b/src/call/entry/hedge.rs
@@ -42,7 +42,9 @@
     tried: &mut Vec<TargetName>,
 ) -> AttemptEnd {
     let mut first = pin!(attempt::run(duty, call, &chosen.name, &chosen.place, last));
-    if last || call.terms.hedge == HedgeRule::Never || !course.may_try_beside() {
+    // Of a request that may end its target, one copy is enough.
+    let alone = last || duty.standing(call).is_suspected();
+    if alone || call.terms.hedge == HedgeRule::Never || !course.may_try_beside() {
         return first.await;
     }
     let mut progress = TryProgress::open(duty, call);
@@ -50,6 +52,9 @@
         if let Some(end) = wait_for_first(duty, call, chosen, &mut progress, &mut first).await {
             return end;
         }
+        if duty.standing(call).is_suspected() {
+            return first.await;
+        }
         if let Some(second) = choose_second(duty, call, tried) {
             break second;
         }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -8,6 +8,7 @@
 mod route_book;
 mod routing;
 mod serving;
+mod suspects;
 mod watching;
 
 use std::cell::{Cell, RefCell};
@@ -32,6 +33,7 @@
 use crate::call::entry::route_book::RouteBook;
 use crate::call::headers::HeaderNames;
 use crate::decide::benefit;
+use crate::decide::crash_book::CrashBook;
 use crate::decide::probe::ProbeBudget;
 use crate::decide::registry::TargetRegistry;
 use crate::decide::retry::{RetryBudget, RetryShare};
@@ -62,6 +64,8 @@
     retry_share: Cell<RetryShare>,
     /// The most daemons that were ever in the fleet's view.
     fleet_size: Cell<usize>,
+    /// Requests that are suspected of ending targets.
+    pub(crate) suspects: RefCell<CrashBook>,
     pub(crate) names: &'static HeaderNames,
     data_centre: CentreName,
     /// What a thousand bytes between data centres cost, in benefits of a call.
@@ -124,6 +128,7 @@
         retry_budgets: RefCell::default(),
         retry_share: Cell::new(parts.retry_share),
         fleet_size: Cell::new(1),
+        suspects: RefCell::default(),
         names: parts.names,
         data_centre: parts.data_centre,
         crossing_cost: parts.crossing_cost,
@@ -170,6 +175,7 @@
                 self.retry_share.set(share);
                 self.retry_budgets.borrow_mut().clear();
             }
+            EntryEvent::Suspects(notices) => self.learn_suspects(&notices),
             EntryEvent::Withdraw => {
                 self.withdrawn.set(true);
                 self.tell_readiness();
@@ -267,6 +273,7 @@
             "revision": self.active.borrow().as_ref().map(|active| active.head.revision),
             "least_revision": *self.least_revision.borrow(),
             "evacuated": *self.evacuated.borrow(),
+            "blamed": self.suspects.borrow().blamed(),
             "services": self.registry.borrow().services,
             "retry_budgets": *self.retry_budgets.borrow(),
             "hedge_budget": *self.hedge_budget.borrow(),
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -48,6 +48,9 @@
         // A target's own answer, kept while another target is tried.
         let mut failure: Option<Response<EntryBody>> = None;
         loop {
+            if let Some(response) = self.hold_back(&call, course.give_up()) {
+                return response;
+            }
             if course.is_last_try() {
                 // Where it was full there may be the shortest queue all the same.
                 tried.retain(|name| gone.contains(name));
@@ -99,6 +102,9 @@
                 };
             let in_time = self.clock.now() < call.deadline;
             let next = self.with_budget(&call.service, |budget| course.step(end, in_time, budget));
+            if let Some(response) = self.hold_back(&call, course.give_up()) {
+                return response;
+            }
             if next != NextStep::TryAgain {
                 return failure.unwrap_or_else(|| give_up(next, refusal));
             }
@@ -116,7 +122,13 @@
         let book = self.route_book.borrow();
         let outlook = book.outlook(&call.terms, left, self.crossing_cost);
         let mut rng = self.rng.borrow_mut();
-        let index = targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?;
+        let standing = self.suspects.borrow().standing(call.digest);
+        let shared = standing.is_suspected();
+        let shared = shared.then(|| targets.choose_shared(now, call.digest, tried, &outlook));
+        let index = match shared.flatten() {
+            Some(index) => index,
+            None => targets.choose_for(now, call.policy, tried, &outlook, &mut rng)?,
+        };
         let record = &targets.targets[index];
         let others = targets.targets.len().saturating_sub(tried.len() + 1);
         Some(ChosenTarget {
--- a/src/call/guard/guarded_call.rs
+++ b/src/call/guard/guarded_call.rs
@@ -17,7 +17,9 @@
 use crate::base::fate::{CallFate, ClaimRow, ClaimState};
 use crate::base::h2io::{self, HeadReader, StreamError};
 use crate::base::ids::CallId;
+use crate::base::suspect::SuspectNotice;
 use crate::base::wire::{AnswerHead, CallHead, KeyClaim, RefusalReason, RevokeHead, RevokeReply};
+use crate::call::guard::crashes::RunEnd;
 use crate::call::guard::served::{ClaimPlace, HeldClaim, ServedCall};
 use crate::call::guard::{GuardDuty, LEAVING_RETRY_MS, StartSignal};
 use crate::decide::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
@@ -101,6 +103,13 @@
         if !self.ledger.borrow_mut().arrive(self.clock.now(), head.call) {
             return Err(Some(self.refusal(call, RefusalReason::Revoked, LEAVING_RETRY_MS)));
         }
+        self.learn_suspects(&[SuspectNotice { digest: head.digest, record: head.suspect }]);
+        let turn = self.wait_alone(call).await;
+        let turn = turn.map_err(|reason| {
+            self.bury(call);
+            Some(self.refusal(call, reason, LEAVING_RETRY_MS))
+        })?;
+        call.turn.replace(turn);
         let signal = self.enqueue(call, head);
         let started = tokio::select! {
             signal = signal => signal.unwrap_or(Err((RefusalReason::Leaving, LEAVING_RETRY_MS))),
@@ -122,14 +131,18 @@
             None => None,
         };
         let in_time = self.clock.now() < call.deadline;
-        if in_time && self.ledger.borrow_mut().dispatch(head.call) {
+        // The last look: what became known while the call waited holds for it, too.
+        let harmless = self.begin_run(call);
+        if harmless.is_ok() && in_time && self.ledger.borrow_mut().dispatch(head.call) {
             return Ok(claim);
         }
+        self.end_run(call, RunEnd::NotRun);
         if let Some(claim) = claim {
             self.write(TableWrite { key: claim.key, expect: Some(claim.version), value: None });
         }
         self.bury(call);
-        let reason = if in_time { RefusalReason::Revoked } else { RefusalReason::TooLate };
+        let late = if in_time { RefusalReason::Revoked } else { RefusalReason::TooLate };
+        let reason = harmless.err().unwrap_or(late);
         Err(Some(self.refusal(call, reason, LEAVING_RETRY_MS)))
     }
 
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -5,6 +5,7 @@
 //! calls run or came lately; it is answered at once and costs little, but not
 //! nothing.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 use slog::info;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::base::clock::MicroTime;
@@ -124,6 +126,36 @@
     })
 }
 
+/// Whether a target that lost a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TargetProof {
+    /// It answers, so it lost the connection alone.
+    Runs,
+    /// Nobody listens at its address, or another target does.
+    Ended,
+    /// It can't be told from one that stands still.
+    None,
+}
+
+/// Asks a target whether it is still the one that it was.
+pub(super) async fn prove(duty: &GuardDuty, key: &(ServiceName, TargetName)) -> TargetProof {
+    let address = duty.targets.borrow().get(key).map(|target| target.announcement.address);
+    let Some(address) = address else { return TargetProof::Ended };
+    if let Some(path) = duty.check_path()
+        && let Some(answer) = ask(duty, address, &path).await
+    {
+        let name = duty.names.running_target;
+        let by = name.and_then(|name| headers::text(&answer.headers, name));
+        let same = by.is_none_or(|by| by == key.1.as_str());
+        return if same { TargetProof::Runs } else { TargetProof::Ended };
+    }
+    match TcpStream::connect(address).await {
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => TargetProof::Ended,
+        Ok(_) if duty.check_path().is_none() => TargetProof::Runs,
+        _ => TargetProof::None,
+    }
+}
+
 /// A target's answer to a question for its health.
 struct HealthAnswer {
     headers: HeaderMap,
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -1,14 +1,18 @@
 //! A target of this host as its guard knows it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::sync::{Mutex, watch};
 
 use crate::base::clock::MicroTime;
+use crate::base::suspect::SuspectNotice;
 use crate::base::wire::LoadReport;
 use crate::decide::admission::{AdmissionAction, AdmissionQueue};
 use crate::decide::lease::TargetLease;
 use crate::decide::life_order::TargetLife;
+use crate::decide::run_roster::RunRoster;
 use crate::duty::target_report::TargetAnnouncement;
 
 /// A target of this host.
@@ -28,6 +32,12 @@
     /// The loads that watchers of this data centre, and of others, were told last.
     pub(crate) told_near: LoadReport,
     pub(crate) told_far: LoadReport,
+    /// What runs there.
+    pub(crate) roster: RunRoster,
+    /// Held by the one call whose request may end the target.
+    pub(crate) trial: Arc<Mutex<()>>,
+    /// Whether the target is being asked if it ended; set to false when that is known.
+    pub(crate) exam: Option<watch::Receiver<bool>>,
     /// When a call last came.
     pub(crate) used: MicroTime,
     /// When the target last told its slowness, or was asked for it.
@@ -53,6 +63,9 @@
             told_ready: false,
             told_near: LoadReport::default(),
             told_far: LoadReport::default(),
+            roster: RunRoster::default(),
+            trial: Arc::default(),
+            exam: None,
             used: now,
             slowness_heard: MicroTime(0),
         }
@@ -83,6 +96,14 @@
         *self.queue.cold_mut() = cold;
     }
 
+    /// Takes the end of the target's life; returns the requests that it ended under,
+    /// none if it said that it leaves and may end when it likes.
+    pub(crate) fn end_runs(&mut self, now: MicroTime) -> Vec<SuspectNotice> {
+        let mut notices = self.roster.end(now);
+        notices.retain(|_notice| !self.lease.is_leaving());
+        notices
+    }
+
     /// Returns how many calls run in the target.
     pub(crate) fn running(&self) -> usize {
         self.queue.running()
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The duty beside the targets: admits calls, and alone speaks to the targets.
 
 mod cold;
+mod crashes;
 mod guarded_call;
 mod health;
 mod local_target;
@@ -41,6 +42,7 @@
 use crate::call::headers::HeaderNames;
 use crate::decide::admission::{AdmissionAction, AdmissionEvent};
 use crate::decide::cold_start::ColdTerms;
+use crate::decide::crash_book::CrashBook;
 use crate::decide::life_order::TargetLife;
 use crate::decide::outcome::CallLedger;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
@@ -96,6 +98,8 @@
     pub(crate) ended: RefCell<VecDeque<(TargetName, TargetLife)>>,
     pub(crate) ledger: RefCell<CallLedger>,
     pub(crate) waiters: RefCell<HashMap<CallId, oneshot::Sender<StartSignal>>>,
+    /// Requests that are suspected of ending targets.
+    pub(crate) suspects: RefCell<CrashBook>,
     /// Streams of calls that have not ended.
     open: watch::Sender<usize>,
     pub(crate) stopping: watch::Sender<bool>,
@@ -137,6 +141,7 @@
         ended: RefCell::default(),
         ledger: RefCell::default(),
         waiters: RefCell::default(),
+        suspects: RefCell::default(),
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
         watchers: GuardWatchers::open(),
@@ -182,6 +187,7 @@
                 self.bound_cold_targets();
             }
             GuardEvent::Evacuated(evacuated) => self.evacuate(evacuated),
+            GuardEvent::Suspects(notices) => self.learn_suspects(&notices),
             GuardEvent::Report { report, reply } => {
                 self.take_report(report);
                 _ = reply.send(());
@@ -356,7 +362,8 @@
             "reason" => reason.label(), "retry_after_ms" => retry_after_ms,
             "running" => load.in_flight, "waiting" => load.queued, "limit" => load.slots,
             "slowness" => load.slowness);
-        AnswerHead::Refused { call: call.call, reason, retry_after_ms, load }
+        let suspect = self.standing(call.digest);
+        AnswerHead::Refused { call: call.call, reason, retry_after_ms, load, suspect }
     }
 
     /// Refuses new work at once and waits for the old to end.
@@ -375,6 +382,7 @@
         let targets: Vec<Value> = targets.values().map(|target| target.dump(now)).collect();
         json!({
             "targets": targets,
+            "blamed": self.suspects.borrow().blamed(),
             "calls_remembered": self.ledger.borrow().len(),
             "streams": *self.open.borrow(),
             "stopping": *self.stopping.borrow(),
--- a/src/call/guard/served/answer_pump.rs
+++ b/src/call/guard/served/answer_pump.rs
@@ -31,7 +31,8 @@
     /// Tells the entry that no answer will come.
     pub(super) async fn lose(&mut self) {
         let load = self.call.duty.load(&self.call.key);
-        self.send_head(&AnswerHead::Lost { call: self.call.call, load }, true).await;
+        let suspect = self.call.duty.standing(self.call.digest);
+        self.send_head(&AnswerHead::Lost { call: self.call.call, load, suspect }, true).await;
         self.stream = None;
     }
 
@@ -44,6 +45,8 @@
             Ok(answer) => answer,
             Err(TargetFailure::NotSent) => return self.refuse(RefusalReason::Unreachable).await,
             Err(TargetFailure::Broken) => {
+                // The entry must not try again before it knows whether a target ended.
+                self.call.duty.examine(&self.call.key).await;
                 self.lose().await;
                 return CallFate::Unknown;
             }
--- a/src/call/guard/served/mod.rs
+++ b/src/call/guard/served/mod.rs
@@ -2,7 +2,7 @@
 
 mod answer_pump;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use h2::server::SendResponse;
 use slog::info;
+use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep_until, timeout};
 
 use self::answer_pump::AnswerPump;
@@ -20,6 +21,7 @@
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::wire::CallHead;
 use crate::call::guard::GuardDuty;
+use crate::call::guard::crashes::RunEnd;
 use crate::call::guard::target_call::{self, TargetAnswer};
 use crate::call::guard::target_pool::TargetFailure;
 use crate::call::headers;
@@ -77,6 +79,8 @@
     pub(crate) give_up: MicroTime,
     /// Whether the call is in the queue's care; a copy of another call never is.
     pub(crate) entered: Cell<bool>,
+    /// Held while the call is the only one of its kind at its target.
+    pub(crate) turn: RefCell<Option<OwnedMutexGuard<()>>>,
     /// When the call got its slot.
     pub(crate) started: Cell<Option<MicroTime>>,
     /// When the target had it, and whether it failed there.
@@ -119,6 +123,7 @@
             deadline: sent + MicroTime::from_millis(remaining),
             give_up: sent + MicroTime::from_millis(u64::from(head.patience_ms)),
             entered: Cell::default(),
+            turn: RefCell::default(),
             started: Cell::default(),
             dispatched: Cell::default(),
             failed: Cell::default(),
@@ -179,6 +184,7 @@
         info!(duty.logger, "ended"; "id" => &*self.id, "digest" => %self.digest, "target" => %self.key.1,
             "fate" => fate.label(), "failed" => self.failed.get(), "cancelled" => cancelled,
             "took_us" => duty.clock.now().since(self.arrived).0);
+        self.duty.end_run(self, Self::run_end(&fate));
         self.record(claim, &fate);
         let mut ledger = duty.ledger.borrow_mut();
         if head.repeatable {
@@ -188,6 +194,16 @@
         }
     }
 
+    /// Returns what the run's end tells of its request. A target's own failure tells
+    /// nothing: it may give up a call at its deadline that would have ended it.
+    const fn run_end(fate: &CallFate) -> RunEnd {
+        match fate {
+            CallFate::Answered(answer) if answer.status < 500 => RunEnd::Answered,
+            CallFate::NotRun => RunEnd::NotRun,
+            _ => RunEnd::Unanswered,
+        }
+    }
+
     /// Sends the call to the target and reads the start of its answer.
     async fn ask_target(
         &self,
--- a/src/call/guard/target_life.rs
+++ b/src/call/guard/target_life.rs
@@ -59,12 +59,14 @@
         let now = self.clock.now();
         let key = (announcement.service.clone(), announcement.target.clone());
         let mut actions = Vec::new();
+        let mut suspects = Vec::new();
         let mut targets = self.targets.borrow_mut();
         if let Some(target) = targets.get_mut(&key) {
             match target.life.hear(born, sequence) {
                 LifeNews::Late => return false,
                 LifeNews::Present => target.renew(now, announcement),
                 LifeNews::Anew => {
+                    suspects = target.end_runs(now);
                     info!(self.logger, "target restarted"; "target" => %announcement.target,
                         "born" => born, "running" => target.running());
                     self.pool.forget(target.announcement.address);
@@ -78,9 +80,10 @@
             let mut target = LocalTarget::open(now, announcement, life, self.target_lease.get());
             target.queue.cold_mut().follow_predecessor(MicroTime(0));
             self.bound_cold_target(&mut target);
-            targets.insert(key, target);
+            targets.insert(key.clone(), target);
         }
         drop(targets);
+        self.suspect(&key.1, suspects);
         self.carry_out(actions);
         self.check_leases();
         true
@@ -90,7 +93,7 @@
     /// born later is there, so that the announcement is a late one.
     fn take_address(&self, announcement: &TargetAnnouncement, life: &TargetLife) -> bool {
         let mut earlier = Vec::new();
-        for target in self.targets.borrow().values() {
+        for (key, target) in &*self.targets.borrow() {
             let other = &target.announcement;
             if other.address != announcement.address || other.target == announcement.target {
                 continue;
@@ -99,11 +102,12 @@
                 return false;
             }
             if target.life.is_before(life) && !target.life.is_ended() {
-                earlier.push(other.target.clone());
+                earlier.push(key.clone());
             }
         }
-        for name in &earlier {
-            self.end_target(name, None);
+        for key in &earlier {
+            self.suspect_runs(key);
+            self.end_target(&key.1, None);
         }
         true
     }
--- a/src/call/reply.rs
+++ b/src/call/reply.rs
@@ -162,6 +162,11 @@
     response
 }
 
+/// Makes an answer for a call that did not run, and would not if it came again.
+pub(crate) fn not_run_ever(status: StatusCode, reason: &str) -> Response<EntryBody> {
+    system_answer(status, CallOutcome::NotRun, reason)
+}
+
 /// Makes an answer for a call that may have run.
 pub(crate) fn unknown(reason: &str, retry_after_ms: Option<u32>) -> Response<EntryBody> {
     let mut response = system_answer(StatusCode::GATEWAY_TIMEOUT, CallOutcome::Unknown, reason);
--- a/src/command/cli.rs
+++ b/src/command/cli.rs
@@ -7,12 +7,13 @@
 use crate::command::check::CheckOptions;
 use crate::command::drain::DrainOptions;
 use crate::command::dump::DumpOptions;
+use crate::command::forgive::ForgiveOptions;
 use crate::command::output::{CommandEnd, CommandOutput};
 use crate::command::publish::PublishOptions;
 use crate::command::status::StatusOptions;
 use crate::command::targets::TargetsOptions;
 use crate::command::trace::TraceOptions;
-use crate::command::{check, drain, dump, publish, status, targets, trace};
+use crate::command::{check, drain, dump, forgive, publish, status, targets, trace};
 
 #[derive(Debug, Options)]
 struct CommandOptions {
@@ -38,6 +39,8 @@
     Dump(DumpOptions),
     #[options(help = "send a target no new work, or take that back")]
     Drain(DrainOptions),
+    #[options(help = "let a request reach targets again that ended some")]
+    Forgive(ForgiveOptions),
     #[options(help = "tell how many targets each service has, and list them")]
     Targets(TargetsOptions),
     #[options(help = "tell the story of one request from daemons' logs")]
@@ -76,6 +79,7 @@
         OperatorCommand::Status(options) => status::run(&options).await,
         OperatorCommand::Dump(options) => dump::run(&options).await,
         OperatorCommand::Drain(options) => drain::run(&options).await,
+        OperatorCommand::Forgive(options) => forgive::run(&options).await,
         OperatorCommand::Targets(options) => targets::run(&options).await,
         OperatorCommand::Trace(options) => trace::run(&options),
     }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod cli;
 pub(crate) mod drain;
 pub(crate) mod dump;
+pub(crate) mod forgive;
 pub(crate) mod operator;
 pub(crate) mod output;
 pub(crate) mod progress;
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -14,6 +14,7 @@
 use snafu::Snafu;
 use tokio::time::timeout;
 
+use crate::base::digest::RequestDigest;
 use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
 use crate::base::member::{FleetView, MemberRecord, MemberState};
 use crate::command::progress::CommandProgress;
@@ -113,6 +114,8 @@
     pub store_lost: bool,
     /// Whether it holds its data centre for evacuated.
     pub evacuated: bool,
+    /// Requests that it sends to no target, since they end targets.
+    pub blamed: Vec<RequestDigest>,
 }
 
 /// Returns all members that a daemon knows.
@@ -194,6 +197,7 @@
         ready: false,
         store_lost: member.store_lost,
         evacuated: false,
+        blamed: Vec::new(),
     }
 }
 
@@ -203,6 +207,9 @@
     let evacuated = answer["evacuated"].as_array();
     host.evacuated =
         evacuated.is_some_and(|all| all.iter().any(|name| name == host.data_centre.as_str()));
+    let blamed = answer["blamed"].as_array().into_iter().flatten();
+    let digests = blamed.filter_map(|notice| RequestDigest::parse(notice["digest"].as_str()?));
+    host.blamed = digests.collect();
     host.condition = if host.ready { HostCondition::Serving } else { HostCondition::NotReady };
 }
 
@@ -230,6 +237,15 @@
     Ok(member.host.clone())
 }
 
+/// Lets a request reach targets again that was found to end them.
+///
+/// # Errors
+///
+/// Fails when the daemon can't be reached, or knows no such request.
+pub async fn forgive(daemon: SocketAddr, digest: RequestDigest) -> Result<(), OperatorError> {
+    ask(Method::POST, daemon, &format!("/forgive?request={digest}")).await.map(drop)
+}
+
 /// Tells a daemon that a revision was published.
 ///
 /// # Errors
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -7,6 +7,7 @@
 use gumdrop::Options;
 use serde_json::json;
 
+use crate::base::digest::RequestDigest;
 use crate::command::operator::{self, HostCondition, HostStatus, daemon_address};
 use crate::command::output::{self, CommandOutput};
 
@@ -123,6 +124,9 @@
     for (centre, said, known) in evacuated_centres(hosts) {
         _ = write!(text, "\n{centre} is evacuated, as {said} of {known} hosts there say");
     }
+    for (digest, said) in blamed_requests(hosts) {
+        _ = write!(text, "\nheld back, since it ends targets: {digest}, as {said} hosts say");
+    }
     if count(HostCondition::NoAnswer) > 0 {
         text.push_str("\npartial: what hosts without an answer have in force is not known");
     }
@@ -143,6 +147,15 @@
     evacuated.map(|(centre, (said, known))| (centre, said, known)).collect()
 }
 
+/// Returns the requests that reach no target, and how many hosts say so.
+fn blamed_requests(hosts: &[HostStatus]) -> BTreeMap<RequestDigest, usize> {
+    let mut requests = BTreeMap::new();
+    for digest in hosts.iter().flat_map(|host| &host.blamed) {
+        *requests.entry(*digest).or_default() += 1;
+    }
+    requests
+}
+
 /// Writes one line for each data centre, if there is more than one.
 fn write_centres(text: &mut String, hosts: &[HostStatus]) {
     let mut centres: BTreeMap<&str, Vec<&HostStatus>> = BTreeMap::new();
--- a/src/command/story.rs
+++ b/src/command/story.rs
@@ -42,7 +42,8 @@
 }
 
 impl RequestStory {
-    /// Opens the story of a request, and of the calls made for it.
+    /// Opens the story of a request, and of the calls made for it; of all its copies,
+    /// where `id` is its digest.
     pub(crate) fn open(id: &str) -> Self {
         Self { id: id.to_owned(), ..Self::default() }
     }
@@ -104,10 +105,11 @@
 fn story_line(id: &str, mut fields: Map<String, Value>) -> Option<StoryLine> {
     let own = fields.get("id")?.as_str()?;
     let called = own.strip_prefix(id).is_some_and(|rest| rest.starts_with('.'));
-    if own != id && !called {
+    let same_request = fields.get("digest").is_some_and(|digest| digest == id);
+    if own != id && !called && !same_request {
         return None;
     }
-    if called {
+    if called || same_request {
         let call = fields["id"].clone();
         fields.insert("call".to_owned(), call);
     }
--- a/src/command/trace.rs
+++ b/src/command/trace.rs
@@ -19,7 +19,7 @@
     #[options(no_short, help = "print the story as JSON")]
     json: bool,
 
-    #[options(free, required, help = "the request's id")]
+    #[options(free, required, help = "the request's id, or its digest for all copies")]
     id: String,
 
     #[options(free, help = "log files of any daemons")]
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -65,6 +65,12 @@
         self.drained = drained;
     }
 
+    /// Tells whether the target said that it ends, or was told to finish.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.ended || self.drained || self.condition == TargetCondition::Draining
+    }
+
     /// Tells whether the target takes new work.
     #[must_use]
     pub fn is_ready(&self, now: MicroTime) -> bool {
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -8,8 +8,10 @@
 use serde::Serialize;
 
 use crate::base::clock::MicroTime;
+use crate::base::digest::RequestDigest;
 use crate::base::ids::{CentreName, ServiceName, TargetName};
 use crate::base::member::FleetView;
+use crate::decide::benefit;
 use crate::decide::selection::{
     CallOutlook, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord,
 };
@@ -72,6 +74,28 @@
         Some(index)
     }
 
+    /// Chooses for a request that may end the target that runs it: the one that every
+    /// entry chooses, of those that would serve it in time, so that several copies at
+    /// once end one target and not one each. Nothing where none would.
+    pub fn choose_shared(
+        &mut self,
+        now: MicroTime,
+        digest: RequestDigest,
+        tried: &[TargetName],
+        outlook: &CallOutlook,
+    ) -> Option<usize> {
+        let fits = |target: &TargetRecord| {
+            !tried.contains(&target.name) && benefit::is_promising(target, now, outlook)
+        };
+        let order = |target: &TargetRecord| {
+            RequestDigest::of(&[&digest.0.to_le_bytes(), target.name.as_str().as_bytes()])
+        };
+        let fitting = self.targets.iter().enumerate().filter(|(_, target)| fits(target));
+        let (index, _) = fitting.max_by_key(|(_, target)| order(target))?;
+        self.targets[index].outstanding += 1;
+        Some(index)
+    }
+
     /// Finds a target by name.
     pub fn find(&mut self, name: &TargetName) -> Option<&mut TargetRecord> {
         self.targets.iter_mut().find(|target| target.name == *name)
--- a/src/durable/rows.rs
+++ b/src/durable/rows.rs
@@ -1,4 +1,4 @@
-//! Rows of members: read at the start, kept while this daemon follows the store.
+//! Rows of members and of blamed requests: read at the start, kept while this daemon follows the store.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,11 +9,15 @@
 
 use super::PlatformDuty;
 use crate::base::member::MemberRecord;
-use crate::duty::events::PeersEvent;
+use crate::base::suspect::SuspectNotice;
+use crate::duty::events::{PeersEvent, SuspectSource};
+use crate::store::blame;
 use crate::store::table::{PlatformError, TableWrite};
 
-/// Start of the keys of member rows.
-const MEMBER_PREFIX: &str = "member-";
+/// Start of the keys of all rows that a daemon reads at its start, and of those of
+/// members.
+const START_PREFIX: &str = "fleet-";
+const MEMBER_PREFIX: &str = "fleet-member-";
 
 /// Wait between two tries of the bootstrap.
 const BOOTSTRAP_PAUSE: Duration = Duration::from_millis(500);
@@ -62,12 +66,14 @@
         }
     }
 
-    /// Reads the rows of the members and hands them on.
+    /// Reads the rows of the members and of blamed requests and hands them on.
     pub(super) async fn read_members(&self, own: &MemberRecord) -> Result<(), PlatformError> {
-        let rows = self.client.rows(MEMBER_PREFIX).await;
+        let rows = self.client.rows(START_PREFIX).await;
         self.count("members", &rows);
+        let rows = rows?;
+        self.tell_blamed(blame::read(&rows, &self.logger));
         let mut members: Vec<MemberRecord> = Vec::new();
-        for row in rows? {
+        for row in rows.into_iter().filter(|row| row.key.starts_with(MEMBER_PREFIX)) {
             match serde_json::from_str::<MemberRecord>(&row.value) {
                 Ok(record) => {
                     if record.host == own.host && same_place(&record, own) {
@@ -85,6 +91,17 @@
         Ok(())
     }
 
+    fn tell_blamed(&self, notices: Vec<SuspectNotice>) {
+        if notices.is_empty() {
+            return;
+        }
+        info!(self.logger, "blamed requests read"; "count" => notices.len());
+        let told = PeersEvent::Suspects { notices, source: SuspectSource::Store };
+        if self.rings.peers.push(told).is_err() {
+            self.metrics.shed.with_label_values(&["peers"]).inc();
+        }
+    }
+
     pub(super) fn tell_members(&self, members: Vec<MemberRecord>, reached: bool) {
         if self.rings.peers.push(PeersEvent::Bootstrap { members, reached }).is_err() {
             self.metrics.shed.with_label_values(&["peers"]).inc();
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -10,9 +10,11 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
+use crate::base::digest::RequestDigest;
 use crate::base::evacuation::EvacuationNotice;
 use crate::base::ids::{CentreName, HostName, TargetName};
 use crate::base::member::{FleetView, MemberRecord, TargetNotice};
+use crate::base::suspect::SuspectNotice;
 use crate::decide::cold_start::ColdTerms;
 use crate::decide::retry::RetryShare;
 use crate::duty::target_report::{TargetAnnouncement, TargetReport};
@@ -32,6 +34,8 @@
     Config(ActiveRevision),
     /// The daemon asked its peers; calls may be served from this revision on.
     Joined { least_revision: u64 },
+    /// More is known of suspected requests.
+    Suspects(Vec<SuspectNotice>),
     /// Tell the state.
     Dump(oneshot::Sender<Value>),
     /// The daemon's part of the fleet's further tries changed.
@@ -56,6 +60,8 @@
     Terms { lease: Duration, cold: ColdTerms },
     /// The host's data centre takes no calls from now on, or does again.
     Evacuated(bool),
+    /// More is known of suspected requests.
+    Suspects(Vec<SuspectNotice>),
     /// An operator drains a target, or takes that back.
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
     /// Tell the state.
@@ -64,6 +70,15 @@
     Stop(oneshot::Sender<()>),
 }
 
+/// Who says that a request is suspected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SuspectSource {
+    /// The guard of this host, which saw it.
+    Guard,
+    /// The platform's store, which every daemon reads at its start.
+    Store,
+}
+
 /// What others tell the peer duty.
 #[derive(Debug)]
 pub(crate) enum PeersEvent {
@@ -75,6 +90,10 @@
     Config(ActiveRevision),
     /// The store was read for evacuations.
     Evacuation(EvacuationNotice),
+    /// Requests are suspected: as a crash here shows, or as the store keeps it.
+    Suspects { notices: Vec<SuspectNotice>, source: SuspectSource },
+    /// An operator lets a request through again; answered whether it was suspected.
+    Forgive { digest: RequestDigest, reply: oneshot::Sender<bool> },
     /// A call did not reach a host.
     Unreached(HostName),
     /// The host's targets changed.
--- a/src/fleet/membership/events.rs
+++ b/src/fleet/membership/events.rs
@@ -5,6 +5,7 @@
 use crate::base::evacuation::EvacuationNotice;
 use crate::base::ids::HostName;
 use crate::base::member::{GossipMessage, MemberRecord, TargetNotice};
+use crate::base::suspect::SuspectNotice;
 
 /// What happens to the membership of one daemon.
 #[derive(Clone, Debug)]
@@ -29,6 +30,13 @@
     StoreLost(bool),
     /// The store was read for evacuations.
     Evacuation(EvacuationNotice),
+    /// Requests are suspected of ending targets.
+    Suspect {
+        /// What is known of them.
+        notices: Vec<SuspectNotice>,
+        /// Whether that was seen here, so that nobody else knows it yet.
+        first_hand: bool,
+    },
     /// Records came from the table or from a full exchange.
     Learn(Vec<MemberRecord>),
     /// A call did not reach a member.
@@ -51,6 +59,8 @@
     Changed,
     /// Other data centres than before are evacuated.
     Evacuated,
+    /// More is known of suspected requests than before.
+    Suspected(Vec<SuspectNotice>),
     /// Something else is believed of a member than before.
     Believed {
         /// The member as it is believed to be now.
--- a/src/fleet/membership/hearing.rs
+++ b/src/fleet/membership/hearing.rs
@@ -20,9 +20,12 @@
         rng: &mut Pcg64Mcg,
         out: &mut Vec<MembershipAction>,
     ) {
-        let GossipMessage { from: sender, kind, number, revision, digest, evacuation, updates } =
+        let GossipMessage { from: sender, kind, number, revision, digest, evacuation, .. } =
             message;
+        let GossipMessage { blamed, suspects, updates, .. } = message;
         self.hear_evacuation(evacuation, rng, out);
+        self.hear_suspects(now, &suspects, false, rng, out);
+        self.compare_blamed(now, from, blamed, rng, out);
         let outdated = updates.iter().any(|record| self.is_outdated(&sender, record));
         let mut relayed = None;
         for record in updates {
--- a/src/fleet/membership/mod.rs
+++ b/src/fleet/membership/mod.rs
@@ -7,8 +7,8 @@
 //! that lost each other meet again.
 //!
 //! `probing` finds out who is alive, in the order of `rounds`; `hearing` takes
-//! datagrams; `telling` sends what is new, as `news` counts it. Here is what is
-//! believed of whom. Figures at constants are of 295 daemons in five data centres,
+//! datagrams; `telling` sends what is new, as `news` counts it; `suspicion` spreads
+//! which requests end targets. Here is what is believed of whom. Figures at constants are of 295 daemons in five data centres,
 //! kernels in virtual time, a twentieth of the datagrams lost.
 
 mod events;
@@ -16,6 +16,7 @@
 mod news;
 mod probing;
 mod rounds;
+mod suspicion;
 mod telling;
 
 use std::collections::BTreeMap;
@@ -33,6 +34,7 @@
 use news::NewsBook;
 use probing::{OpenProbe, ProxyProbe};
 use rounds::ProbeRounds;
+use suspicion::SuspicionNews;
 use telling::{PeerCounts, TOLD_AT_ONCE};
 
 /// Time after a death in which more of the same data centre are looked for: two
@@ -85,6 +87,8 @@
     digest: u64,
     /// The newest evacuations heard of; they travel on every message.
     evacuation: EvacuationNotice,
+    /// Requests that are suspected of ending targets.
+    suspicions: SuspicionNews,
     /// Set when the own record outbid another, until it was told at once.
     outbid: bool,
 }
@@ -109,6 +113,7 @@
             next_far_sync: MicroTime(0),
             introductions: TOLD_AT_ONCE,
             evacuation: EvacuationNotice::default(),
+            suspicions: SuspicionNews::default(),
             outbid: false,
         };
         state.own.state = MemberState::Alive;
@@ -133,6 +138,9 @@
             }
             MembershipEvent::StoreLost(lost) => self.change_store(lost, rng, out),
             MembershipEvent::Evacuation(notice) => self.hear_evacuation(notice, rng, out),
+            MembershipEvent::Suspect { notices, first_hand } => {
+                self.hear_suspects(now, &notices, first_hand, rng, out);
+            }
             MembershipEvent::Learn(records) => self.learn_whole(now, records, rng, out),
             MembershipEvent::Unreached(host) => self.look_after(now, host, out),
             MembershipEvent::Leave => self.leave(rng, out),
--- a/src/fleet/membership/news.rs
+++ b/src/fleet/membership/news.rs
@@ -19,7 +19,7 @@
 
 /// Sends that hearing an update from another daemon counts as: who told it goes
 /// on telling it, and so do all whom that one told.
-const HEARD_AS: u32 = 4;
+pub(super) const HEARD_AS: u32 = 4;
 
 /// Bytes of a datagram that are not updates.
 const ENVELOPE: usize = 128;
@@ -83,7 +83,7 @@
         reserved: usize,
         find: impl Fn(&HostName) -> Option<&'a MemberRecord>,
     ) {
-        let limit = SPREAD * (fleet as u32 + 1).ilog2().max(1);
+        let limit = spread_limit(fleet);
         self.sent.retain(|host, sent| *sent < limit && find(host).is_some());
         let mut order: Vec<(u32, HostName)> =
             self.sent.iter().map(|(host, sent)| (*sent, host.clone())).collect();
@@ -106,6 +106,11 @@
     }
 }
 
+/// Returns how often an update is sent in a fleet of this size.
+pub(super) fn spread_limit(fleet: usize) -> u32 {
+    SPREAD * (fleet as u32 + 1).ilog2().max(1)
+}
+
 fn size(record: &MemberRecord) -> usize {
     wire::encode(record).map_or(usize::MAX, |bytes| bytes.len())
 }
--- a/src/fleet/membership/telling.rs
+++ b/src/fleet/membership/telling.rs
@@ -5,6 +5,7 @@
 use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
 
+use super::suspicion::NOTICE_BYTES;
 use super::{MembershipAction, MembershipState};
 use crate::base::clock::MicroTime;
 use crate::base::ids::HostName;
@@ -52,7 +53,7 @@
 ///
 /// So it is known everywhere after a few steps, whoever heard of it first, and
 /// mostly fetched from a neighbour.
-const TOLD_OF_REVISION: PeerCounts = PeerCounts { near: 3, far: 1 };
+pub(super) const TOLD_OF_REVISION: PeerCounts = PeerCounts { near: 3, far: 1 };
 
 /// So many daemons of the own data centre and of others.
 #[derive(Clone, Copy, Debug)]
@@ -135,7 +136,7 @@
     }
 
     /// Draws those that are told at once: all of a small fleet.
-    fn sample_told(&self, counts: PeerCounts, rng: &mut Pcg64Mcg) -> Vec<SocketAddr> {
+    pub(super) fn sample_told(&self, counts: PeerCounts, rng: &mut Pcg64Mcg) -> Vec<SocketAddr> {
         let all = PeerCounts { near: usize::MAX, far: usize::MAX };
         let small = self.members.len() <= SMALL_FLEET;
         self.sample_up(if small { all } else { counts }, &self.own.host, rng)
@@ -170,13 +171,15 @@
         first: Option<MemberRecord>,
     ) -> GossipMessage {
         let mut updates = Vec::from_iter(first);
+        let suspects = self.suspicions.fill(self.members.len() + 1);
+        let reserved = self.evacuation.names_size() + suspects.len() * NOTICE_BYTES;
         let (own, members) = (&self.own, &self.members);
         let find = |host: &HostName| {
             let other = members.get(host).map(|known| &known.record);
             if *host == own.host { Some(own) } else { other }
         };
-        self.news.fill(&mut updates, members.len() + 1, self.evacuation.names_size(), find);
-        self.envelope(kind, number, updates)
+        self.news.fill(&mut updates, members.len() + 1, reserved, find);
+        GossipMessage { suspects, ..self.envelope(kind, number, updates) }
     }
 
     pub(super) fn envelope(
@@ -192,6 +195,8 @@
             revision: self.own.revision,
             digest: self.digest,
             evacuation: self.evacuation.clone(),
+            blamed: self.suspicions.blamed_hash(),
+            suspects: Vec::new(),
             updates,
         }
     }
--- a/src/fleet/peers/mod.rs
+++ b/src/fleet/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod rpc;
+mod suspects;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -26,6 +27,7 @@
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
 use crate::rules::revision::ActiveRevision;
+use suspects::SuspectFeed;
 
 /// Peers a fresh daemon asks before it serves.
 const JOIN_PEERS: usize = 3;
@@ -72,6 +74,8 @@
     store_lost_at: Cell<MicroTime>,
     /// When any peer was last heard of.
     heard: Cell<MicroTime>,
+    /// What the other duties have yet to hear of suspected requests.
+    feed: RefCell<SuspectFeed>,
     /// Whether the other duties know which data centres are evacuated.
     evacuation_told: Cell<bool>,
     pub(crate) metrics: Arc<DaemonMetrics>,
@@ -119,6 +123,7 @@
         follows: Cell::new(false),
         store_lost_at: Cell::new(MicroTime(0)),
         heard: Cell::new(MicroTime(0)),
+        feed: RefCell::default(),
         evacuation_told: Cell::new(true),
         metrics,
         rings,
@@ -149,6 +154,8 @@
                 self.step(MembershipEvent::Local { targets, revision });
             }
             PeersEvent::Evacuation(notice) => self.step(MembershipEvent::Evacuation(notice)),
+            PeersEvent::Suspects { notices, source } => self.take_suspects(notices, source),
+            PeersEvent::Forgive { digest, reply } => _ = reply.send(self.forgive(digest)),
             // Who hears nobody is cut off itself.
             PeersEvent::Unreached(host) => {
                 if self.clock.now().since(self.heard.get()) < GOSSIP_PERIOD.into() {
@@ -185,6 +192,7 @@
                     *self.dirty.borrow_mut() = true;
                     self.order_changed.set(true);
                 }
+                MembershipAction::Suspected(notices) => self.note_suspects(&notices),
                 MembershipAction::Evacuated => self.evacuation_told.set(false),
                 MembershipAction::NewerRevision { peer } => self.fetch_revision(peer),
                 MembershipAction::Sync { peer } => {
@@ -193,6 +201,7 @@
             }
         }
         self.tell_evacuation();
+        self.feed.borrow_mut().tell(&self.rings);
     }
 
     /// Tells the other duties which data centres are evacuated, until they heard it.
@@ -347,6 +356,7 @@
             "joined": *self.joined.borrow(),
             "news": membership.news(),
             "evacuation": membership.evacuation(),
+            "suspects": membership.suspects().notices(),
             "members": membership.view().members,
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub use base::member::{
     FleetView, GossipKind, GossipMessage, MemberRecord, MemberState, SYNC_BUCKETS, TargetNotice,
 };
+pub use base::suspect::{BLAMED_AFTER, SuspectNotice, SuspectRecord, TRIED_ALONE_AFTER};
 pub use base::wire::{
     AnswerHead, CallHead, CallPriority, ColdRoom, KeyClaim, LoadReport, ProbeReply, ProbeRequest,
     RefusalReason, RevokeHead, RevokeReply, WatchHead, WireError, decode, encode,
@@ -67,6 +68,7 @@
 pub use decide::benefit::BENEFIT_POLICY;
 pub use decide::clock_lead::ClockLead;
 pub use decide::cold_start::{COUNTED_OVER, ColdGate, ColdTerms};
+pub use decide::crash_book::{CrashBook, MAX_SUSPECTS, NoticeEffect};
 pub use decide::host_speed::HostSpeed;
 pub use decide::lease::{TargetCondition, TargetLease};
 pub use decide::life_order::{LifeNews, TargetLife};
@@ -77,6 +79,7 @@
 pub use decide::registry::{ServiceTargets, TargetRegistry};
 pub use decide::report_pace::ReportPace;
 pub use decide::retry::{CallCourse, NextStep, RetryBudget, RetryShare, TryEnd, hedge_after};
+pub use decide::run_roster::{RunRoster, TrackedRun};
 pub use decide::selection::{
     CallOutlook, DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetPlace, TargetRecord,
     default_policy, policy, policy_names,
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::base::digest::RequestDigest;
 use crate::base::ids::{HostName, TargetName};
 use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
@@ -77,6 +78,7 @@
             (&Method::GET, "/members") => self.members().await,
             (&Method::POST, "/announce") => self.announce(request).await,
             (&Method::POST, "/drain") => self.drain(request).await,
+            (&Method::POST, "/forgive") => self.forgive(request).await,
             (&Method::POST, "/hint") => {
                 drop(self.rings.platform.push(PlatformEvent::Hint));
                 httpd::to_json(StatusCode::OK, &json!({"hinted": true}))
@@ -116,6 +118,7 @@
             "ready": entry["ready"],
             "in_force": entry["revision"],
             "evacuated": entry["evacuated"],
+            "blamed": entry["blamed"],
             "head": *self.head.borrow(),
         })
     }
@@ -146,14 +149,10 @@
     }
 
     async fn drain(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let query = request.uri().query().unwrap_or_default();
-        let field = |name: &str| {
-            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
-        };
-        let Some(target) = field("target").map(TargetName::from) else {
+        let Some(target) = query_field(&request, "target").map(TargetName::from) else {
             return httpd::fault(StatusCode::BAD_REQUEST, "expected ?target=NAME&on=true|false");
         };
-        let drained = field("on") != Some("false");
+        let drained = query_field(&request, "on") != Some("false");
         let asked = ask(&self.rings.guard, |reply| GuardEvent::Drain { target, drained, reply });
         match asked.await {
             Some(true) => httpd::to_json(StatusCode::OK, &json!({"drained": drained})),
@@ -161,6 +160,22 @@
             None => httpd::busy(),
         }
     }
+
+    async fn forgive(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(digest) = query_field(&request, "request").and_then(RequestDigest::parse) else {
+            return httpd::fault(StatusCode::BAD_REQUEST, "expected ?request=DIGEST");
+        };
+        match ask(&self.rings.peers, |reply| PeersEvent::Forgive { digest, reply }).await {
+            Some(true) => httpd::to_json(StatusCode::OK, &json!({"forgiven": digest})),
+            Some(false) => httpd::fault(StatusCode::NOT_FOUND, "no such request is suspected"),
+            None => httpd::busy(),
+        }
+    }
+}
+
+fn query_field<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    let query = request.uri().query().unwrap_or_default();
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
 /// Asks another duty; nothing if it is too busy to answer.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 mod bucket;
 mod caller;
 mod hosted;
+mod hosted_answer;
 mod hosted_client;
 mod http;
 mod link;
@@ -12,7 +13,8 @@
 mod target;
 
 pub use caller::{CallReport, CallRequest, CallerClient, Verdict, fetch, fetch_runs};
-pub use hosted::{HostedMood, HostedRun, HostedTarget};
+pub use hosted::{HostedRun, HostedTarget};
+pub use hosted_answer::HostedMood;
 pub use hosted_client::{HostedAnswer, HostedConnection, hosted_call};
 pub use link::{FaultyLink, LinkWay};
 pub use platform::{PlatformFaults, PlatformLimits, PlatformStandin};
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -50,6 +50,8 @@
 #[test_case(&["dump", "--daemon", "nowhere"], 2; "no address")]
 #[test_case(&["trace", "some-id", "tests/cases/no_such_file.jsonc"], 2; "no log file")]
 #[test_case(&["trace", "some-id", "examples/settings.jsonc"], 1; "no line of a request")]
+#[test_case(&["forgive", "--daemon", "127.0.0.1:1", "no-digest"], 2; "no digest")]
+#[test_case(&["forgive", "--daemon", "127.0.0.1:1", "0123456789abcdef0123456789abcdef"], 3; "no daemon to forgive at")]
 #[test_case(&["publsh"], 2; "no such command")]
 #[test_case(&["--help"], 0; "help")]
 fn exit_codes_are_as_documented(arguments: &[&str], expected: i32) {
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -189,7 +189,9 @@
     pub fn spawn(hosts: usize, work: Duration) -> Self {
         let mut fleet = HostedFleet::spawn(hosts, work);
         let targets = std::mem::take(&mut fleet.targets);
-        targets.iter().for_each(|target| target.end_on(DEADLY));
+        for target in &targets {
+            target.end_on(DEADLY);
+        }
         let lives = Mutex::new(targets.into_iter().enumerate().collect());
         Self { fleet, lives }
     }
@@ -234,6 +236,30 @@
         times
     }
 
+    /// Returns how many requests an entry holds back.
+    pub fn blamed(&self, host: usize) -> usize {
+        self.state(host)["entry"]["blamed"].as_array().map_or(0, Vec::len)
+    }
+
+    /// Kills all daemons and starts them again where they were.
+    pub fn restart_daemons(&mut self) {
+        let places: Vec<DaemonPlace> = self.daemons.iter().map(|daemon| *daemon.place()).collect();
+        self.fleet.daemons.clear();
+        for (index, place) in places.iter().enumerate() {
+            let daemon = self.fleet.start_daemon_at(index, place);
+            self.fleet.daemons.push(daemon);
+        }
+    }
+
+    /// Returns how many rows of a kind the store keeps.
+    pub fn kept_rows(&self, prefix: &str) -> usize {
+        let path =
+            format!("/rows-get?table=railspan&part=&from={prefix}&target={prefix}~&limit=500");
+        let page = hosted_call(self.platform.address(), "GET", &path, &[], b"").expect("store");
+        let page: Value = serde_json::from_slice(&page.body).expect("json");
+        page["rows"].as_array().map_or(0, Vec::len)
+    }
+
     /// Returns how many targets ended.
     pub fn crashes(&self) -> usize {
         let lives = self.lives.lock().expect("lives");
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -114,3 +114,66 @@
         });
     }
 }
+
+/// Plays copies one after the other until the request reaches no target.
+fn blame(fleet: &DeadlyFleet) {
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| fleet.revive(&stop));
+        let mut copy = 0;
+        common::eventually("held back", || {
+            copy += 1;
+            let answer = fleet.call_deadly(copy % 4, &format!("copy-{copy}"));
+            answer.is_some_and(|answer| answer.status == 503)
+                && (0..4).all(|host| fleet.blamed(host) == 1)
+        });
+        stop.store(true, Ordering::Relaxed);
+    });
+}
+
+#[test]
+fn it_is_turned_away_at_once_and_truly_until_an_operator_lets_it_through() {
+    let fleet = DeadlyFleet::spawn(4, WORK);
+    blame(&fleet);
+    let ran = fleet.deadly_arrivals().len();
+    let answer = fleet.call_deadly(1, "late").expect("answer");
+    assert_eq!(answer.status, 503);
+    assert!(!answer.headers.contains_key("retry-after"), "coming back does not help");
+    assert_eq!(fleet.deadly_arrivals().len(), ran, "not run, as it says");
+    common::eventually("another path is another request", || {
+        fleet.call(1, SAFE, "other").is_some_and(|answer| answer.status == 200)
+    });
+
+    let admin = fleet.daemons[2].place().admin.to_string();
+    let railspan = |arguments: &[&str]| {
+        let command = std::process::Command::new(env!("CARGO_BIN_EXE_railspan"))
+            .args(arguments)
+            .args(["--daemon", &*admin])
+            .output();
+        String::from_utf8(command.expect("run").stdout).expect("text")
+    };
+    let status = railspan(&["status"]);
+    let line = status.lines().find(|line| line.contains("ends targets")).expect("line");
+    let digest = line.split([' ', ',']).find(|word| word.len() == 32).expect("digest");
+    assert!(railspan(&["forgive", digest]).contains("may reach targets again"));
+    for host in 0..4 {
+        common::eventually("let through", || fleet.blamed(host) == 0);
+    }
+    drop(fleet.call_deadly(0, "again"));
+    assert!(fleet.deadly_arrivals().len() > ran, "it was let through");
+}
+
+#[test]
+fn it_stays_known_when_all_daemons_lose_power() {
+    let mut fleet = DeadlyFleet::spawn(4, WORK);
+    blame(&fleet);
+    let ran = fleet.deadly_arrivals().len();
+    common::eventually("kept", || fleet.kept_rows("fleet-blame-") == 1);
+    fleet.restart_daemons();
+    for host in 0..4 {
+        common::eventually("known again", || fleet.blamed(host) == 1);
+        let answer = fleet.call_deadly(host, &format!("after-{host}"));
+        assert!(answer.is_none_or(|answer| answer.status == 503), "host-{host}");
+    }
+    assert_eq!(fleet.deadly_arrivals().len(), ran, "copies after the power came back");
+}
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -19,6 +19,7 @@
         ready: true,
         store_lost: false,
         evacuated: false,
+        blamed: Vec::new(),
     }
 }
 
@@ -30,6 +31,16 @@
     assert!(text.contains("ba-norte-1 is evacuated, as 1 of 2 hosts there say"), "{text}");
 }
 
+#[test]
+fn a_request_that_is_held_back_is_named_once() {
+    let mut hosts: Vec<HostStatus> = (0..10).map(host).collect();
+    hosts.iter_mut().take(4).for_each(|host| host.blamed = vec![railspan::RequestDigest(0xab)]);
+    let text = railspan::render_status(&hosts, false);
+    let digest = format!("{:032x}", 0xab);
+    assert!(text.contains(&format!("{digest}, as 4 hosts say")), "{text}");
+    assert_eq!(text.matches(&digest).count(), 1, "{text}");
+}
+
 fn silent(mut host: HostStatus, daemon: MemberState, condition: HostCondition) -> HostStatus {
     host.daemon = daemon;
     host.condition = condition;
--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -8,7 +8,7 @@
 use common::{FleetPlan, TestFleet};
 use railspan::{
     AnswerHead, CallFate, CallHead, CallId, CallPriority, DaemonIncarnation, RefusalReason,
-    RequestDigest, RevokeHead, RevokeReply, decode, encode,
+    RequestDigest, RevokeHead, RevokeReply, SuspectRecord, decode, encode,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -43,6 +43,7 @@
         sent: None,
         call: CallId(call),
         digest: RequestDigest::default(),
+        suspect: SuspectRecord::default(),
         incarnation,
         service: fleet.plan.service.into(),
         target: "target-0".into(),
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -103,6 +103,8 @@
             revision: 0,
             evacuation: railspan::EvacuationNotice::default(),
             digest: 0,
+            blamed: 0,
+            suspects: Vec::new(),
             updates: Vec::new(),
         },
     };
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -35,6 +35,19 @@
     assert_eq!(places, [("a.log", 5)]);
 }
 
+#[test]
+fn a_digest_tells_the_story_of_all_copies() {
+    let line = |id: &str, ts: &str| {
+        format!(r#"{{"msg":"chosen","ts":"{ts}","host":"a","digest":"00ff","id":"{id}"}}"#)
+    };
+    let text = [line("one", "2"), line("two", "1")].join("\n");
+    let story = RequestStory::read("00ff", &[("a.log".into(), text)]);
+    assert_eq!(
+        story.render(),
+        "1 a chosen call=two digest=00ff\n2 a chosen call=one digest=00ff\n"
+    );
+}
+
 #[test]
 fn an_unknown_request_has_no_story() {
     assert!(RequestStory::read("nobody", &logs()).lines.is_empty());
