The process clock counts the time for which its host is suspended

Cause: kernels took their time from the steady clock, which stands still while a host is suspended; a lease, a call's deadline, a connection's idle time or a guard's clock as an entry knows it would seem as fresh on waking as before. Change: ProcessClock reads CLOCK_BOOTTIME (nix), and so does the pool of connections to targets. Timers stay on the steady clock: they fire late, and every decision looks at the time itself.

--- a/src/base/clock.rs
+++ b/src/base/clock.rs
@@ -1,8 +1,9 @@
 //! Time as the kernels see it: microseconds, passed in with each event.
 
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time, or a span, in microseconds since a process began.
@@ -59,20 +60,30 @@
     }
 }
 
-/// The monotonic clock of one process.
+/// The clock of one process, which never goes back.
+///
+/// It counts the time for which its host is suspended, as the steady clock of the
+/// standard library and of timers does not: a lease that ran out meanwhile has run out,
+/// and a call that waited through it is late, whenever the timers fire.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ProcessClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl ProcessClock {
     /// Starts the clock.
     pub(crate) fn open() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: since_boot() }
     }
 
     /// Returns the time since the clock was started.
     pub(crate) fn now(&self) -> MicroTime {
-        MicroTime::from(self.origin.elapsed())
+        MicroTime::from(since_boot().saturating_sub(self.origin))
     }
 }
+
+/// Returns the time since the host started, that of its suspensions included.
+fn since_boot() -> Duration {
+    // Every kernel that is supported has this clock.
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from).unwrap_or_default()
+}
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -131,8 +131,9 @@
     let listener = TcpListener::from_std(parts.listener);
     let socket = UdpSocket::from_std(parts.socket);
     let (Ok(listener), Ok(socket)) = (listener, socket) else { return };
+    let clock = ProcessClock::open();
     let duty = Rc::new(GuardDuty {
-        clock: ProcessClock::open(),
+        clock,
         host: parts.host,
         data_centre: parts.data_centre,
         incarnation: parts.incarnation,
@@ -145,7 +146,7 @@
         open: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
         watchers: GuardWatchers::open(),
-        pool: Rc::default(),
+        pool: TargetPool::open(clock),
         names: parts.names,
         own_service: parts.own_service,
         config: RefCell::default(),
--- a/src/call/guard/target_pool.rs
+++ b/src/call/guard/target_pool.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -16,6 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::base::clock::{MicroTime, ProcessClock};
 use crate::call::silence::{SilenceLimits, notice_silence};
 
 /// Longest wait for a connection to a target on the same host.
@@ -52,13 +53,14 @@
 
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
-    since: Instant,
+    since: MicroTime,
     keep: Duration,
 }
 
 /// The unused connections to all targets of a host.
-#[derive(Default)]
 pub(crate) struct TargetPool {
+    /// A target may drop a connection while this host is suspended.
+    clock: ProcessClock,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -70,6 +72,11 @@
 }
 
 impl TargetPool {
+    /// Opens a pool without connections.
+    pub(crate) fn open(clock: ProcessClock) -> Rc<Self> {
+        Rc::new(Self { clock, idle: RefCell::default() })
+    }
+
     /// Sends a call on an unused connection, or on a new one.
     ///
     /// The request is made once there is a connection, so that the time it says is left
@@ -113,9 +120,10 @@
     fn take(&self, address: SocketAddr, longest: Duration) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        connections.retain(|idle| !idle.sender.is_closed() && idle.since.elapsed() < idle.keep);
+        let unused = |idle: &IdleConnection| self.clock.now().since(idle.since).duration();
+        connections.retain(|idle| !idle.sender.is_closed() && unused(idle) < idle.keep);
         // The newest is the least likely to be dropped by the target.
-        let newest = connections.pop_if(|newest| newest.since.elapsed() < longest)?;
+        let newest = connections.pop_if(|newest| unused(newest) < longest)?;
         Some(newest.sender)
     }
 }
@@ -130,7 +138,8 @@
         let mut idle = self.pool.idle.borrow_mut();
         let connections = idle.entry(self.address).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push(IdleConnection { sender: self.sender, since: Instant::now(), keep });
+            let since = self.pool.clock.now();
+            connections.push(IdleConnection { sender: self.sender, since, keep });
         }
     }
 }
