First crashes and clearances of them travel by gossip, but for one round of telling

Cause, read: each answer that cleared one of some ten suspects of a crash told 24 daemons at once. Change: at once only what crashed, first hand, or from the second crash on.

--- a/src/fleet/membership/suspicion.rs
+++ b/src/fleet/membership/suspicion.rs
@@ -115,14 +115,20 @@
             return;
         }
         out.push(MembershipAction::Suspected(news.clone()));
-        if first_hand {
-            let peers = self.sample_told(TOLD_AT_ONCE, rng);
-            self.tell_suspects(peers, &news, out);
+        // A first crash suspects many, nearly all of them innocent and soon cleared: one
+        // round of telling for the crash, and gossip for the rest.
+        let urgent = |record: SuspectRecord| {
+            record.is_tried_alone() || (first_hand && record.is_suspected())
+        };
+        news.retain(|notice| urgent(notice.record));
+        if news.is_empty() {
             return;
         }
-        // A first crash suspects many, nearly all of them innocent: gossip will do.
-        news.retain(|notice| notice.record.is_tried_alone());
-        let peers = self.sample_up(RELAYED_TO, &self.own.host, rng);
+        let peers = if first_hand {
+            self.sample_told(TOLD_AT_ONCE, rng)
+        } else {
+            self.sample_up(RELAYED_TO, &self.own.host, rng)
+        };
         self.tell_suspects(peers, &news, out);
     }
 
