A target's own failure that is at hand is delivered, also where its request is then held back

Cause, read: a call with one failed and one lost try ended with our own 504 though the first target's answer was kept. Change: the kept answer goes first, as for all other ends of a call.

--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -49,7 +49,7 @@
         let mut failure: Option<Response<EntryBody>> = None;
         loop {
             if let Some(response) = self.hold_back(&call, course.give_up()) {
-                return response;
+                return failure.unwrap_or(response);
             }
             if course.is_last_try() {
                 // Where it was full there may be the shortest queue all the same.
@@ -103,7 +103,7 @@
             let in_time = self.clock.now() < call.deadline;
             let next = self.with_budget(&call.service, |budget| course.step(end, in_time, budget));
             if let Some(response) = self.hold_back(&call, course.give_up()) {
-                return response;
+                return failure.unwrap_or(response);
             }
             if next != NextStep::TryAgain {
                 return failure.unwrap_or_else(|| give_up(next, refusal));
