A second word of one cold time is not taken for another one

Cause: the change for soak seed 2101 took any word of a target already known to be cold for a new cold time; after a power cut targets are heard before the configuration is, and each guard began nothing for 1.1 s. Change: a new cold time is one that ends over half a second later.

--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -31,6 +31,10 @@
 /// daemons that were killed on a platform each was away for 0.54 s or more.
 const LEAST_RESTART: MicroTime = MicroTime::from_millis(200);
 
+/// Time by which two words of one cold time may differ in when it ends, since a
+/// heartbeat may come that late; a later end is that of another cold time.
+const SAME_TURN: MicroTime = MicroTime::from_millis(500);
+
 /// What a deployment allows cold targets beyond the rate of their service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdTerms {
@@ -123,7 +127,8 @@
     /// calls in its first cold time: 11 and then 11 more in a second, where 13 are borne,
     /// by a guard that was killed between the two (the soak, seed 2101).
     pub fn note_turn(&mut self, now: MicroTime, left: MicroTime, lasts: MicroTime) {
-        let turned_before = matches!(self.state, ColdState::Until(end) if now < end);
+        let anew = |end: MicroTime| now < end && told_end(now, left) > end + SAME_TURN;
+        let turned_before = matches!(self.state, ColdState::Until(end) if anew(end));
         if !turned_before && left <= lasts && lasts.since(left) < now + LEAST_RESTART {
             self.blocked_until = MicroTime(0);
         }
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -145,6 +145,12 @@
     // It was cold for 0.4 s when this guard had run for 0.1 s.
     assert!(!first_told(100, 1_100).has_room(MicroTime::from_millis(100)));
     assert!(first_told(300, 1_100).has_room(MicroTime::from_millis(300)));
+    // The same cold time, told before this guard knew how long a start lasts.
+    let mut gate = cold_gate(32);
+    gate.follow_predecessor(MicroTime(0));
+    gate.hear_heartbeat(MicroTime::from_millis(100), MicroTime::from_millis(1_400));
+    gate.note_turn(MicroTime::from_millis(300), MicroTime::from_millis(1_200), lasts);
+    assert!(gate.has_room(MicroTime::from_millis(300)));
     // It was cold before this guard's start, and turns so anew.
     let mut gate = first_told(0, 1_000);
     gate.note_turn(MicroTime::from_millis(300), lasts, lasts);
