--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -52,6 +52,10 @@
     stops_listening: AtomicBool,
     /// Prefix of the paths whose requests crash the target while it runs them, if any.
     crash_path: Mutex<Option<String>>,
+    /// Header lines that are added to each answer to a call.
+    answer_headers: Mutex<String>,
+    /// Header lines that are added to each answer to a health check.
+    health_headers: Mutex<String>,
     /// Open connections, which are closed when the target crashes.
     connections: Mutex<Vec<TcpStream>>,
 }
@@ -108,6 +112,8 @@
             crashed: AtomicBool::new(false),
             stops_listening: AtomicBool::new(false),
             crash_path: Mutex::default(),
+            answer_headers: Mutex::default(),
+            health_headers: Mutex::default(),
             connections: Mutex::default(),
         });
         let shared = Arc::clone(&state);
@@ -215,6 +221,16 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Adds header lines, each ended by CRLF, to all later answers to calls.
+    pub fn set_answer_headers(&self, lines: &str) {
+        lines.clone_into(&mut lock(&self.state.answer_headers));
+    }
+
+    /// Adds header lines, each ended by CRLF, to all later answers to health checks.
+    pub fn set_health_headers(&self, lines: &str) {
+        lines.clone_into(&mut lock(&self.state.health_headers));
+    }
+
     /// Changes the time that each request takes.
     pub fn set_service_time(&self, service_time: Duration) {
         *lock(&self.state.service_time) = service_time;
@@ -335,7 +351,10 @@
                 state.crash();
             }
         }
-        if state.crashed.load(Ordering::Relaxed) || !respond(&mut writer, &behaviour, &id)? {
+        let answer_headers = lock(&state.answer_headers).clone();
+        if state.crashed.load(Ordering::Relaxed)
+            || !respond(&mut writer, &behaviour, &id, &answer_headers)?
+        {
             return Ok(());
         }
     }
@@ -353,8 +372,9 @@
     let status =
         if state.draining.load(Ordering::Relaxed) { "503 Service Unavailable" } else { "200 OK" };
     format!(
-        "HTTP/1.1 {status}\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,4,{slowness}\r\nX-Cold-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 {status}\r\nX-Instance-Id: {}\r\nX-Server-Load: 0,0,4,{slowness}\r\nX-Cold-Ms: {}\r\n{}Content-Length: 0\r\n\r\n",
         state.name,
-        cold_remaining(state).as_millis()
+        cold_remaining(state).as_millis(),
+        lock(&state.health_headers)
     )
 }
--- a/standins/src/hosted_behaviour.rs
+++ b/standins/src/hosted_behaviour.rs
@@ -26,17 +26,18 @@
     ServerError,
 }
 
-/// Writes the response; returns `false` if the connection is to be closed.
+/// Writes the response with `extra_headers`, lines that each end with CRLF; returns `false` if the connection is to be closed.
 pub(crate) fn respond(
     writer: &mut TcpStream,
     behaviour: &HostedBehaviour,
     id: &str,
+    extra_headers: &str,
 ) -> io::Result<bool> {
     let body = format!("body of {id}");
     let signature = "X-Server-Signature: 3e1b.07\r\n";
     let response = |status: &str, id: &str, header: &str| {
         format!(
-            "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\n{header}Content-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\n{header}{extra_headers}Content-Length: {}\r\n\r\n{body}",
             body.len()
         )
     };
