Guard keeps the rate that its target states

Targets that are in need then fail.

Cause: no part of the daemon read the statement; the guard relayed the header unread. The class: a target states something about itself in its answers, and those that decide do not act on it.

Fix: all calls of a target pass its guard, so a token bucket there keeps the rate over the whole fleet, whatever the number of entries, from the answer on that states it (decide/rate_limit). Entries get what is left in the load reports and choose by it. A guard that restarts has forgotten the rate: the entries that were told pass it on with their calls until the target has answered the new guard (decide/known_statements). Bucket empty at the start, half a second of the rate saved at most; released step by step when answers state no rate. Health checks count and use a quarter of it; one every 2 s at a rate of zero. Callers that are refused are told to return one after the other. Load reports go on with their sequence when a target restarts under its guard; before, entries ignored them until the old count was reached again.

Why it works: the invariant r * t + max(1, r / 2) is below 1.5 * r * 4 + 5 for any r, over restarts too, since the new bucket is empty.

--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -44,6 +44,10 @@
     pub(crate) claims: IntCounterVec,
     /// Health checks sent to targets.
     pub(crate) health_requests: IntCounter,
+    /// Statements of targets that could not be read.
+    pub(crate) invalid_statements: IntCounter,
+    /// Targets of this host that state the rate of calls they take.
+    pub(crate) limited_targets: IntGauge,
     /// Crashes of targets: unannounced ends while calls ran.
     pub(crate) target_crashes: IntCounter,
     /// Calls rejected by this entry because their request is blamed for crashing targets.
@@ -76,6 +80,9 @@
         let blamed_requests =
             IntGauge::new("railspan_blamed_requests", "Requests that reach no target")?;
         registry.register(Box::new(blamed_requests.clone()))?;
+        let limited_targets =
+            IntGauge::new("railspan_rate_limited_targets", "Targets that state a rate of calls")?;
+        registry.register(Box::new(limited_targets.clone()))?;
         Ok(Self {
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
@@ -99,6 +106,11 @@
             platform_calls: family("railspan_platform_total", "Calls to the platform", "end")?,
             claims: family("railspan_claims_total", "Claims and their transactions", "kind")?,
             health_requests: counter("railspan_health_asks_total", "Questions for health")?,
+            invalid_statements: counter(
+                "railspan_invalid_statements_total",
+                "Statements of targets that could not be read",
+            )?,
+            limited_targets,
             target_crashes: counter(
                 "railspan_target_crashes_total",
                 "Targets that ended under calls",
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod h2io;
 pub(crate) mod ids;
 pub(crate) mod lingering_socket;
+pub(crate) mod load_report;
 pub(crate) mod log;
 pub(crate) mod member;
 pub(crate) mod metrics;
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -16,6 +16,7 @@
 use crate::base::ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, ServiceName, TargetName,
 };
+use crate::base::load_report::{LoadReport, StatedRate};
 use crate::base::suspect::SuspectRecord;
 
 /// Error while encoding or decoding a message.
@@ -73,43 +74,6 @@
     Ok(message)
 }
 
-/// Load of a target, as its guard knows it at the time of the report.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Number of calls running in the target. Exact, since the guard is its only client.
-    pub in_flight: u16,
-    /// Number of calls waiting at the guard.
-    pub queued: u16,
-    /// Number of calls that the target may run at once: its concurrency limit, which is at
-    /// most its slots.
-    pub slots: u16,
-    /// Smoothed service time of a call at the target, in microseconds.
-    pub service_us: u32,
-    /// Time that work currently takes, in percent of the normal time; zero if the target does not
-    /// report it.
-    pub slowness: u16,
-    /// Smoothed failure rate of answers, in thousandths.
-    #[serde(rename = "failing")]
-    pub failure_permille: u16,
-    /// Sequence number, which grows with every report of one guard incarnation.
-    pub sequence: u64,
-    /// Time of the report, by the guard's clock.
-    #[serde(rename = "told")]
-    pub reported_at: MicroTime,
-    /// Calls that a cold target may still be given, or `None` if the target is warm.
-    pub cold: Option<ColdAllowance>,
-}
-
-/// Calls that a cold target may still be given; it can serve only a few a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ColdAllowance {
-    /// Number of calls that may begin now.
-    #[serde(rename = "now")]
-    pub available: u16,
-    /// Time from the start of these until one more may begin, in milliseconds.
-    pub next_ms: u16,
-}
-
 /// Priority of a call among those waiting for a slot: urgent calls first, then by worth.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CallPriority {
@@ -171,6 +135,8 @@
     pub repeatable: bool,
     /// Whether the entry has no other target left to try.
     pub last: bool,
+    /// Rate that the target stated to an earlier guard of it; `None` if the entry knows of none.
+    pub stated_rate: Option<StatedRate>,
     /// Claim to make before the dispatch, if the call carries an idempotency key.
     pub claim: Option<KeyClaim>,
     /// HTTP method.
@@ -196,6 +162,8 @@
     Slow,
     /// The target is cold and can serve no more calls for now.
     Cold,
+    /// The target states the rate of calls that it takes, which is used up for now.
+    RateLimited,
     /// The target is leaving or not ready, or its data centre is evacuated.
     Leaving,
     /// The daemon has no such target, or is another incarnation than the call is meant for.
@@ -224,6 +192,7 @@
             Self::Outranked => "outranked",
             Self::Slow => "slow",
             Self::Cold => "cold",
+            Self::RateLimited => "rate_limited",
             Self::Leaving => "leaving",
             Self::Absent => "absent",
             Self::Revoked => "revoked",
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -15,7 +15,8 @@
 use crate::base::consts::REVOKE_MARGIN;
 use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
-use crate::base::wire::{AnswerHead, CallHead, LoadReport, RefusalReason, RevokeHead, RevokeReply};
+use crate::base::load_report::LoadReport;
+use crate::base::wire::{AnswerHead, CallHead, RefusalReason, RevokeHead, RevokeReply};
 use crate::call::entry::EntryDuty;
 use crate::call::entry::intake::CallerCall;
 use crate::call::entry::load_watch;
@@ -237,6 +238,7 @@
         work_us: work_us as u32,
         repeatable: call.options.repeatable,
         last: last_target,
+        stated_rate: duty.registry.borrow().statements.rate(&call.service, target),
         claim: call.claim.clone(),
         method: call.method.clone(),
         path: call.path.clone(),
--- a/src/call/entry/load_probe.rs
+++ b/src/call/entry/load_probe.rs
@@ -10,7 +10,7 @@
 use crate::call::entry::EntryDuty;
 
 /// Maximum number of bytes by which a reply is longer than its request.
-const MAX_REPLY_EXCESS: u32 = 32;
+const MAX_REPLY_EXCESS: u32 = 48;
 
 /// Probes the load of a random target of the service, if the budget allows it.
 pub(crate) fn probe_random_target(duty: &EntryDuty, service: &ServiceName) {
--- a/src/call/entry/load_watch.rs
+++ b/src/call/entry/load_watch.rs
@@ -13,7 +13,8 @@
 
 use super::EntryDuty;
 use crate::base::ids::{ServiceName, TargetName};
-use crate::base::wire::{LoadReport, WatchHead};
+use crate::base::load_report::LoadReport;
+use crate::base::wire::WatchHead;
 use crate::decide::selection::TargetLocation;
 
 /// Maximum number of targets that one entry watches.
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -27,9 +27,9 @@
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
+use crate::base::load_report::LoadReport;
 use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
-use crate::base::wire::LoadReport;
 use crate::call::entry::pool::GuardPool;
 use crate::call::entry::quota::EntryQuotas;
 use crate::call::entry::route_stats::RouteStats;
@@ -278,9 +278,7 @@
     pub(crate) fn update_load(&self, service: &ServiceName, target: &TargetName, load: LoadReport) {
         let now = self.clock.now();
         let mut registry = self.registry.borrow_mut();
-        if let Some(record) = registry.find(service, target) {
-            record.record_report(now, load);
-        }
+        registry.record_report(now, service, target, load);
     }
 
     fn dump(&self) -> Value {
@@ -291,6 +289,7 @@
             "evacuated": *self.evacuated.borrow(),
             "blamed": self.suspects.borrow().blamed(),
             "services": self.registry.borrow().services,
+            "statements": self.registry.borrow().statements,
             "retry_budgets": *self.retry_budgets.borrow(),
             "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -9,7 +9,8 @@
 use crate::base::call_status::{CallStatus, ClaimRow};
 use crate::base::clock::MicroTime;
 use crate::base::ids::TargetName;
-use crate::base::wire::{LoadReport, RefusalReason};
+use crate::base::load_report::LoadReport;
+use crate::base::wire::RefusalReason;
 use crate::call::entry::attempt::{self, AttemptEnd};
 use crate::call::entry::hedge;
 use crate::call::entry::intake::{CallerCall, NOT_READY_RETRY_MS};
@@ -34,7 +35,7 @@
     pub(crate) load: LoadReport,
     /// Age of the load report at the time of the choice.
     pub(crate) load_age: MicroTime,
-    /// Number of targets that have not been tried.
+    /// Number of other targets that have not been tried and may start a call in time.
     pub(crate) untried: usize,
 }
 
@@ -149,7 +150,7 @@
             None => targets.choose_for(now, call.policy, tried, &estimate, &mut rng)?,
         };
         let record = &targets.targets[index];
-        let untried = targets.targets.len().saturating_sub(tried.len() + 1);
+        let untried = targets.count_with_room(now, tried, index, &estimate);
         Some(ChosenTarget {
             name: record.name.clone(),
             location: record.location.clone()?,
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -23,6 +23,7 @@
 use crate::call::guard::served_call::{ClaimPermit, HeldClaim, ServedCall};
 use crate::call::guard::{AdmissionDecision, GuardDuty, UNAVAILABLE_RETRY_MS};
 use crate::decide::admission::{AdmissionAction, AdmissionEvent, WaitingCall};
+use crate::decide::rate_limit::RateSource;
 use crate::duty::events::PlatformEvent;
 use crate::store::claim::{ClaimReply, ClaimRequest};
 use crate::store::table::TableWrite;
@@ -175,6 +176,9 @@
         if let Some(target) = self.targets.borrow_mut().get_mut(&call.target_key) {
             target.last_call_at = self.clock.now();
         }
+        if head.stated_rate.is_some() {
+            self.note_rate(&call.target_key, head.stated_rate, RateSource::Entry);
+        }
         self.step_queue(&call.target_key, AdmissionEvent::Arrive(waiting));
         decision
     }
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -24,6 +24,7 @@
 use crate::call::guard::target_call;
 use crate::call::headers::{self, HeaderNames};
 use crate::decide::lease::TargetCondition;
+use crate::decide::rate_limit::RateSource;
 use crate::duty::target_report::{TargetAnnouncement, TargetReport};
 
 /// Time for which a target counts as in use after its last call.
@@ -56,6 +57,9 @@
         } else {
             target.queue.speed().stale_after()
         };
+        let rate_interval = target.queue.rate_limit().check_interval();
+        let in_use = in_use || rate_interval.is_some();
+        let interval = rate_interval.map_or(interval, |rate| rate.max(interval));
         let stale = now.since(target.slowness_updated_at) >= interval;
         if !(in_use && stale && target.is_open()) {
             continue;
@@ -63,6 +67,7 @@
         let Some(path) = duty.health_path() else { return };
         // Counts as updated, so that the next check comes after the answer to this one.
         target.slowness_updated_at = now;
+        target.queue.rate_limit_mut().record_health_check(now);
         let address = target.announcement.address;
         tokio::task::spawn_local(check_target(Rc::clone(duty), key.clone(), address, path));
     }
@@ -86,6 +91,7 @@
     if responder.is_some_and(|name| name != key.1.as_str()) {
         return;
     }
+    duty.note_statements(&key, &answer.headers, RateSource::HealthCheck);
     duty.update_cold_remaining(
         &key,
         parse_cold_remaining(&answer.headers, names),
@@ -123,12 +129,14 @@
         {
             info!(duty.logger, "target discovered"; "target" => %announcement.target);
             let cold_remaining = parse_cold_remaining(&answer.headers, duty.header_names);
+            let key = (service, announcement.target.clone());
             duty.handle_report(TargetReport::Alive {
                 announcement,
                 started_at_ms: None,
                 sequence: 0,
                 cold_remaining,
             });
+            duty.note_statements(&key, &answer.headers, RateSource::HealthCheck);
             return;
         }
         tokio::time::sleep(DISCOVERY_INTERVAL).await;
@@ -169,7 +177,10 @@
     duty: &GuardDuty,
     key: &(ServiceName, TargetName),
 ) -> TargetLiveness {
-    let address = duty.targets.borrow().get(key).map(|target| target.announcement.address);
+    let address = duty.targets.borrow_mut().get_mut(key).map(|target| {
+        target.queue.rate_limit_mut().record_health_check(duty.clock.now());
+        target.announcement.address
+    });
     let Some(address) = address else { return TargetLiveness::Ended };
     if let Some(path) = duty.health_path()
         && let Some(answer) = fetch_health(duty, address, &path).await
--- a/src/call/guard/load_reports.rs
+++ b/src/call/guard/load_reports.rs
@@ -17,11 +17,12 @@
 use super::local_target::LocalTarget;
 use crate::base::clock::MicroTime;
 use crate::base::h2io::{self, HeadReader};
-use crate::base::wire::{LoadReport, WatchHead};
+use crate::base::load_report::LoadReport;
+use crate::base::wire::WatchHead;
 use crate::decide::report_pacer::ReportPacer;
 
 /// Length of one report on its stream, including its frame, in bytes.
-const REPORT_BYTES: u64 = 50;
+const REPORT_BYTES: u64 = 60;
 
 /// Maximum rate of the reports that one guard sends within its data centre, in bytes per
 /// second. Together with [`REMOTE_BYTES_PER_S`] it is half of the budget for all control traffic.
@@ -121,6 +122,8 @@
     slowness_changed
         || occupancy_changed
         || cold_allowance_step(published) != cold_allowance_step(current)
+        || has_rate_room(published) != has_rate_room(current)
+        || published.statement != current.statement
 }
 
 /// Returns a cold target's allowance in units of [`COLD_ALLOWANCE_STEP`], rounded up so that no
@@ -129,6 +132,11 @@
     load.cold.map(|cold| cold.available.div_ceil(COLD_ALLOWANCE_STEP))
 }
 
+/// Returns whether a target with a limited rate may start a call; `None` if there is no limit.
+fn has_rate_room(load: &LoadReport) -> Option<bool> {
+    load.rate.map(|rate| rate.available > 0)
+}
+
 /// Returns the occupancy level of a target; waiting calls can raise it above
 /// [`OCCUPANCY_STEPS`].
 fn occupancy(load: &LoadReport) -> u16 {
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -7,8 +7,8 @@
 use tokio::sync::{Mutex, watch};
 
 use crate::base::clock::MicroTime;
+use crate::base::load_report::LoadReport;
 use crate::base::suspect::SuspectUpdate;
-use crate::base::wire::LoadReport;
 use crate::decide::admission::{AdmissionAction, AdmissionQueue};
 use crate::decide::lease::TargetLease;
 use crate::decide::running_requests::RunningRequests;
@@ -42,6 +42,8 @@
     pub(crate) crash_check: Option<watch::Receiver<bool>>,
     /// Arrival time of the last call.
     pub(crate) last_call_at: MicroTime,
+    /// Whether an invalid statement of the target was logged.
+    pub(crate) invalid_statement_logged: bool,
     /// Time at which the target last reported its slowness or was last asked for it.
     pub(crate) slowness_updated_at: MicroTime,
 }
@@ -69,6 +71,7 @@
             exclusive_run: Arc::default(),
             crash_check: None,
             last_call_at: now,
+            invalid_statement_logged: false,
             slowness_updated_at: MicroTime(0),
         }
     }
@@ -84,7 +87,7 @@
     /// earlier one, including its running calls.
     ///
     /// The cold-start limit is kept, since calls that started recently still count towards
-    /// it, and so is the number of claims in progress.
+    /// it, and so are the number of claims in progress and the sequence of load reports.
     pub(crate) fn restart(
         &mut self,
         now: MicroTime,
@@ -94,10 +97,12 @@
     ) {
         self.queue.close(refusals);
         let cold = self.queue.cold_start().clone();
+        let sequence = self.queue.report_sequence();
         let (incarnation, claiming) = (self.incarnation, self.claiming);
         *self = Self::open(now, announcement, incarnation, lease_duration);
         self.claiming = claiming;
         *self.queue.cold_start_mut() = cold;
+        self.queue.continue_reports(sequence);
     }
 
     /// Records the end of the target's incarnation; returns the crash records of the requests
@@ -127,6 +132,7 @@
             "lease": self.lease,
             "life": self.incarnation,
             "cold": self.queue.cold_start(),
+            "rate_limit": self.queue.rate_limit(),
             "ready": self.lease.is_ready(now),
             "running": self.queue.running(),
             "waiting": self.queue.waiting(),
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -22,10 +22,11 @@
 use crate::base::wire::CallHead;
 use crate::call::guard::GuardDuty;
 use crate::call::guard::crash_detection::RunOutcome;
-use crate::call::guard::target_call::{self, TargetAnswer};
+use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
 use crate::call::guard::target_connections::TargetFailure;
 use crate::call::headers;
 use crate::decide::admission::AdmissionEvent;
+use crate::decide::rate_limit::RateSource;
 use crate::store::table::TableWrite;
 
 /// Time for which the answer to a non-repeatable call is awaited after its deadline.
@@ -243,6 +244,15 @@
         if let Some(percent) = target_call::parse_slowness(response.headers(), duty.header_names) {
             duty.update_slowness(&self.target_key, percent);
         }
+        let class = target_call::classify_answer(
+            head,
+            response.status(),
+            response.headers(),
+            duty.header_names,
+        );
+        if matches!(class, AnswerClass::Answer | AnswerClass::NotRun) {
+            duty.note_statements(&self.target_key, response.headers(), RateSource::Call);
+        }
         target_call::read_start(response, connection).await
     }
 
--- a/src/call/guard/target_lifecycle.rs
+++ b/src/call/guard/target_lifecycle.rs
@@ -207,6 +207,7 @@
             }
         }
         self.execute_actions(actions);
+        self.count_limited_targets();
         if changed {
             self.advertise_targets();
         }
--- a/src/call/headers.rs
+++ b/src/call/headers.rs
@@ -22,6 +22,8 @@
 pub const WORTH: &str = "railspan-worth";
 /// Whether the call is urgent; sent to targets.
 pub const URGENT: &str = "railspan-urgent";
+/// Rate of calls that a target takes, in calls per second; set by targets.
+pub const RATE_LIMIT: &str = "railspan-rate-limit";
 /// Idempotency key that callers set on a call that must not run twice.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -52,6 +54,9 @@
     pub load: Option<&'static str>,
     /// Time until a target has warmed up, in milliseconds; set on health responses.
     pub cold_remaining_ms: Option<&'static str>,
+    /// Rate of calls that a target takes from the whole fleet, in calls per second; set by
+    /// targets for as long as they are in need.
+    pub rate_limit: Option<&'static str>,
     /// Whether the caller's `Host` header is forwarded to the target.
     pub preserve_host: bool,
     /// Whether callers accept fractions of a second in `Retry-After`.
@@ -73,6 +78,7 @@
     not_executed: None,
     load: None,
     cold_remaining_ms: None,
+    rate_limit: Some(RATE_LIMIT),
     preserve_host: false,
     fractional_retry_after: false,
     railspan_headers: true,
--- a/src/decide/admission/forecast.rs
+++ b/src/decide/admission/forecast.rs
@@ -54,8 +54,8 @@
     }
 
     /// Returns the time after which a refused caller may retry, in milliseconds: when the
-    /// current queue has been served, the host's slow period is over and a cold target
-    /// may start further calls.
+    /// current queue has been served, the host's slow period is over, and a cold target
+    /// or one with a limited rate may start further calls.
     ///
     /// Without the slow period in this estimate, a caller refused while slots are free
     /// would get the minimum of 5 ms, retry during the same slow period and be refused
@@ -64,7 +64,9 @@
     pub fn retry_after_ms(&self) -> u32 {
         let queue = self.wait_behind(self.waiting.iter());
         let cold = self.cold_start.wait_behind(self.now, self.waiting.len());
-        let wait = queue.max(self.speed.slow_period_left(self.now)).max(cold).ceil_millis();
+        let rate = self.rate_limit.wait_behind(self.now, self.waiting.len());
+        let slow = self.speed.slow_period_left(self.now);
+        let wait = queue.max(slow).max(cold).max(rate).ceil_millis();
         wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
     }
 }
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -13,25 +13,24 @@
 mod events;
 mod forecast;
 mod order;
+mod refusal;
+mod report;
 
 use std::collections::HashMap;
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, CallId};
-use crate::base::wire::{LoadReport, RefusalReason};
+use crate::base::wire::RefusalReason;
 use crate::decide::cold_start::ColdStartLimit;
 use crate::decide::host_speed::HostSpeed;
 use crate::decide::limit::ConcurrencyLimit;
+use crate::decide::rate_limit::RateLimit;
 
 pub use events::{AdmissionAction, AdmissionEvent, WaitingCall};
 
 /// Maximum number of waiting calls for each call that may run at once.
 const QUEUE_PER_SLOT: usize = 2;
 
-/// A call that may still try another target waits only if fewer calls wait than the
-/// concurrency limit divided by this number.
-const SHORT_QUEUE_DIVISOR: usize = 4;
-
 /// A target has spare capacity while it runs fewer calls than its concurrency limit
 /// divided by this number.
 const SPARE_CAPACITY_DIVISOR: usize = 2;
@@ -60,14 +59,15 @@
 
 /// The admission queue of one target.
 ///
-/// Invariants: a call starts only while fewer than `limit` calls run and the cold-start
-/// limit permits it; a call waits only if one of these limits is reached or the host is
+/// Invariants: a call starts only while fewer than `limit` calls run and the cold-start and
+/// rate limits permit it; a call waits only if one of these limits is reached or the host is
 /// in a slow period; each arrival gets exactly one `Start` or `Refuse`, unless cancelled.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     limit: ConcurrencyLimit,
     speed: HostSpeed,
     cold_start: ColdStartLimit,
+    rate_limit: RateLimit,
     /// Integral over time of the number of running calls, in microseconds.
     running_time_us: f64,
     running: HashMap<CallId, RunningCall>,
@@ -96,6 +96,7 @@
             limit: ConcurrencyLimit::open(slots),
             speed: HostSpeed::default(),
             cold_start: ColdStartLimit::default(),
+            rate_limit: RateLimit::default(),
             running_time_us: 0.0,
             running: HashMap::new(),
             waiting: Vec::new(),
@@ -142,7 +143,7 @@
         self.closed = true;
         let waiting = std::mem::take(&mut self.waiting);
         for call in waiting {
-            out.push(self.refuse(call.call, RefusalReason::Leaving));
+            out.push(self.refuse(&call, RefusalReason::Leaving));
         }
     }
 
@@ -168,28 +169,6 @@
         self.limit.limit()
     }
 
-    /// Returns a load report with a new sequence number, for the next message to an entry.
-    pub fn next_report(&mut self, now: MicroTime) -> LoadReport {
-        self.sequence += 1;
-        LoadReport { reported_at: now, ..self.current_report() }
-    }
-
-    /// Returns the current load under the sequence number of the last report.
-    #[must_use]
-    pub fn current_report(&self) -> LoadReport {
-        LoadReport {
-            in_flight: self.running.len() as u16,
-            queued: self.waiting.len() as u16,
-            slots: self.limit() as u16,
-            service_us: self.service_us as u32,
-            slowness: self.slowness,
-            failure_permille: (self.failure_rate * 1_000.0) as u16,
-            sequence: self.sequence,
-            reported_at: self.now,
-            cold: self.cold_start.allowance(self.now),
-        }
-    }
-
     /// Records the slowness that the target reports: the current duration of work, in
     /// percent of the normal one.
     ///
@@ -218,6 +197,19 @@
         &mut self.cold_start
     }
 
+    /// Returns the limit on the rate of starts that the target states.
+    #[must_use]
+    pub const fn rate_limit(&self) -> &RateLimit {
+        &self.rate_limit
+    }
+
+    /// Returns the limit on the rate of starts that the target states, to update it.
+    ///
+    /// Calls that can start because of it do so in the next [`Self::step`].
+    pub const fn rate_limit_mut(&mut self) -> &mut RateLimit {
+        &mut self.rate_limit
+    }
+
     /// Returns the slowness factor of a running call: that of its host when the call
     /// started. Returns 1 for a call that is not running.
     #[must_use]
@@ -247,25 +239,15 @@
 
     fn arrive(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
         if self.closed {
-            out.push(self.refuse(call.call, RefusalReason::Leaving));
+            out.push(self.refuse(&call, RefusalReason::Leaving));
             return;
         }
         if self.has_capacity() && self.waiting.is_empty() {
             self.arrive_at_free_slot(call, out);
             return;
         }
-        let ahead = self.waiting.iter().filter(|other| !self.goes_before(&call, other));
-        let cold_wait = self.cold_start.wait_behind(self.now, ahead.clone().count());
-        if cold_wait > MicroTime(0) && !call.last_target {
-            out.push(self.refuse(call.call, RefusalReason::Cold));
-            return;
-        }
-        if self.now + self.wait_behind(ahead).max(cold_wait) >= call.queue_deadline {
-            out.push(self.refuse(call.call, RefusalReason::TooLate));
-            return;
-        }
-        if !call.last_target && self.waiting.len() >= self.short_queue() {
-            out.push(self.refuse(call.call, RefusalReason::Full));
+        if let Some(reason) = self.refusal_on_arrival(&call) {
+            out.push(self.refuse(&call, reason));
             return;
         }
         self.waiting.push(call);
@@ -277,9 +259,9 @@
     /// Handles an arrival that could start at once.
     fn arrive_at_free_slot(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
         if call.deadline <= self.now {
-            out.push(self.refuse(call.call, RefusalReason::TooLate));
+            out.push(self.refuse(&call, RefusalReason::TooLate));
         } else if !call.last_target && self.speed.is_slow() {
-            out.push(self.refuse(call.call, RefusalReason::Slow));
+            out.push(self.refuse(&call, RefusalReason::Slow));
         } else if self.should_wait(&call) {
             self.waiting.push(call);
         } else {
@@ -293,15 +275,9 @@
         call.queue_deadline > self.now && self.speed.is_worth_waiting(f64::from(call.work_us))
     }
 
-    /// Returns whether the concurrency and cold-start limits permit one more call.
+    /// Returns whether the concurrency, cold-start and rate limits permit one more call.
     fn has_capacity(&self) -> bool {
-        self.running.len() < self.limit() && self.cold_start.may_start(self.now)
-    }
-
-    /// Returns the number of waiting calls from which on calls that may still try another
-    /// target are refused.
-    fn short_queue(&self) -> usize {
-        self.limit() / SHORT_QUEUE_DIVISOR
+        self.running.len() < self.limit() && self.may_start_now()
     }
 
     /// Frees the slot of a call and updates the statistics, unless it was never dispatched.
@@ -343,14 +319,13 @@
             if call.deadline > self.now && self.has_spare_capacity() {
                 self.start_call(call, out);
             } else {
-                out.push(self.refuse(call.call, RefusalReason::TooLate));
+                out.push(self.refuse(&call, RefusalReason::TooLate));
             }
         }
     }
 
     fn has_spare_capacity(&self) -> bool {
-        self.running.len() * SPARE_CAPACITY_DIVISOR < self.limit()
-            && self.cold_start.may_start(self.now)
+        self.running.len() * SPARE_CAPACITY_DIVISOR < self.limit() && self.may_start_now()
     }
 
     /// Starts waiting calls in queue order while the limits permit it.
@@ -377,10 +352,7 @@
         };
         self.running.insert(call.call, running);
         self.cold_start.record_start(self.now);
+        self.rate_limit.record_start(self.now);
         out.push(AdmissionAction::Start(call.call));
     }
-
-    fn refuse(&self, call: CallId, reason: RefusalReason) -> AdmissionAction {
-        AdmissionAction::Refuse { call, reason, retry_after_ms: self.retry_after_ms() }
-    }
 }
--- a/src/decide/admission/order.rs
+++ b/src/decide/admission/order.rs
@@ -19,8 +19,8 @@
             }
         }
         let reason = if last == newest { RefusalReason::Full } else { RefusalReason::Outranked };
-        let call = self.waiting.swap_remove(last).call;
-        out.push(self.refuse(call, reason));
+        let call = self.waiting.swap_remove(last);
+        out.push(self.refuse(&call, reason));
     }
 
     /// Returns whether `left` starts before `right`.
--- a/src/decide/benefit.rs
+++ b/src/decide/benefit.rs
@@ -47,9 +47,9 @@
 /// Multiple of the objective beyond which a longer expected time subtracts no more benefit.
 const MAX_LATENESS: f64 = 10.0;
 
-/// Maximum benefit subtracted for competition over the last starts at a cold target: a refusal
-/// costs the time to go to the target and back.
-const CONTENTION_WEIGHT: f64 = 0.05;
+/// One in this many calls competes for the starts left at a target with a limited rate, so that
+/// it is used although others are free, and few calls of many entries are refused there.
+const COMPETING_CALLS_DIVISOR: u32 = 4;
 
 /// Difference in benefit below which targets are chosen among at random, so that entries with
 /// the same reports do not all choose the same target.
@@ -69,10 +69,13 @@
         crossing_cost: input.estimate.crossing_cost * local_choice_factor(input),
         ..*input.estimate
     };
+    let is_limited = |&index: &usize| input.targets[index].load.rate.is_some();
+    let competes =
+        input.eligible.iter().any(is_limited) && rng.random_ratio(1, COMPETING_CALLS_DIVISOR);
     let benefits: Vec<(usize, f64)> = input
         .eligible
         .iter()
-        .map(|&index| (index, benefit(&input.targets[index], input.now, &estimate)))
+        .map(|&index| (index, benefit(&input.targets[index], input.now, &estimate, competes)))
         .collect();
     let best = benefits.iter().fold(f64::NEG_INFINITY, |best, (_, benefit)| best.max(*benefit));
     let tied: Vec<usize> = benefits
@@ -90,8 +93,9 @@
     local / (local + 1.0)
 }
 
-/// Returns the expected benefit of sending a call to a target now.
-fn benefit(record: &TargetRecord, now: MicroTime, estimate: &CallEstimate) -> f64 {
+/// Returns the expected benefit of sending a call to a target now; `competes` if the call may
+/// compete for the last starts at a target with a limited rate.
+fn benefit(record: &TargetRecord, now: MicroTime, estimate: &CallEstimate, competes: bool) -> f64 {
     let expected = expected_us(record, now, estimate);
     let lateness = expected / estimate.objective_us.max(1.0);
     let in_time = 1.0 / (1.0 + lateness.powi(STEEPNESS));
@@ -100,7 +104,7 @@
     in_time * success
         - LATENCY_WEIGHT * lateness.min(MAX_LATENESS)
         - crossing_cost
-        - contention_cost(record)
+        - record.contention_cost(competes)
 }
 
 /// Returns whether a call sent now would likely be in time, at a target with spare slots that
@@ -126,31 +130,7 @@
     let ramp = now.since(record.joined_at).0 as f64 / SLOW_START_US;
     let slow_start = 2.0 - ramp.min(1.0);
     work * slowness * slow_start * (1.0 + SLOWDOWN_AT_FULL * slowdown + wait)
-        + cold_wait_us(record, now)
-}
-
-/// Returns how many calls a cold target may still start: its reported allowance minus the
-/// calls sent since the report. Returns `None` for a target that is not limited.
-fn cold_starts_left(record: &TargetRecord) -> Option<f64> {
-    let cold = record.load.cold?;
-    let sent = record.outstanding.saturating_sub(record.outstanding_at_report);
-    Some((f64::from(cold.available) - f64::from(sent)).max(0.0))
-}
-
-/// Returns the expected time for which a call sent now would wait to start at a cold target,
-/// in microseconds.
-fn cold_wait_us(record: &TargetRecord, now: MicroTime) -> f64 {
-    let Some(cold) = record.load.cold.filter(|_| cold_starts_left(record) < Some(1.0)) else {
-        return 0.0;
-    };
-    let age = now.since(record.reported_at).0 as f64;
-    (f64::from(cold.next_ms) * 1_000.0 - age).max(0.0)
-}
-
-/// Returns the benefit subtracted for the risk that calls of other entries start at a cold
-/// target first: the fewer starts are left, the more entries compete for each.
-fn contention_cost(record: &TargetRecord) -> f64 {
-    cold_starts_left(record).map_or(0.0, |left| CONTENTION_WEIGHT / (1.0 + left))
+        + record.start_wait_us(now)
 }
 
 /// Returns the factor by which work is expected to be slower than normal at a target now.
--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 
 use crate::base::clock::MicroTime;
-use crate::base::wire::ColdAllowance;
+use crate::base::load_report::StartAllowance;
 
 /// Window over which started calls are counted. It is longer than the second that the rate
 /// refers to, by the time that a call may take from here to its target if the host's
@@ -211,7 +211,7 @@
     /// Returns how many calls may start now and when the next one may, or `None` if the target
     /// is warm or unlimited.
     #[must_use]
-    pub fn allowance(&self, now: MicroTime) -> Option<ColdAllowance> {
+    pub fn allowance(&self, now: MicroTime) -> Option<StartAllowance> {
         let max_calls = self.max_calls().filter(|_| self.is_cold(now))?;
         let counted = self
             .start_times
@@ -220,7 +220,7 @@
             .count();
         let free = if now < self.blocked_until { 0 } else { max_calls.saturating_sub(counted) };
         let next_ms = self.wait_behind(now, free).ceil_millis();
-        Some(ColdAllowance {
+        Some(StartAllowance {
             available: free as u16,
             next_ms: next_ms.min(u64::from(u16::MAX)) as u16,
         })
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -10,8 +10,10 @@
 use crate::base::clock::MicroTime;
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{CentreName, ServiceName, TargetName};
+use crate::base::load_report::LoadReport;
 use crate::base::member::FleetView;
 use crate::decide::benefit;
+use crate::decide::known_statements::KnownStatements;
 use crate::decide::selection::{
     CallEstimate, SelectionInput, SelectionPolicy, TargetLocation, TargetRecord,
 };
@@ -102,6 +104,25 @@
         Some(index)
     }
 
+    /// Returns how many targets other than the one at `chosen` are not in `tried` and, as far as
+    /// known, may start a call before its objective. A call waits at the chosen one or is refused
+    /// there at once if there is none, instead of being refused by one after the other.
+    #[must_use]
+    pub fn count_with_room(
+        &self,
+        now: MicroTime,
+        tried: &[TargetName],
+        chosen: usize,
+        estimate: &CallEstimate,
+    ) -> usize {
+        let others = self.targets.iter().enumerate().filter(|(index, target)| {
+            *index != chosen
+                && !tried.contains(&target.name)
+                && target.rate_wait_us(now) < estimate.objective_us
+        });
+        others.count()
+    }
+
     /// Returns the target with a name.
     pub fn find(&mut self, name: &TargetName) -> Option<&mut TargetRecord> {
         self.targets.iter_mut().find(|target| target.name == *name)
@@ -113,9 +134,29 @@
 pub struct TargetRegistry {
     /// Targets by service name.
     pub services: HashMap<ServiceName, ServiceTargets>,
+    /// Statements of targets, also of those that are not in the fleet view.
+    pub statements: KnownStatements,
 }
 
 impl TargetRegistry {
+    /// Records a load report of a target's guard, unless a newer one is known.
+    pub fn record_report(
+        &mut self,
+        now: MicroTime,
+        service: &ServiceName,
+        name: &TargetName,
+        load: LoadReport,
+    ) {
+        let targets = self.services.get_mut(service);
+        let Some(record) = targets.and_then(|targets| targets.find(name)) else { return };
+        let guard = record.location.as_ref().map(|location| location.incarnation);
+        if record.record_report(now, load)
+            && let Some(guard) = guard
+        {
+            self.statements.record(now, service, name, guard, load.statement);
+        }
+    }
+
     /// Returns the target of a service with a name.
     pub fn find(&mut self, service: &ServiceName, name: &TargetName) -> Option<&mut TargetRecord> {
         self.services.get_mut(service)?.find(name)
@@ -157,6 +198,7 @@
             }
         }
         self.services = updated;
+        self.statements.expire(now);
     }
 
     /// Removes and returns the record of a target at a location, if it is known.
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -9,7 +9,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, TargetName};
-use crate::base::wire::LoadReport;
+use crate::base::load_report::LoadReport;
 use crate::decide::clock_offset::ClockOffset;
 
 /// Name of the policy used by a template that names none.
@@ -137,10 +137,10 @@
         }
     }
 
-    /// Records a load report, unless a newer one is known.
-    pub fn record_report(&mut self, now: MicroTime, load: LoadReport) {
+    /// Records a load report, unless a newer one is known; returns whether it was recorded.
+    pub fn record_report(&mut self, now: MicroTime, load: LoadReport) -> bool {
         if load.sequence <= self.load.sequence {
-            return;
+            return false;
         }
         let offset =
             self.clock_offset.get_or_insert_with(|| ClockOffset::open(now, load.reported_at));
@@ -149,6 +149,7 @@
         // A report that was delayed in transit is that much older.
         self.reported_at = now - delay;
         self.outstanding_at_report = self.outstanding;
+        true
     }
 
     /// Records the end of a call of this entry; `latency` is given only if it was answered.
@@ -226,7 +227,7 @@
             * (1.0 + wait + UTILISATION_WEIGHT * utilisation)
             * (1.0 + FAILURE_COST * failure_rate);
         let ramp = now.since(self.joined_at).0 as f64 / SLOW_START_US;
-        cost / ramp.clamp(0.1, 1.0)
+        cost / ramp.clamp(0.1, 1.0) + self.rate_wait_us(now)
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub use base::ids::{
     AccountName, CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName,
 };
+pub use base::load_report::{LoadReport, StartAllowance, StatedRate, TargetStatement};
 pub use base::member::{
     AdvertisedTarget, EXCHANGE_BUCKETS, FleetView, GossipKind, GossipMessage, MemberRecord,
     MemberState,
@@ -59,9 +60,9 @@
     BLAMED_AFTER_CRASHES, RUNS_ALONE_AFTER_CRASHES, SuspectRecord, SuspectUpdate,
 };
 pub use base::wire::{
-    AnswerHead, CallHead, CallPriority, ColdAllowance, GuardDatagram, GuardReply, KeyClaim,
-    LoadReport, ProbeReply, ProbeRequest, QuotaReply, QuotaRequest, RefusalReason, RevokeHead,
-    RevokeReply, WatchHead, WireError, decode, encode,
+    AnswerHead, CallHead, CallPriority, GuardDatagram, GuardReply, KeyClaim, ProbeReply,
+    ProbeRequest, QuotaReply, QuotaRequest, RefusalReason, RevokeHead, RevokeReply, WatchHead,
+    WireError, decode, encode,
 };
 pub use call::headers::*;
 pub use call::responses::CallOutcome;
@@ -78,6 +79,7 @@
 pub use decide::commit_backoff::CommitBackoff;
 pub use decide::crash_suspects::{CrashSuspects, MAX_SUSPECTS, MergeEffect};
 pub use decide::host_speed::HostSpeed;
+pub use decide::known_statements::KnownStatements;
 pub use decide::lease::{TargetCondition, TargetLease};
 pub use decide::limit::ConcurrencyLimit;
 pub use decide::probe_budget::ProbeBudget;
@@ -85,6 +87,7 @@
     AccountQuota, GRANT_LIFETIME, HolderChange, QuotaCredit, QuotaDecision, QuotaGrant,
     QuotaHolder, QuotaTerms, QuotaWindow, choose_holders,
 };
+pub use decide::rate_limit::{RateLimit, RateSource};
 pub use decide::registry::{ServiceTargets, TargetRegistry};
 pub use decide::report_pacer::ReportPacer;
 pub use decide::retry::{
--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -63,6 +63,7 @@
         work_us: 0,
         repeatable: true,
         last: true,
+        stated_rate: None,
         claim: None,
         method: "GET".to_owned(),
         path: format!("/late/{call}?size=10"),
