A target whose answers state that it leaves gets no more calls

An upstream that leaves says so in its answers, and requests still reached it later than the drain time.

Cause: the same class as the rate: the header was relayed unread; only heartbeats, health answers and operators could drain a target.

Fix: the guard closes the target's queue at the first answer that states it, before it relays the answer; no heartbeat opens it again, only a new incarnation. Other hosts learn it as they learn of a drain, by gossip. Entries that have passed on such an answer remember it when the guard restarts, and do not choose the target as long as the new guard has heard nothing else from it. Values other than 1 are counted and logged, and change nothing.

--- a/src/base/load_report.rs
+++ b/src/base/load_report.rs
@@ -77,4 +77,6 @@
 pub struct TargetStatement {
     /// Rate of calls that the target takes; `None` if it states none.
     pub rate: Option<StatedRate>,
+    /// Whether the target leaves and takes no new calls.
+    pub leaving: bool,
 }
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -238,7 +238,7 @@
         work_us: work_us as u32,
         repeatable: call.options.repeatable,
         last: last_target,
-        stated_rate: duty.registry.borrow().statements.rate(&call.service, target),
+        stated_rate: duty.rate_stated_earlier(&call.service, target, location.incarnation),
         claim: call.claim.clone(),
         method: call.method.clone(),
         path: call.path.clone(),
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -26,8 +26,8 @@
 use tokio::task::spawn_local;
 
 use crate::base::clock::{MicroTime, ProcessClock};
-use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
-use crate::base::load_report::LoadReport;
+use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
+use crate::base::load_report::{LoadReport, StatedRate};
 use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
 use crate::call::entry::pool::GuardPool;
@@ -274,6 +274,16 @@
         record.is_some_and(|record| std::mem::replace(&mut record.watched, watched) != watched)
     }
 
+    /// Returns the rate that a target stated to an earlier guard than the present one.
+    pub(crate) fn rate_stated_earlier(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+        guard: DaemonIncarnation,
+    ) -> Option<StatedRate> {
+        self.registry.borrow().statements.earlier(service, target, guard)?.rate
+    }
+
     /// Records a target's load, unless a newer report is known.
     pub(crate) fn update_load(&self, service: &ServiceName, target: &TargetName, load: LoadReport) {
         let now = self.clock.now();
--- a/src/call/guard/load_reports.rs
+++ b/src/call/guard/load_reports.rs
@@ -99,14 +99,14 @@
     ) {
         let mut targets = self.targets.borrow_mut();
         let changed = targets.values_mut().any(|target| {
-            let load = target.queue.current_report();
+            let load = target.current_report();
             is_significant_change(published(target), &load)
         });
         if !changed || !group.try_reserve(now) {
             return;
         }
         for target in targets.values_mut() {
-            *published(target) = target.queue.current_report();
+            *published(target) = target.current_report();
         }
         group.changes.send_replace(());
     }
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -115,6 +115,25 @@
         updates
     }
 
+    /// Returns a load report with a new sequence number, for the next message to an entry.
+    pub(crate) fn next_report(&mut self, now: MicroTime) -> LoadReport {
+        let report = self.queue.next_report(now);
+        self.with_leaving(report)
+    }
+
+    /// Returns the current load under the sequence number of the last report.
+    pub(crate) fn current_report(&self) -> LoadReport {
+        self.with_leaving(self.queue.current_report())
+    }
+
+    /// Adds to a report that the target stated that it leaves.
+    fn with_leaving(&self, mut report: LoadReport) -> LoadReport {
+        if self.lease.states_leaving() {
+            report.statement.get_or_insert_default().leaving = true;
+        }
+        report
+    }
+
     /// Returns the number of calls that run on the target.
     pub(crate) fn running(&self) -> usize {
         self.queue.running()
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -352,7 +352,7 @@
     pub(crate) fn load(&self, key: &(ServiceName, TargetName)) -> LoadReport {
         let mut targets = self.targets.borrow_mut();
         let now = self.clock.now();
-        targets.get_mut(key).map(|target| target.queue.next_report(now)).unwrap_or_default()
+        targets.get_mut(key).map(|target| target.next_report(now)).unwrap_or_default()
     }
 
     /// Logs and counts the refusal of a call, and returns its answer.
--- a/src/call/guard/statements.rs
+++ b/src/call/guard/statements.rs
@@ -37,6 +37,24 @@
             HeaderStatement::Valid(rate) => self.note_rate(key, Some(rate), source),
             HeaderStatement::Invalid => self.count_invalid_statement(key),
         }
+        match parse_leaving(answer_headers, self.header_names) {
+            HeaderStatement::Absent => {}
+            HeaderStatement::Valid(()) => self.note_leaving(key),
+            HeaderStatement::Invalid => self.count_invalid_statement(key),
+        }
+    }
+
+    /// Records that a target leaves, which holds until its incarnation ends.
+    fn note_leaving(&self, key: &(ServiceName, TargetName)) {
+        let mut targets = self.targets.borrow_mut();
+        let Some(target) = targets.get_mut(key) else { return };
+        if target.lease.states_leaving() {
+            return;
+        }
+        target.lease.mark_leaving();
+        drop(targets);
+        info!(self.logger, "target states that it leaves"; "target" => %key.1);
+        self.apply_leases();
     }
 
     /// Applies the rate that a target states, or `None` if it states none.
@@ -84,12 +102,26 @@
 
 /// Reads the rate of calls that a target takes.
 fn parse_rate(answer_headers: &HeaderMap, names: &HeaderNames) -> HeaderStatement<StatedRate> {
-    let Some(name) = names.rate_limit else { return HeaderStatement::Absent };
+    parse_statement(answer_headers, names.rate_limit, StatedRate::parse)
+}
+
+/// Reads whether a target leaves; no other value is defined.
+fn parse_leaving(answer_headers: &HeaderMap, names: &HeaderNames) -> HeaderStatement<()> {
+    parse_statement(answer_headers, names.leaving, |text| (text == "1").then_some(()))
+}
+
+/// Reads a header that an answer may carry once.
+fn parse_statement<T>(
+    answer_headers: &HeaderMap,
+    name: Option<&str>,
+    parse: impl Fn(&str) -> Option<T>,
+) -> HeaderStatement<T> {
+    let Some(name) = name else { return HeaderStatement::Absent };
     let mut values = answer_headers.get_all(name).iter();
     let Some(first) = values.next() else { return HeaderStatement::Absent };
     let text = first.to_str().ok().filter(|_| values.next().is_none());
-    match text.and_then(|text| StatedRate::parse(text.trim())) {
-        Some(rate) => HeaderStatement::Valid(rate),
+    match text.and_then(|text| parse(text.trim())) {
+        Some(value) => HeaderStatement::Valid(value),
         None => HeaderStatement::Invalid,
     }
 }
--- a/src/call/headers.rs
+++ b/src/call/headers.rs
@@ -24,6 +24,8 @@
 pub const URGENT: &str = "railspan-urgent";
 /// Rate of calls that a target takes, in calls per second; set by targets.
 pub const RATE_LIMIT: &str = "railspan-rate-limit";
+/// Set to `1` by a target that leaves.
+pub const LEAVING: &str = "railspan-leaving";
 /// Idempotency key that callers set on a call that must not run twice.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -57,6 +59,8 @@
     /// Rate of calls that a target takes from the whole fleet, in calls per second; set by
     /// targets for as long as they are in need.
     pub rate_limit: Option<&'static str>,
+    /// Set to `1` by a target that leaves, in all its answers.
+    pub leaving: Option<&'static str>,
     /// Whether the caller's `Host` header is forwarded to the target.
     pub preserve_host: bool,
     /// Whether callers accept fractions of a second in `Retry-After`.
@@ -79,6 +83,7 @@
     load: None,
     cold_remaining_ms: None,
     rate_limit: Some(RATE_LIMIT),
+    leaving: Some(LEAVING),
     preserve_host: false,
     fractional_retry_after: false,
     railspan_headers: true,
--- a/src/decide/admission/report.rs
+++ b/src/decide/admission/report.rs
@@ -25,13 +25,16 @@
             reported_at: self.now,
             cold: self.cold_start.allowance(self.now),
             rate: self.rate_limit.allowance(self.now, self.waiting.len()),
-            statement: self
-                .rate_limit
-                .is_heard()
-                .then(|| TargetStatement { rate: self.rate_limit.stated_rate() }),
+            statement: self.statement(),
         }
     }
 
+    /// Returns what the target states about its rate; `None` if it has not answered yet.
+    fn statement(&self) -> Option<TargetStatement> {
+        let rate = self.rate_limit.stated_rate();
+        self.rate_limit.is_heard().then_some(TargetStatement { rate, leaving: false })
+    }
+
     /// Returns the sequence number of the latest load report.
     pub(crate) const fn report_sequence(&self) -> u64 {
         self.sequence
--- a/src/decide/known_statements.rs
+++ b/src/decide/known_statements.rs
@@ -9,7 +9,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{DaemonIncarnation, ServiceName, TargetName};
-use crate::base::load_report::{StatedRate, TargetStatement};
+use crate::base::load_report::TargetStatement;
 
 /// Time for which a statement is remembered after the last report of its guard.
 const RETENTION: MicroTime = MicroTime::from_millis(120_000);
@@ -60,10 +60,16 @@
         }
     }
 
-    /// Returns the rate that a target stated last; `None` if it stated none.
+    /// Returns what a target stated to an earlier guard than the present one, `guard`.
     #[must_use]
-    pub fn rate(&self, service: &ServiceName, target: &TargetName) -> Option<StatedRate> {
-        self.by_service.get(service)?.get(target)?.statement.rate
+    pub fn earlier(
+        &self,
+        service: &ServiceName,
+        target: &TargetName,
+        guard: DaemonIncarnation,
+    ) -> Option<TargetStatement> {
+        let known = self.by_service.get(service)?.get(target)?;
+        (known.guard != guard).then_some(known.statement)
     }
 
     /// Forgets statements that limit nothing, and those not reported for [`RETENTION`].
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -1,7 +1,7 @@
 //! Leases of the targets on this host, which determine whether they get new calls.
 //!
 //! A target announces itself and repeats the announcement as a heartbeat. It gets no new calls
-//! once it reports that it ends, an operator drains it, or its heartbeats stop.
+//! once it states that it leaves or ends, an operator drains it, or its heartbeats stop.
 
 use std::time::Duration;
 
@@ -21,11 +21,23 @@
     Draining,
 }
 
+/// Whether and how a target goes, as it said itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum TargetDeparture {
+    /// It stays.
+    None,
+    /// An answer stated that it leaves.
+    Leaving,
+    /// It reported its end.
+    Ended,
+}
+
 /// Lease of one target.
 ///
 /// Invariants: after a heartbeat at `t` without a further one, `is_ready` is false from
-/// `t + duration` on, and from [`Self::mark_unreachable`] on; an ended lease is never ready
-/// again.
+/// `t + duration` on, and from [`Self::mark_unreachable`] on; a lease that is ended, or whose target
+/// stated that it leaves, is not ready again while that target runs.
 #[derive(Clone, Debug, Serialize)]
 pub struct TargetLease {
     condition: TargetCondition,
@@ -38,8 +50,8 @@
     /// Whether nothing listened at the target's address; a heartbeat resets it.
     #[serde(rename = "lapsed")]
     unreachable: bool,
-    /// Whether the target reported its end; heartbeats that arrive afterwards were delayed.
-    ended: bool,
+    /// Whether the target goes; heartbeats that arrive afterwards were delayed.
+    departure: TargetDeparture,
     /// Whether an operator drained the target; only an operator resets it.
     drained: bool,
 }
@@ -54,7 +66,7 @@
             renewed_at: now,
             duration,
             unreachable: false,
-            ended: false,
+            departure: TargetDeparture::None,
             drained: false,
         }
     }
@@ -62,6 +74,10 @@
     /// Records a heartbeat.
     pub fn renew(&mut self, now: MicroTime, condition: TargetCondition) {
         self.renewed_at = self.renewed_at.max(now);
+        // Whoever sends heartbeats after nothing listened has started anew.
+        if self.unreachable && self.departure == TargetDeparture::Leaving {
+            self.departure = TargetDeparture::None;
+        }
         self.unreachable = false;
         self.condition = condition;
     }
@@ -80,9 +96,16 @@
         self.unreachable = true;
     }
 
+    /// Records that an answer of the target stated that it leaves.
+    pub fn mark_leaving(&mut self) {
+        if self.departure == TargetDeparture::None {
+            self.departure = TargetDeparture::Leaving;
+        }
+    }
+
     /// Records that the target ends.
     pub const fn mark_ended(&mut self) {
-        self.ended = true;
+        self.departure = TargetDeparture::Ended;
     }
 
     /// Sets or resets draining by an operator.
@@ -90,16 +113,27 @@
         self.drained = drained;
     }
 
-    /// Returns whether the target ends or is draining.
+    /// Returns whether an answer of the target stated that it leaves.
+    #[must_use]
+    pub fn states_leaving(&self) -> bool {
+        self.departure == TargetDeparture::Leaving
+    }
+
+    /// Returns whether the target leaves, ends or is draining.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.ended || self.drained || self.condition == TargetCondition::Draining
+        self.departure != TargetDeparture::None
+            || self.drained
+            || self.condition == TargetCondition::Draining
     }
 
     /// Returns whether the target gets new calls.
     #[must_use]
     pub fn is_ready(&self, now: MicroTime) -> bool {
         let valid = now.since(self.renewed_at) < self.duration && !self.unreachable;
-        valid && !self.ended && !self.drained && self.condition == TargetCondition::Ready
+        valid
+            && self.departure == TargetDeparture::None
+            && !self.drained
+            && self.condition == TargetCondition::Ready
     }
 }
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -57,7 +57,10 @@
         estimate: &CallEstimate,
         rng: &mut Pcg64Mcg,
     ) -> Option<usize> {
-        let untried = |&index: &usize| !tried.contains(&self.targets[index].name);
+        let untried = |&index: &usize| {
+            let target = &self.targets[index];
+            !target.left_before() && !tried.contains(&target.name)
+        };
         let mut eligible: Vec<usize> = (0..self.targets.len()).filter(untried).collect();
         let is_preferred = |&index: &usize| !self.targets[index].is_avoided(now);
         let preferred: Vec<usize> = eligible.iter().copied().filter(is_preferred).collect();
@@ -93,7 +96,9 @@
         estimate: &CallEstimate,
     ) -> Option<usize> {
         let is_suitable = |target: &TargetRecord| {
-            !tried.contains(&target.name) && benefit::is_promising(target, now, estimate)
+            !target.left_before()
+                && !tried.contains(&target.name)
+                && benefit::is_promising(target, now, estimate)
         };
         let rank = |target: &TargetRecord| {
             RequestDigest::of(&[&digest.0.to_le_bytes(), target.name.as_str().as_bytes()])
@@ -117,6 +122,7 @@
     ) -> usize {
         let others = self.targets.iter().enumerate().filter(|(index, target)| {
             *index != chosen
+                && !target.left_before()
                 && !tried.contains(&target.name)
                 && target.rate_wait_us(now) < estimate.objective_us
         });
@@ -154,6 +160,7 @@
             && let Some(guard) = guard
         {
             self.statements.record(now, service, name, guard, load.statement);
+            record.earlier_statement = self.statements.earlier(service, name, guard);
         }
     }
 
@@ -194,6 +201,8 @@
                 let mut record = known.unwrap_or_else(new_record);
                 record.remote = member.data_centre != *own_centre;
                 record.suspect = member.is_suspect();
+                record.earlier_statement =
+                    self.statements.earlier(&target.service, &target.name, member.incarnation);
                 updated.entry(target.service.clone()).or_default().targets.push(record);
             }
         }
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -9,7 +9,7 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, TargetName};
-use crate::base::load_report::LoadReport;
+use crate::base::load_report::{LoadReport, TargetStatement};
 use crate::decide::clock_offset::ClockOffset;
 
 /// Name of the policy used by a template that names none.
@@ -57,6 +57,10 @@
 /// more than the report. A target in use here reports several times within this time.
 const RECENT_REPORT_AGE: MicroTime = MicroTime::from_millis(500);
 
+/// Age of a target's report that it leaves from which on a call is tried there again, since the
+/// target may have restarted: the fleet is told within this time.
+const LEAVING_REPORT_AGE: MicroTime = MicroTime::from_millis(2_000);
+
 /// Location of a target and its guard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TargetLocation {
@@ -100,6 +104,9 @@
     /// Time at which the target joined, for its slow start.
     #[serde(rename = "joined")]
     pub joined_at: MicroTime,
+    /// What the target stated to an earlier guard of its host, of which the present one may not
+    /// know.
+    pub earlier_statement: Option<TargetStatement>,
     /// Whether its host is in another data centre than the entry.
     #[serde(rename = "far")]
     pub remote: bool,
@@ -130,6 +137,7 @@
             failures: 0,
             ejected_until: MicroTime(0),
             suspect: false,
+            earlier_statement: None,
             joined_at,
             remote: false,
             watched: false,
@@ -173,11 +181,23 @@
         self.record_failure(now);
     }
 
-    /// Returns whether the target is avoided while there are others: it is ejected, or its host
-    /// is suspect and there is no recent report.
+    /// Returns whether the target is avoided while there are others: it is ejected or leaves, or
+    /// its host is suspect and there is no recent report.
     pub(crate) fn is_avoided(&self, now: MicroTime) -> bool {
         let lacks_recent_report = now.since(self.reported_at) >= RECENT_REPORT_AGE;
-        self.ejected_until > now || (self.suspect && lacks_recent_report)
+        self.ejected_until > now
+            || (self.suspect && lacks_recent_report)
+            || (self.states_leaving() && now.since(self.reported_at) < LEAVING_REPORT_AGE)
+    }
+
+    fn states_leaving(&self) -> bool {
+        self.load.statement.is_some_and(|statement| statement.leaving)
+    }
+
+    /// Returns whether the target stated to an earlier guard that it leaves; then it gets no
+    /// calls. The present guard refuses them itself if it has heard so.
+    pub(crate) fn left_before(&self) -> bool {
+        self.earlier_statement.is_some_and(|statement| statement.leaving)
     }
 
     fn record_failure(&mut self, now: MicroTime) {
