Last attempts of calls do not queue for a rate that is used up

Cause: a call has three attempts. The last went to the target with the best expected benefit, often a limited one whose single start several entries compete for, and was refused there, although a full or slow target that it had tried would have let it wait.

Change: a target whose rate is used up is left out of the last round while others are left, and where only such targets are untried the round is the last.

--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -54,9 +54,11 @@
             if let Some(response) = self.reject_blamed(&call, attempts.failure_decision()) {
                 return failure.unwrap_or(response);
             }
-            if attempts.is_last_attempt() {
+            let last_round = attempts.is_last_attempt() || self.only_limited_left(&call, &tried);
+            if last_round {
                 // A target that was full may still have the shortest queue of all.
                 tried.retain(|name| unusable.contains(name));
+                self.leave_out_limited(&call, &mut tried);
             }
             let Some(chosen) = self.choose(&call, &tried) else {
                 return failure
@@ -65,7 +67,7 @@
             load_probe::probe_random_target(self, &call.service);
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
-            let last_target = attempts.is_last_attempt() || chosen.untried == 0;
+            let last_target = last_round || chosen.untried == 0;
             let (result, cause) = match hedge::run(
                 self,
                 &call,
@@ -179,6 +181,25 @@
         untried.any(|target| benefit::is_promising(target, now, &estimate))
     }
 
+    /// Returns whether the targets left to try all state a rate that is used up for now. Then a
+    /// full or slow one that was tried may be the better place to wait.
+    fn only_limited_left(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
+        let registry = self.registry.borrow();
+        let now = self.clock.now();
+        let service = registry.services.get(&call.service);
+        !tried.is_empty() && service.is_some_and(|service| service.only_limited_left(now, tried))
+    }
+
+    /// Adds to `tried` the targets whose stated rate is used up for now, unless no other is left:
+    /// where calls of all entries wait for a few starts, the last attempt may well be refused.
+    fn leave_out_limited(&self, call: &CallerCall, tried: &mut Vec<TargetName>) {
+        let registry = self.registry.borrow();
+        if let Some(service) = registry.services.get(&call.service) {
+            let limited = service.limited_beside_others(self.clock.now(), tried);
+            tried.extend(limited);
+        }
+    }
+
     fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
         let revision = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
         let load = chosen.load;
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -129,6 +129,34 @@
         others.count()
     }
 
+    /// Returns whether there are targets that are not in `tried`, and all of them state a rate
+    /// that is used up for now.
+    #[must_use]
+    pub fn only_limited_left(&self, now: MicroTime, tried: &[TargetName]) -> bool {
+        let (limited, others) = self.untried_by_limit(now, tried);
+        others == 0 && !limited.is_empty()
+    }
+
+    /// Returns the targets that are not in `tried` and state a rate that is used up for now, or
+    /// none if there are no others.
+    #[must_use]
+    pub fn limited_beside_others(&self, now: MicroTime, tried: &[TargetName]) -> Vec<TargetName> {
+        let (limited, others) = self.untried_by_limit(now, tried);
+        if others > 0 { limited } else { Vec::new() }
+    }
+
+    /// Returns the targets that are not in `tried` and state a rate that is used up for now, and
+    /// the number of other targets that are not in `tried`.
+    fn untried_by_limit(&self, now: MicroTime, tried: &[TargetName]) -> (Vec<TargetName>, usize) {
+        let untried = self
+            .targets
+            .iter()
+            .filter(|target| !target.left_before() && !tried.contains(&target.name));
+        let (limited, others): (Vec<_>, Vec<_>) =
+            untried.partition(|target| target.rate_wait_us(now) > 0.0);
+        (limited.into_iter().map(|target| target.name.clone()).collect(), others.len())
+    }
+
     /// Returns the target with a name.
     pub fn find(&mut self, name: &TargetName) -> Option<&mut TargetRecord> {
         self.targets.iter_mut().find(|target| target.name == *name)
--- a/tests/target_statements.rs
+++ b/tests/target_statements.rs
@@ -7,7 +7,7 @@
 
 use common::hosted::{HostedFleet, SAFE_PREFIX};
 use common::{WAIT_TIMEOUT, eventually};
-use railspan_standins::HostedTarget;
+use railspan_standins::{HostedResponse, HostedTarget};
 
 const SERVICE_TIME: Duration = Duration::from_millis(5);
 
@@ -96,6 +96,38 @@
     assert!(served * 100 >= made * 99, "{served} of {made} calls served");
 }
 
+#[test]
+fn calls_beyond_the_rates_of_all_targets_are_refused_at_once() {
+    let fleet = HostedFleet::spawn(2, SERVICE_TIME);
+    for target in &fleet.targets {
+        target.set_answer_headers("Server-Limit: 1.5\r\n");
+    }
+    make_calls(&fleet, &[0, 1], Duration::from_secs(1));
+    let call = |number: usize| {
+        fleet.call_with_deadline(number % 2, SAFE_PREFIX, &format!("beyond{number}"), 20_000)
+    };
+    let answers: Vec<HostedResponse> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..60).map(|number| scope.spawn(move || call(number))).collect();
+        calls.into_iter().filter_map(|call| call.join().expect("thread")).collect()
+    });
+    let refusals: Vec<&HostedResponse> =
+        answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(refusals.len() > 20, "{} of 60 calls refused", refusals.len());
+    for refusal in &refusals {
+        assert_eq!(refusal.status, 503);
+        assert!(refusal.headers.contains_key("retry-after"));
+        // A call that waits for the rate may be refused at its objective; nothing takes longer.
+        assert!(refusal.took < WAIT_TIMEOUT, "a refusal waited for the deadline");
+    }
+    let runs: usize = (0..60).map(|number| fleet.run_count(&format!("beyond{number}"))).sum();
+    assert_eq!(runs + refusals.len(), 60, "a refused call ran");
+    let mut returns: Vec<&String> =
+        refusals.iter().map(|refusal| &refusal.headers["retry-after"]).collect();
+    returns.sort_unstable();
+    returns.dedup();
+    assert!(returns.len() * 2 > refusals.len(), "callers return together: {returns:?}");
+}
+
 #[test]
 fn a_stated_rate_holds_after_a_restart_of_the_daemon_beside_the_target() {
     let mut fleet = HostedFleet::spawn(3, SERVICE_TIME);
