--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -8,7 +8,7 @@
 use super::client::{RequestKind, RequestOutcome, RequestRecord};
 use super::fleet::{DrainRecord, MAX_ATTEMPTS, RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK, SoakFleet};
 use super::host::lock;
-use super::{capacity_events, crash_requests};
+use super::{capacity_events, crash_requests, statement_events};
 
 /// Statuses which promise that the request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -67,6 +67,7 @@
     check_drains(&lock(&fleet.drains), &arrivals, &mut findings);
     capacity_events::check_arrivals(fleet, &arrivals, &mut findings);
     crash_requests::check_arrivals(fleet, &arrivals, &mut findings);
+    statement_events::check_arrivals(fleet, records, &arrivals, &mut findings);
     check_config_versions(records, &mut findings);
     check_retry_budget(records, &by_id, &mut findings);
     findings
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -21,6 +21,7 @@
 use super::crash_requests::CRASH_PATH;
 use super::host::{HostLinks, SoakHost, cut, freeze, lock, restart, serves_version};
 use super::plan::{Disruption, LinkKind, PlannedDisruption, SoakPlan};
+use super::statement_events::StatementPeriod;
 
 /// Services of the fleet, assigned to the hosts in turn.
 pub const SERVICES: [&str; 2] = ["grillas", "avisos"];
@@ -71,6 +72,7 @@
     pub drains: Mutex<Vec<DrainRecord>>,
     pub cold_periods: Mutex<Vec<ColdPeriod>>,
     pub evacuations: Mutex<Vec<EvacuationPeriod>>,
+    pub statements: Mutex<Vec<StatementPeriod>>,
     /// Violations by the daemon processes themselves.
     pub findings: Mutex<Vec<String>>,
     /// Version of the newest configuration that the store acknowledged.
@@ -98,6 +100,7 @@
             drains: Mutex::default(),
             cold_periods: Mutex::default(),
             evacuations: Mutex::default(),
+            statements: Mutex::default(),
             findings: Mutex::default(),
             config_version: AtomicU64::new(1),
             platform,
@@ -155,6 +158,7 @@
             link_faults: Mutex::default(),
             starts: Mutex::new(vec![Instant::now()]),
             daemon: Mutex::new(daemon),
+            stating: Mutex::default(),
             target: Mutex::new(target),
             spec,
             links,
@@ -358,6 +362,8 @@
     pub fn apply_target_event(&self, host: usize, event: TargetEvent) {
         let target = Arc::clone(&lock(&self.hosts[host].target));
         match event {
+            // A statement is about one incarnation.
+            TargetEvent::Restart if self.hosts[host].stating.try_lock().is_err() => {}
             TargetEvent::Restart => {
                 target.restart(self.target_counter.fetch_add(1, Ordering::Relaxed) + 1);
             }
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -48,6 +48,8 @@
     /// Time of each start of the daemon.
     pub starts: Mutex<Vec<Instant>>,
     pub daemon: Mutex<DaemonProcess>,
+    /// Held while its target states something in its answers.
+    pub stating: Mutex<()>,
     pub target: Mutex<Arc<HostedTarget>>,
     pub spec: DaemonSpec,
     pub links: HostLinks,
@@ -64,6 +66,11 @@
         lock(&self.starts).iter().any(|start| *start > from && *start <= to)
     }
 
+    /// Returns the latest start of the daemon up to `at`.
+    pub fn starts_before(&self, at: Instant) -> Instant {
+        lock(&self.starts).iter().filter(|start| **start <= at).max().copied().unwrap_or(at)
+    }
+
     /// Whether the daemon was started or suspended, or its links were impaired, at any time
     /// between `from` and `to`.
     pub fn was_disrupted(&self, from: Instant, to: Instant) -> bool {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod host;
 mod plan;
+mod statement_events;
 
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -41,6 +42,7 @@
 #[test_case(23; "hedges beside lost attempts")]
 #[test_case(1_000; "cold and restarted targets and an evacuation")]
 #[test_case(2_000; "a request that crashes targets")]
+#[test_case(3_001; "targets that state a rate or that they leave")]
 fn a_short_run_breaks_no_guarantee(seed: u64) {
     run_plan(&SoakPlan::draw(seed, CI_HOSTS, CI_DURATION));
 }
@@ -96,6 +98,8 @@
             })
             .collect();
         let capacity_thread = scope.spawn(|| capacity_events::run(&fleet, &plan.capacity, start));
+        let statement_thread =
+            scope.spawn(|| statement_events::run(&fleet, &plan.statements, plan.seed, start));
         let crash_client = plan.sends_crash_requests.then(|| {
             scope.spawn(|| crash_requests::restart_crashed_targets(&fleet, plan.seed, &stop));
             scope.spawn(|| crash_requests::send_copies(&fleet, plan.seed, &stop))
@@ -112,6 +116,7 @@
             disruption.join().expect("disruption thread");
         }
         capacity_thread.join().expect("capacity event thread");
+        statement_thread.join().expect("statement thread");
         fleet.clear_faults();
         fleet.wait_recovered();
         std::thread::sleep((start + plan.duration).saturating_duration_since(Instant::now()));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -8,6 +8,7 @@
 
 use super::capacity_events::CapacityPlan;
 use super::crash_requests;
+use super::statement_events::{self, PlannedStatement};
 
 /// Mean time between two draws, in milliseconds.
 const MEAN_INTERVAL_MS: u64 = 450;
@@ -105,6 +106,7 @@
     pub planned_only: bool,
     pub disruptions: Vec<PlannedDisruption>,
     pub capacity: CapacityPlan,
+    pub statements: Vec<PlannedStatement>,
     /// Whether clients also send copies of a request that crashes each target that runs it.
     pub sends_crash_requests: bool,
 }
@@ -137,10 +139,21 @@
         }
         disruptions.sort_by_key(|planned| planned.at);
         let capacity = CapacityPlan::draw(seed, hosts, duration);
-        let sends_crash_requests = seed >= crash_requests::FIRST_SEED;
+        let statements = statement_events::draw(seed, hosts, duration);
+        let sends_crash_requests =
+            (crash_requests::FIRST_SEED..statement_events::FIRST_SEED).contains(&seed);
         // Targets that crash while they run a request are not a planned operation.
         let planned_only = planned_only && !sends_crash_requests;
-        Self { seed, hosts, duration, planned_only, disruptions, capacity, sends_crash_requests }
+        Self {
+            seed,
+            hosts,
+            duration,
+            planned_only,
+            disruptions,
+            capacity,
+            statements,
+            sends_crash_requests,
+        }
     }
 }
 
