--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -210,6 +210,7 @@
             "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
             "service_us" => load.service_us, "slowness" => load.slowness,
             "load_age_us" => chosen.load_age.0,
+            "rate_left" => load.rate.map(|rate| rate.available),
             "left_us" => call.deadline.since(self.clock.now()).0);
     }
 
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -4,6 +4,7 @@
 mod cold_targets;
 mod crash_detection;
 mod datagrams;
+mod dump;
 mod health;
 mod load_reports;
 mod local_target;
@@ -25,7 +26,6 @@
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::Request;
-use serde_json::{Value, json};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{oneshot, watch};
@@ -219,6 +219,7 @@
                 _ = reply.send(self.drain(&target, drained));
             }
             GuardEvent::Dump(reply) => drop(reply.send(self.dump())),
+            GuardEvent::Statements(reply) => drop(reply.send(self.describe_statements())),
             GuardEvent::Stop(done) => {
                 spawn_local(Rc::clone(self).stop(done));
             }
@@ -368,6 +369,7 @@
             "target" => %call.target_key.1,
             "reason" => reason.label(), "retry_after_ms" => retry_after_ms,
             "running" => load.in_flight, "waiting" => load.queued, "limit" => load.slots,
+            "rate_next_ms" => load.rate.map(|rate| rate.next_ms),
             "slowness" => load.slowness);
         let suspect = self.suspect_record(call.digest);
         AnswerHead::Refused { call: call.call_id, reason, retry_after_ms, load, suspect }
@@ -382,18 +384,4 @@
         drop(open_streams.wait_for(|streams| *streams == 0).await);
         _ = done.send(());
     }
-
-    fn dump(&self) -> Value {
-        let targets = self.targets.borrow();
-        let now = self.clock.now();
-        let targets: Vec<Value> = targets.values().map(|target| target.dump(now)).collect();
-        json!({
-            "targets": targets,
-            "blamed": self.suspects.borrow().blamed(),
-            "quotas": self.quotas.dump(),
-            "calls_remembered": self.ledger.borrow().len(),
-            "streams": *self.open_streams.borrow(),
-            "stopping": *self.stopping.borrow(),
-        })
-    }
 }
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -116,6 +116,8 @@
     pub evacuated: bool,
     /// Requests that are blamed for crashing targets, which the daemon sends to no target.
     pub blamed: Vec<RequestDigest>,
+    /// What the host's targets state in their answers: names, and rates or that they leave.
+    pub statements: Vec<String>,
 }
 
 /// Returns all members of the fleet that a daemon knows.
@@ -199,6 +201,7 @@
         store_lost: member.store_lost,
         evacuated: false,
         blamed: Vec::new(),
+        statements: Vec::new(),
     }
 }
 
@@ -212,6 +215,8 @@
     let blamed = answer["blamed"].as_array().into_iter().flatten();
     let digests = blamed.filter_map(|request| RequestDigest::parse(request["digest"].as_str()?));
     host.blamed = digests.collect();
+    let statements = answer["statements"].as_array().into_iter().flatten();
+    host.statements = statements.filter_map(|text| text.as_str().map(str::to_owned)).collect();
     host.condition = if host.ready { HostCondition::Serving } else { HostCondition::NotReady };
 }
 
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -16,6 +16,9 @@
 /// screen below the summary.
 const MAX_LISTED: usize = 30;
 
+/// Maximum number of targets whose statements are listed.
+const MAX_STATEMENTS: usize = 10;
+
 #[derive(Debug, Options)]
 pub(crate) struct StatusOptions {
     #[options(help = "print this help")]
@@ -130,6 +133,7 @@
     for (digest, reporting) in blamed_requests(hosts) {
         _ = write!(text, "\nheld back, since it ends targets: {digest}, as {reporting} hosts say");
     }
+    write_statements(&mut text, hosts);
     if count(HostCondition::NoAnswer) > 0 {
         text.push_str("\npartial: what hosts without an answer have in force is not known");
     }
@@ -159,6 +163,19 @@
     requests
 }
 
+/// Writes what targets state in their answers, up to [`MAX_STATEMENTS`] lines.
+fn write_statements(text: &mut String, hosts: &[HostStatus]) {
+    let statements = hosts.iter().flat_map(|host| &host.statements);
+    let count = statements.clone().count();
+    for statement in statements.take(MAX_STATEMENTS) {
+        _ = write!(text, "\n{statement}");
+    }
+    if count > MAX_STATEMENTS {
+        let more = count - MAX_STATEMENTS;
+        _ = write!(text, "\nand {more} more targets state a rate or that they leave");
+    }
+}
+
 /// Writes a table with one line for each data centre, if there are several.
 fn write_centres(text: &mut String, hosts: &[HostStatus]) {
     let mut centres: BTreeMap<&str, Vec<&HostStatus>> = BTreeMap::new();
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -73,6 +73,8 @@
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
     /// Request for the duty's state, as JSON.
     Dump(oneshot::Sender<Value>),
+    /// Request for what the host's targets state about themselves, a line each.
+    Statements(oneshot::Sender<Vec<String>>),
     /// Refuse new calls; reply when all calls have finished.
     Stop(oneshot::Sender<()>),
 }
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -113,13 +113,18 @@
     }
 
     async fn status(&self) -> Value {
-        let entry = query_duty(&self.rings.entry, EntryEvent::Dump).await.unwrap_or_default();
+        let (entry, statements) = tokio::join!(
+            query_duty(&self.rings.entry, EntryEvent::Dump),
+            query_duty(&self.rings.guard, GuardEvent::Statements),
+        );
+        let entry = entry.unwrap_or_default();
         json!({
             "host": self.host,
             "ready": entry["ready"],
             "in_force": entry["revision"],
             "evacuated": entry["evacuated"],
             "blamed": entry["blamed"],
+            "statements": statements.unwrap_or_default(),
             "head": *self.revision_head.borrow(),
         })
     }
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -23,9 +23,21 @@
         store_lost: false,
         evacuated: false,
         blamed: Vec::new(),
+        statements: Vec::new(),
     }
 }
 
+#[test]
+fn targets_that_state_a_rate_are_named_up_to_a_screenful() {
+    let mut hosts: Vec<HostStatus> = (0..30).map(healthy_host).collect();
+    for (number, host) in hosts.iter_mut().enumerate() {
+        host.statements = vec![format!("i-{number} takes 2.5 calls a second")];
+    }
+    let text = railspan::render_status(&hosts, false);
+    assert!(text.contains("i-0 takes 2.5 calls a second"), "{text}");
+    assert!(text.contains("and 20 more targets state a rate or that they leave"), "{text}");
+}
+
 #[test]
 fn an_evacuated_data_centre_is_named() {
     let mut hosts: Vec<HostStatus> = (0..10).map(healthy_host).collect();
