--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -46,7 +46,7 @@
 /// Longest time ahead for which refused callers are told to return.
 const MAX_RETURN_TIME: MicroTime = MicroTime::from_millis(5_000);
 
-/// The part of a statement that an answer carries about the rate.
+/// From where a rate is known, or that there is none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RateSource {
     /// The answer to a call.
