Last attempts leave out targets whose last start is contested

Found by playing the load without a network (tests/limited_fleet.rs): one target of six at 2.5 calls a second, a third of what the targets can serve, reports every 100 ms, a twentieth of them lost. 11, 13 and 17 of 3,800 calls were refused at 69, 295 and 984 hosts: their third and last attempt went to the limited target, which reports of up to 100 ms ago showed with a start left, and another entry had taken it.

Change: in the last round targets with a limited rate and at most one start left are left out while others are left.

--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -57,8 +57,7 @@
             let last_round = attempts.is_last_attempt() || self.only_limited_left(&call, &tried);
             if last_round {
                 // A target that was full may still have the shortest queue of all.
-                tried.retain(|name| unusable.contains(name));
-                self.leave_out_limited(&call, &mut tried);
+                tried = self.left_out_of_last_round(&call, &unusable);
             }
             let Some(chosen) = self.choose(&call, &tried) else {
                 return failure
@@ -181,8 +180,6 @@
         untried.any(|target| benefit::is_promising(target, now, &estimate))
     }
 
-    /// Returns whether the targets left to try all state a rate that is used up for now. Then a
-    /// full or slow one that was tried may be the better place to wait.
     fn only_limited_left(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
         let registry = self.registry.borrow();
         let now = self.clock.now();
@@ -190,14 +187,14 @@
         !tried.is_empty() && service.is_some_and(|service| service.only_limited_left(now, tried))
     }
 
-    /// Adds to `tried` the targets whose stated rate is used up for now, unless no other is left:
-    /// where calls of all entries wait for a few starts, the last attempt may well be refused.
-    fn leave_out_limited(&self, call: &CallerCall, tried: &mut Vec<TargetName>) {
+    fn left_out_of_last_round(
+        &self,
+        call: &CallerCall,
+        unusable: &[TargetName],
+    ) -> Vec<TargetName> {
         let registry = self.registry.borrow();
-        if let Some(service) = registry.services.get(&call.service) {
-            let limited = service.limited_beside_others(self.clock.now(), tried);
-            tried.extend(limited);
-        }
+        let service = registry.services.get(&call.service);
+        service.map_or_else(Vec::new, |service| service.left_out_of_last_round(unusable))
     }
 
     fn log_choice(&self, call: &CallerCall, chosen: &ChosenTarget) {
--- a/src/decide/registry.rs
+++ b/src/decide/registry.rs
@@ -130,31 +130,31 @@
     }
 
     /// Returns whether there are targets that are not in `tried`, and all of them state a rate
-    /// that is used up for now.
+    /// that is used up for now. Then a full or slow one that was tried may be the better place
+    /// to wait.
     #[must_use]
     pub fn only_limited_left(&self, now: MicroTime, tried: &[TargetName]) -> bool {
-        let (limited, others) = self.untried_by_limit(now, tried);
-        others == 0 && !limited.is_empty()
+        let mut untried = self.untried(tried).peekable();
+        untried.peek().is_some() && untried.all(|target| target.rate_wait_us(now) > 0.0)
     }
 
-    /// Returns the targets that are not in `tried` and state a rate that is used up for now, or
-    /// none if there are no others.
+    /// Returns the targets that are left out of the last round of a call: those in `unusable`
+    /// and, while others are left, those with a limited rate and no more than one start left. A
+    /// call of another entry may take it, and the last attempt would be refused.
     #[must_use]
-    pub fn limited_beside_others(&self, now: MicroTime, tried: &[TargetName]) -> Vec<TargetName> {
-        let (limited, others) = self.untried_by_limit(now, tried);
-        if others > 0 { limited } else { Vec::new() }
+    pub fn left_out_of_last_round(&self, unusable: &[TargetName]) -> Vec<TargetName> {
+        let mut left_out = unusable.to_vec();
+        let (limited, others): (Vec<_>, Vec<_>) =
+            self.untried(unusable).partition(|target| target.has_contested_start());
+        if !others.is_empty() {
+            left_out.extend(limited.into_iter().map(|target| target.name.clone()));
+        }
+        left_out
     }
 
-    /// Returns the targets that are not in `tried` and state a rate that is used up for now, and
-    /// the number of other targets that are not in `tried`.
-    fn untried_by_limit(&self, now: MicroTime, tried: &[TargetName]) -> (Vec<TargetName>, usize) {
-        let untried = self
-            .targets
-            .iter()
-            .filter(|target| !target.left_before() && !tried.contains(&target.name));
-        let (limited, others): (Vec<_>, Vec<_>) =
-            untried.partition(|target| target.rate_wait_us(now) > 0.0);
-        (limited.into_iter().map(|target| target.name.clone()).collect(), others.len())
+    /// Returns the targets that are not in `tried` and may get calls.
+    fn untried<'a>(&'a self, tried: &'a [TargetName]) -> impl Iterator<Item = &'a TargetRecord> {
+        self.targets.iter().filter(|target| !target.left_before() && !tried.contains(&target.name))
     }
 
     /// Returns the target with a name.
--- a/src/decide/start_wait.rs
+++ b/src/decide/start_wait.rs
@@ -20,6 +20,11 @@
         self.allowance_wait_us(self.load.rate, now)
     }
 
+    /// Returns whether the target has a limited rate and at most one start left, as far as known.
+    pub(crate) fn has_contested_start(&self) -> bool {
+        self.load.rate.is_some_and(|rate| self.starts_left(rate) < 2.0)
+    }
+
     /// Returns the benefit subtracted for the risk that calls of other entries start at the
     /// target first: the fewer starts are left, the more entries compete for each.
     ///
--- a/tests/limited_choice.rs
+++ b/tests/limited_choice.rs
@@ -58,17 +58,20 @@
 }
 
 #[test]
-fn limited_targets_without_starts_are_left_out_while_others_are_left() {
+fn targets_with_a_contested_start_are_left_out_of_the_last_round_while_others_are_left() {
     let targets = ServiceTargets::new(vec![
         record("used-up", 100, Some((0, 140))),
         record("slow", 400, None),
-        record("limited", 100, Some((2, 140))),
+        record("last-start", 100, Some((1, 140))),
+        record("several-starts", 100, Some((3, 140))),
     ]);
-    let tried: [TargetName; 2] = ["slow".into(), "limited".into()];
+    let tried: [TargetName; 3] = ["slow".into(), "last-start".into(), "several-starts".into()];
     assert!(targets.only_limited_left(NOW, &tried));
-    assert!(!targets.only_limited_left(NOW, &tried[..1]), "one has starts left");
-    assert_eq!(targets.limited_beside_others(NOW, &[]), [TargetName::from("used-up")]);
-    assert_eq!(targets.limited_beside_others(NOW, &tried), [], "no other is left");
+    assert!(!targets.only_limited_left(NOW, &tried[..1]), "two have starts left");
+    let limited: [TargetName; 2] = ["used-up".into(), "last-start".into()];
+    assert_eq!(targets.left_out_of_last_round(&[]), limited);
+    let unusable: [TargetName; 2] = ["slow".into(), "several-starts".into()];
+    assert_eq!(targets.left_out_of_last_round(&unusable), unusable, "no other is left");
 }
 
 #[test]
