Stand-in targets have an address of their own; findings of unasked requests name the line

Suspected, not shown by a run: a heartbeat of another target to the address of a killed daemon, whose port a new target had been given. Targets now listen at 127.0.0.2, so that they can't get a daemon's port, and the finding tells the request line and the target.

--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -17,6 +17,10 @@
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Address of all hosted targets. Daemons have another one, so that no target gets the port of
+/// a killed daemon and, with it, the heartbeats of another target.
+const TARGET_ADDRESS: [u8; 4] = [127, 0, 0, 2];
+
 /// A request that a hosted target accepted and started to run.
 #[derive(Clone, Debug)]
 pub struct HostedRun {
@@ -95,7 +99,7 @@
     ///
     /// Fails when no port can be bound.
     pub fn spawn(service: &str, name: &str, service_time: Duration) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = TcpListener::bind(SocketAddr::from((TARGET_ADDRESS, 0)))?;
         let address = listener.local_addr()?;
         let state = Arc::new(HostedState {
             service: service.to_owned(),
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -47,8 +47,10 @@
         by_id.entry(id).or_default().push(arrival);
     }
     let sent_ids: HashSet<&str> = records.iter().map(|record| &*record.id).collect();
-    for id in by_id.keys().filter(|id| !sent_ids.contains(**id) && **id != "recovery") {
-        findings.push(format!("{id}: ran, but no client sent it"));
+    for (id, runs) in by_id.iter().filter(|(id, _)| !sent_ids.contains(**id) && **id != "recovery")
+    {
+        let (line, target) = (&runs[0].run.request_line, &runs[0].target);
+        findings.push(format!("{id} ({line}): ran at {target}, but no client sent it"));
     }
     for record in records {
         let request_arrivals = by_id.get(&*record.id).map_or(&[][..], Vec::as_slice);
