One upper bound of the retry delay, and plainer comments

Cause: reading the change again. The rate limit had a copy of the admission queue's upper bound of the retry delay, 5 s, so the two could drift apart. Change: the queue uses the limit's constant. Three comments said in other words what the glossary calls a retry and gossip. No behaviour changes.

Checks: format, clippy; rate_limit, admission, limited_choice, limited_fleet, layers, cold_start and target_statements green (77 tests).

--- a/src/decide/admission/forecast.rs
+++ b/src/decide/admission/forecast.rs
@@ -5,13 +5,14 @@
 
 use super::{AdmissionQueue, RunningCall, WaitingCall};
 use crate::base::clock::MicroTime;
+use crate::decide::rate_limit::MAX_RETRY_AFTER;
 
 /// Remaining time assumed for a call that has already taken its expected time, as a
 /// fraction of that time.
 const OVERDUE_FRACTION: f64 = 0.2;
 
-/// Lower and upper bound of the retry time returned to callers, in milliseconds.
-const RETRY_AFTER_BOUNDS: (u64, u64) = (5, 5_000);
+/// Lower bound of the retry delay that refused callers get, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 5;
 
 impl AdmissionQueue {
     /// Returns the expected service time of a waiting call.
@@ -67,7 +68,7 @@
         let rate = self.rate_limit.wait_behind(self.now, self.waiting.len());
         let slow = self.speed.slow_period_left(self.now);
         let wait = queue.max(slow).max(cold).max(rate).ceil_millis();
-        wait.clamp(RETRY_AFTER_BOUNDS.0, RETRY_AFTER_BOUNDS.1) as u32
+        wait.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER.ceil_millis()) as u32
     }
 }
 
--- a/src/decide/rate_limit.rs
+++ b/src/decide/rate_limit.rs
@@ -43,8 +43,8 @@
 /// Multiples of it have fractions that are spread evenly, however many there are.
 const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_895;
 
-/// Longest time ahead for which refused callers are told to return.
-const MAX_RETURN_TIME: MicroTime = MicroTime::from_millis(5_000);
+/// Upper bound of the retry delay that refused callers get.
+pub(crate) const MAX_RETRY_AFTER: MicroTime = MicroTime::from_millis(5_000);
 
 /// From where a rate is known, or that there is none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,7 +91,7 @@
     heard: bool,
     /// Whether the target's health checks state the rate.
     stated_by_health: bool,
-    /// Time at which the latest refused caller was told to return.
+    /// Time at which the caller that was refused last may retry.
     last_return: MicroTime,
     /// How often the returns have started over.
     return_rounds: u32,
@@ -184,7 +184,7 @@
         let Some(per_s) = self.permitted_rate(now) else { return MicroTime(0) };
         let first = now + self.wait_behind(now, waiting);
         let step = time_at_rate(1.0, per_s);
-        let last = now + MAX_RETURN_TIME;
+        let last = now + MAX_RETRY_AFTER;
         let next = (self.last_return + step).max(first);
         self.last_return = if next <= last {
             next
--- a/src/decide/selection.rs
+++ b/src/decide/selection.rs
@@ -58,7 +58,7 @@
 const RECENT_REPORT_AGE: MicroTime = MicroTime::from_millis(500);
 
 /// Age of a target's report that it leaves from which on a call is tried there again, since the
-/// target may have restarted: the fleet is told within this time.
+/// target may have restarted. Gossip of a restart reaches all hosts within this time.
 const LEAVING_REPORT_AGE: MicroTime = MicroTime::from_millis(2_000);
 
 /// Location of a target and its guard.
@@ -195,7 +195,7 @@
     }
 
     /// Returns whether the target stated to an earlier guard that it leaves; then it gets no
-    /// calls. The present guard refuses them itself if it has heard so.
+    /// calls. The present guard refuses them itself once an answer of the target told it.
     pub(crate) fn left_before(&self) -> bool {
         self.earlier_statement.is_some_and(|statement| statement.leaving)
     }
