--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod clock;
 pub(crate) mod consts;
 pub(crate) mod counted_socket;
+pub(crate) mod datagram;
 pub(crate) mod digest;
 pub(crate) mod evacuation;
 pub(crate) mod findings;
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -135,6 +135,18 @@
     pub repeatable: bool,
     /// Whether the entry has no other target left to try.
     pub last: bool,
+    /// Name of the route or kind of the call.
+    pub route: String,
+    /// Service of the target on the entry's host, if there is one.
+    pub caller_service: Option<ServiceName>,
+    /// Whether that target was running a call when this call arrived at the entry.
+    pub caller_busy: bool,
+    /// Whether the entry knows that the target on its host made the call.
+    pub nested: bool,
+    /// Use of the account's quota over the fleet, in thousandths; zero if unknown.
+    pub account_usage: u16,
+    /// Whether the body is sent only once the guard asks for it.
+    pub body_follows: bool,
     /// Rate that the target stated to an earlier guard of it; `None` if the entry knows of none.
     pub stated_rate: Option<StatedRate>,
     /// Claim to make before the dispatch, if the call carries an idempotency key.
@@ -180,6 +192,8 @@
     Malformed,
     /// The request crashes the targets that run it.
     EndsTargets,
+    /// Calls that the call's run makes could not be served.
+    Downstream,
 }
 
 impl RefusalReason {
@@ -201,6 +215,7 @@
             Self::PlatformDown => "platform_down",
             Self::Malformed => "malformed",
             Self::EndsTargets => "ends_targets",
+            Self::Downstream => "downstream",
         }
     }
 }
@@ -222,6 +237,8 @@
         work_us: u32,
         /// Load of the target after this call.
         load: LoadReport,
+        /// Whether the guard takes the call's route for one that only targets call.
+        nested: bool,
     },
     /// The call did not run and never will.
     Refused {
@@ -235,6 +252,13 @@
         load: LoadReport,
         /// Crash record of the request at the guard.
         suspect: SuspectRecord,
+        /// Whether the guard takes the call's route for one that only targets call.
+        nested: bool,
+    },
+    /// The call may be admitted now; its body is to be sent.
+    SendBody {
+        /// The attempt whose body is requested.
+        call: CallId,
     },
     /// The call may have run, but the target gave no complete answer.
     Lost {
@@ -282,68 +306,3 @@
     /// Status of the call; final unless it is running.
     pub status: CallStatus,
 }
-
-/// Load probe that an entry sends to a guard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProbeRequest {
-    /// Incarnation of the guard that the probe is meant for.
-    pub incarnation: DaemonIncarnation,
-    /// Service of the target.
-    pub service: ServiceName,
-    /// Target to report on.
-    pub target: TargetName,
-}
-
-/// Reply of a guard to a [`ProbeRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProbeReply {
-    /// Service of the target.
-    pub service: ServiceName,
-    /// Target that the report is on.
-    pub target: TargetName,
-    /// Load of the target.
-    pub load: LoadReport,
-}
-
-/// Request of an entry for a grant from a daemon that holds a part of an account's quota.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaRequest {
-    /// Sequence number, repeated in the reply.
-    pub number: u64,
-    /// Account whose quota is requested.
-    pub account: AccountName,
-    /// Number of requests that wait at the entry or are expected next.
-    pub want: u16,
-    /// Whether the entry has been running for at least one window of the quota.
-    pub settled: bool,
-}
-
-/// Reply to a [`QuotaRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuotaReply {
-    /// Sequence number of the request.
-    pub number: u64,
-    /// Number of requests that the entry may admit.
-    pub granted: u16,
-    /// Time until more requests can be granted, if none were, in milliseconds; `None` if the
-    /// daemon holds no part of the quota.
-    pub wait_ms: Option<u32>,
-}
-
-/// Datagram from an entry to a guard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GuardDatagram {
-    /// Requests the load of a target.
-    Probe(ProbeRequest),
-    /// Requests a grant from an account's quota.
-    Quota(QuotaRequest),
-}
-
-/// Reply of a guard to a [`GuardDatagram`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum GuardReply {
-    /// Reply to [`GuardDatagram::Probe`].
-    Probe(ProbeReply),
-    /// Reply to [`GuardDatagram::Quota`].
-    Quota(QuotaReply),
-}
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -188,6 +188,9 @@
             let bytes = call.body.len() as u64 + length.unwrap_or_default();
             duty.route_stats.borrow_mut().record(&call.options.kind, *work_us, bytes);
         }
+        if let AnswerHead::Answered { nested, .. } | AnswerHead::Refused { nested, .. } = &answer {
+            duty.record_nested_route(call, *nested);
+        }
         if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = &answer {
             duty.merge_suspect(call, *suspect);
         }
@@ -238,6 +241,12 @@
         work_us: work_us as u32,
         repeatable: call.options.repeatable,
         last: last_target,
+        route: call.options.kind.clone(),
+        caller_service: duty.own_service.clone(),
+        caller_busy: call.caller_busy,
+        nested: call.nested,
+        account_usage: 0,
+        body_follows: false,
         stated_rate: duty.rate_stated_earlier(&call.service, target, location.incarnation),
         claim: call.claim.clone(),
         method: call.method.clone(),
@@ -315,6 +324,11 @@
             outstanding.failed = true;
             AttemptEnd::Lost
         }
+        AnswerHead::SendBody { .. } => {
+            // The guard asks only for bodies that were announced to follow.
+            outstanding.failed = true;
+            AttemptEnd::Lost
+        }
         AnswerHead::Answered { status, length, load, .. } => {
             outstanding.update_load(*load);
             outstanding.failed = *status >= 500;
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -53,6 +53,10 @@
     pub(crate) body: Bytes,
     pub(crate) arrived_at: MicroTime,
     pub(crate) deadline: MicroTime,
+    /// Whether the target on this host made the call.
+    pub(crate) nested: bool,
+    /// Whether that target was running a call when this one arrived.
+    pub(crate) caller_busy: bool,
     /// Claim of the idempotency key, for a call that must not run twice.
     pub(crate) claim: Option<KeyClaim>,
 }
@@ -104,6 +108,10 @@
     let account = authenticate_routed(config, route, &parts.headers)
         .map_err(|UnknownToken| responses::not_run(StatusCode::UNAUTHORIZED, "no_account", 0))?;
     let rank = account.and_then(|account| account.rank);
+    let caller_busy = duty.own_target.is_busy();
+    // Callers other than targets have a token on every route that is not public.
+    let has_no_token = account.is_none() && !config.accounts.is_empty() && !route.public;
+    let nested = has_no_token || duty.is_nested_route(&route.name);
     let options =
         route.call_options(stated_deadline.and_then(|text| text.trim().parse().ok()), rank);
     let mut forwarded = headers::forward_request_headers(&parts.headers, names);
@@ -121,7 +129,7 @@
     let service = route.choose_service(&mut duty.rng.borrow_mut()).clone();
     let body = read_body(body, &parts.headers, limit as usize).await?;
     if let Some(account) = account {
-        duty.admit(account, request_id).await?;
+        duty.admit(account, options.priority, request_id).await?;
     }
     let account_name = account.map_or(NO_ACCOUNT, |account| account.name.as_str());
     let host = host.unwrap_or_default().to_ascii_lowercase();
@@ -145,6 +153,8 @@
         body,
         arrived_at,
         deadline,
+        nested,
+        caller_busy,
         claim: None,
     })
 }
@@ -168,7 +178,7 @@
         .ok_or_else(|| reject(StatusCode::BAD_REQUEST, "bad_deadline"))?;
     let deadline = arrived_at + MicroTime::from_millis(u64::from(deadline_ms));
     let body = read_body(body, &parts.headers, MAX_REQUEST_BODY).await?;
-    duty.admit(account, "").await?;
+    duty.admit(account, options.priority, "").await?;
     let (account_name, service_name) = (account.name.as_str(), service.name.as_str());
     let mut call = CallerCall {
         request_id: Arc::from(""),
@@ -184,6 +194,8 @@
         body,
         arrived_at,
         deadline,
+        nested: false,
+        caller_busy: false,
         claim: None,
     };
     if !call.options.repeatable {
--- a/src/call/entry/load_probe.rs
+++ b/src/call/entry/load_probe.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 
 use crate::base::consts::MAX_DATAGRAM;
+use crate::base::datagram::{GuardDatagram, GuardReply, ProbeRequest};
 use crate::base::ids::ServiceName;
-use crate::base::wire::{self, GuardDatagram, GuardReply, ProbeRequest};
+use crate::base::wire;
 use crate::call::entry::EntryDuty;
 
 /// Maximum number of bytes by which a reply is longer than its request.
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -5,6 +5,7 @@
 mod intake;
 mod load_probe;
 mod load_watch;
+mod nested;
 mod pool;
 mod quota;
 mod route_stats;
@@ -30,6 +31,7 @@
 use crate::base::load_report::{LoadReport, StatedRate};
 use crate::base::member::FleetView;
 use crate::base::metrics::DaemonMetrics;
+use crate::call::entry::nested::NestedRoutes;
 use crate::call::entry::pool::GuardPool;
 use crate::call::entry::quota::EntryQuotas;
 use crate::call::entry::route_stats::RouteStats;
@@ -40,7 +42,8 @@
 use crate::decide::quota::QuotaTerms;
 use crate::decide::registry::TargetRegistry;
 use crate::decide::retry::{RetryBudget, RetryShare};
-use crate::duty::events::{EntryEvent, PeersEvent};
+use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent};
+use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::rules::config::FleetConfig;
@@ -84,7 +87,12 @@
     pub(crate) watch_count: Cell<usize>,
     /// Service of the target on this host, in a deployment.
     pub(crate) own_service: Option<ServiceName>,
+    /// What the target on this host runs now.
+    pub(crate) own_target: OwnTarget,
+    /// Routes that only targets call, as far as known.
+    nested_routes: RefCell<NestedRoutes>,
     peers: RingSender<PeersEvent>,
+    guard: RingSender<GuardEvent>,
     readiness: DaemonReadiness,
     /// Whether callers are asked to use another daemon.
     withdrawn: Cell<bool>,
@@ -105,10 +113,12 @@
     pub(crate) data_centre: CentreName,
     pub(crate) crossing_cost: f64,
     pub(crate) own_service: Option<ServiceName>,
+    pub(crate) own_target: OwnTarget,
     pub(crate) retry_share: RetryShare,
     pub(crate) quota_terms: QuotaTerms,
     pub(crate) readiness: DaemonReadiness,
     pub(crate) peers: RingSender<PeersEvent>,
+    pub(crate) guard: RingSender<GuardEvent>,
     pub(crate) probe_budget: ProbeBudget,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) probe_socket: std::net::UdpSocket,
@@ -147,8 +157,11 @@
         route_stats: RefCell::default(),
         watch_count: Cell::new(0),
         own_service: parts.own_service,
+        own_target: parts.own_target,
+        nested_routes: RefCell::default(),
         readiness: parts.readiness,
         peers: parts.peers,
+        guard: parts.guard,
         withdrawn: Cell::new(false),
         active: RefCell::default(),
         least_revision: RefCell::default(),
--- a/src/call/entry/quota.rs
+++ b/src/call/entry/quota.rs
@@ -12,8 +12,9 @@
 
 use super::EntryDuty;
 use crate::base::clock::MicroTime;
+use crate::base::datagram::{GuardDatagram, QuotaReply, QuotaRequest};
 use crate::base::ids::{AccountName, HostName};
-use crate::base::wire::{self, GuardDatagram, QuotaReply, QuotaRequest};
+use crate::base::wire::{self, CallPriority};
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::quota::{
     AccountQuota, GRANT_LIFETIME, QuotaCredit, QuotaDecision, QuotaTerms, choose_holders,
@@ -84,6 +85,7 @@
     pub(super) async fn admit(
         &self,
         account: &AccountParameters,
+        priority: CallPriority,
         request_id: &str,
     ) -> Result<(), Response<ResponseBody>> {
         let Some(quota) = account.quota else { return Ok(()) };
@@ -95,7 +97,7 @@
                 }
                 QuotaDecision::AskHolder(requested) => requested,
             };
-        match self.request_grant(&account.name, quota, requested).await {
+        match self.request_grant(&account.name, quota, requested, priority).await {
             QuotaResult::Granted => Ok(()),
             QuotaResult::Exhausted(wait_ms) => {
                 self.with_credit(&account.name, |credit| {
@@ -135,11 +137,13 @@
         account: &AccountName,
         quota: AccountQuota,
         requested: u16,
+        priority: CallPriority,
     ) -> QuotaResult {
         let mut result = QuotaResult::Unreachable;
         for (host, address) in self.holders(account, quota) {
             let requested_at = self.clock.now();
-            let Some(reply) = self.request_grant_from(address, account, requested).await else {
+            let reply = self.request_grant_from(address, account, requested, priority).await;
+            let Some(reply) = reply else {
                 self.quotas.unresponsive.borrow_mut().insert(host, self.clock.now());
                 continue;
             };
@@ -193,11 +197,13 @@
         address: SocketAddr,
         account: &AccountName,
         requested: u16,
+        priority: CallPriority,
     ) -> Option<QuotaReply> {
         let number = self.quotas.next_number.get();
         self.quotas.next_number.set(number + 1);
         let settled = self.clock.now() >= self.quotas.terms.get().window + GRANT_LIFETIME;
-        let request = QuotaRequest { number, account: account.clone(), want: requested, settled };
+        let request =
+            QuotaRequest { number, account: account.clone(), want: requested, settled, priority };
         let bytes = wire::encode(&GuardDatagram::Quota(request)).ok()?;
         let (sender, receiver) = oneshot::channel();
         self.quotas.pending.borrow_mut().insert(number, sender);
--- a/src/call/guard/datagrams.rs
+++ b/src/call/guard/datagrams.rs
@@ -6,7 +6,8 @@
 
 use super::GuardDuty;
 use crate::base::consts::MAX_DATAGRAM;
-use crate::base::wire::{self, GuardDatagram, GuardReply, ProbeReply, ProbeRequest};
+use crate::base::datagram::{GuardDatagram, GuardReply, ProbeReply, ProbeRequest};
+use crate::base::wire;
 
 impl GuardDuty {
     /// Replies to the entries' datagrams.
@@ -23,6 +24,7 @@
                 Ok(GuardDatagram::Quota(request)) => {
                     Some(GuardReply::Quota(self.quotas.handle_request(self.clock.now(), &request)))
                 }
+                Ok(GuardDatagram::QuotaReturn(_unused)) => None,
                 Err(_malformed) => None,
             };
             if let Some(Ok(bytes)) = reply.map(|reply| wire::encode(&reply)) {
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -8,8 +8,10 @@
 mod health;
 mod load_reports;
 mod local_target;
+mod nested;
 mod quota;
 mod served_call;
+mod serving;
 mod statements;
 mod target_call;
 mod target_connections;
@@ -22,19 +24,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use h2::RecvStream;
-use h2::server::SendResponse;
-use http::Request;
 use slog::{Logger, info};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::base::clock::ProcessClock;
-use crate::base::consts::SENDER_TIMEOUT;
-use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
 use crate::base::metrics::DaemonMetrics;
@@ -52,6 +47,7 @@
 use crate::decide::quota::QuotaTerms;
 use crate::decide::target_incarnation::TargetIncarnation;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::own_target::OwnTarget;
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::rules::config::FleetConfig;
 use crate::store::table::TableWrite;
@@ -79,6 +75,8 @@
     pub(crate) header_names: &'static HeaderNames,
     /// Service of the host's target, if the settings name one.
     pub(crate) own_service: Option<ServiceName>,
+    /// Shared with the entry of this daemon.
+    pub(crate) own_target: OwnTarget,
     /// Address of the host's target, if the settings name one.
     pub(crate) target_address: Option<SocketAddr>,
     /// Time for which a target's heartbeat stays valid.
@@ -119,6 +117,8 @@
     pub(crate) connections: Rc<TargetConnections>,
     pub(crate) header_names: &'static HeaderNames,
     own_service: Option<ServiceName>,
+    /// What the host's own target runs, for the entry of this daemon.
+    own_target: OwnTarget,
     /// Configuration in force; `None` until the first one arrives.
     pub(crate) config: RefCell<Option<Arc<FleetConfig>>>,
     pub(crate) target_lease: Cell<Duration>,
@@ -164,6 +164,7 @@
         connections: TargetConnections::open(clock),
         header_names: parts.header_names,
         own_service: parts.own_service,
+        own_target: parts.own_target,
         config: RefCell::default(),
         target_lease: Cell::new(parts.target_lease),
         cold_terms: Cell::new(parts.cold_terms),
@@ -218,6 +219,7 @@
             GuardEvent::Drain { target, drained, reply } => {
                 _ = reply.send(self.drain(&target, drained));
             }
+            GuardEvent::NestedEnded(end) => self.handle_nested_end(&end),
             GuardEvent::Dump(reply) => drop(reply.send(self.dump())),
             GuardEvent::Statements(reply) => drop(reply.send(self.describe_statements())),
             GuardEvent::Stop(done) => {
@@ -281,56 +283,6 @@
         }
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let Ok((socket, _)) = listener.accept().await else { continue };
-            drop(socket.set_nodelay(true));
-            spawn_local(Rc::clone(&self).serve_connection(socket));
-        }
-    }
-
-    async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
-        let handshake = timeout(SENDER_TIMEOUT, h2io::server().handshake(socket)).await;
-        let Ok(Ok(mut connection)) = handshake else { return };
-        let mut stopping = self.stopping.subscribe();
-        let mut shutdown_sent = false;
-        loop {
-            tokio::select! {
-                accepted = connection.accept() => match accepted {
-                    Some(Ok((request, respond))) => {
-                        spawn_local(Rc::clone(&self).serve_stream(request, respond));
-                    }
-                    _ => return,
-                },
-                _ = stopping.wait_for(|stopping| *stopping), if !shutdown_sent => {
-                    shutdown_sent = true;
-                    connection.graceful_shutdown();
-                }
-            }
-        }
-    }
-
-    async fn serve_stream(
-        self: Rc<Self>,
-        request: Request<RecvStream>,
-        respond: SendResponse<Bytes>,
-    ) {
-        let (parts, body) = request.into_parts();
-        let reader = HeadReader::open(body);
-        if parts.uri.path() == "/watch" {
-            // A watch is not a call: a planned stop doesn't wait for its end.
-            _ = load_reports::stream_reports(&self, reader, respond).await;
-            return;
-        }
-        self.open_streams.send_modify(|streams| *streams += 1);
-        if parts.uri.path() == "/revoke" {
-            self.serve_revoke(reader, respond).await;
-        } else {
-            self.serve_call(reader, respond).await;
-        }
-        self.open_streams.send_modify(|streams| *streams -= 1);
-    }
-
     /// Passes a write to the platform duty; drops and counts it if the ring buffer is full.
     pub(crate) fn write_row(&self, write: TableWrite) {
         if self.rings.platform.push(PlatformEvent::Write(write)).is_err() {
@@ -372,7 +324,8 @@
             "rate_next_ms" => load.rate.map(|rate| rate.next_ms),
             "slowness" => load.slowness);
         let suspect = self.suspect_record(call.digest);
-        AnswerHead::Refused { call: call.call_id, reason, retry_after_ms, load, suspect }
+        let nested = call.nested_route;
+        AnswerHead::Refused { call: call.call_id, reason, retry_after_ms, load, suspect, nested }
     }
 
     /// Refuses new calls from now on and reports when all open streams have ended.
--- a/src/call/guard/quota.rs
+++ b/src/call/guard/quota.rs
@@ -8,9 +8,9 @@
 
 use super::GuardDuty;
 use crate::base::clock::MicroTime;
+use crate::base::datagram::{QuotaReply, QuotaRequest};
 use crate::base::ids::HostName;
 use crate::base::member::FleetView;
-use crate::base::wire::{QuotaReply, QuotaRequest};
 use crate::decide::quota::{HolderChange, QuotaHolder, QuotaTerms};
 
 /// Parts of account quotas that a guard holds, and the inputs that determine them.
@@ -32,6 +32,7 @@
             number: request.number,
             granted: grant.map_or(0, |grant| grant.granted),
             wait_ms: grant.map(|grant| grant.wait_ms),
+            usage_permille: 0,
         }
     }
 
--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -107,6 +107,7 @@
             length,
             work_us: self.call.work_us(),
             load: self.call.duty.load(&self.call.target_key),
+            nested: self.call.nested_route,
         };
         let Some(mut rest) = answer.rest else {
             answer.connection.release(&answer.headers);
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -77,6 +77,8 @@
     /// The caller's request id; empty if the caller gave none.
     pub(crate) request_id: String,
     pub(crate) target_key: (ServiceName, TargetName),
+    /// Whether only targets call the route of this call, as far as known.
+    pub(crate) nested_route: bool,
     arrived_at: MicroTime,
     pub(crate) deadline: MicroTime,
     /// Time at which the call is refused if it has no slot by then.
@@ -127,6 +129,7 @@
             digest: head.digest,
             request_id: request_id.unwrap_or_default().to_owned(),
             target_key: (head.service.clone(), head.target.clone()),
+            nested_route: head.nested,
             arrived_at: now,
             deadline: sent_at + MicroTime::from_millis(remaining),
             queue_deadline: sent_at + MicroTime::from_millis(u64::from(head.max_wait_ms)),
--- /dev/null
+++ b/src/call/guard/serving.rs
@@ -0,0 +1,67 @@
+//! Serving of connections from entries.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Request;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::{GuardDuty, load_reports};
+use crate::base::consts::SENDER_TIMEOUT;
+use crate::base::h2io::{self, HeadReader};
+
+impl GuardDuty {
+    pub(super) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else { continue };
+            drop(socket.set_nodelay(true));
+            spawn_local(Rc::clone(&self).serve_connection(socket));
+        }
+    }
+
+    async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
+        let handshake = timeout(SENDER_TIMEOUT, h2io::server().handshake(socket)).await;
+        let Ok(Ok(mut connection)) = handshake else { return };
+        let mut stopping = self.stopping.subscribe();
+        let mut shutdown_sent = false;
+        loop {
+            tokio::select! {
+                accepted = connection.accept() => match accepted {
+                    Some(Ok((request, respond))) => {
+                        spawn_local(Rc::clone(&self).serve_stream(request, respond));
+                    }
+                    _ => return,
+                },
+                _ = stopping.wait_for(|stopping| *stopping), if !shutdown_sent => {
+                    shutdown_sent = true;
+                    connection.graceful_shutdown();
+                }
+            }
+        }
+    }
+
+    async fn serve_stream(
+        self: Rc<Self>,
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+    ) {
+        let (parts, body) = request.into_parts();
+        let reader = HeadReader::open(body);
+        if parts.uri.path() == "/watch" {
+            // A watch is not a call: a planned stop doesn't wait for its end.
+            _ = load_reports::stream_reports(&self, reader, respond).await;
+            return;
+        }
+        self.open_streams.send_modify(|streams| *streams += 1);
+        if parts.uri.path() == "/revoke" {
+            self.serve_revoke(reader, respond).await;
+        } else {
+            self.serve_call(reader, respond).await;
+        }
+        self.open_streams.send_modify(|streams| *streams -= 1);
+    }
+}
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -11,9 +11,10 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
+use crate::base::clock::MicroTime;
 use crate::base::digest::RequestDigest;
 use crate::base::evacuation::EvacuationState;
-use crate::base::ids::{CentreName, HostName, TargetName};
+use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
 use crate::base::member::{AdvertisedTarget, FleetView, MemberRecord};
 use crate::base::suspect::SuspectUpdate;
 use crate::decide::cold_start::ColdTerms;
@@ -71,6 +72,8 @@
     Suspects(Vec<SuspectUpdate>),
     /// An operator drains a target or ends its drain; reply whether the target is known.
     Drain { target: TargetName, drained: bool, reply: oneshot::Sender<bool> },
+    /// A call that the host's own target made has ended.
+    NestedEnded(NestedEnd),
     /// Request for the duty's state, as JSON.
     Dump(oneshot::Sender<Value>),
     /// Request for what the host's targets state about themselves, a line each.
@@ -79,6 +82,19 @@
     Stop(oneshot::Sender<()>),
 }
 
+/// End of a call that a target made through the entry of its own host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct NestedEnd {
+    /// Name of the route of the nested call.
+    pub(crate) route: String,
+    /// Service that was called.
+    pub(crate) service: ServiceName,
+    /// Whether a target answered it without a failure of its own.
+    pub(crate) answered: bool,
+    /// Time from the arrival of the call to its end.
+    pub(crate) took: MicroTime,
+}
+
 /// Origin of updates to crash records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SuspectSource {
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -6,6 +6,7 @@
 //! sender.
 
 pub(crate) mod events;
+pub(crate) mod own_target;
 pub(crate) mod readiness;
 pub(crate) mod ring;
 pub(crate) mod target_report;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,9 @@
 pub use base::call_status::{CallStatus, ClaimRow, ClaimState, RecordedAnswer};
 pub use base::clock::MicroTime;
 pub use base::consts::*;
+pub use base::datagram::{
+    GuardDatagram, GuardReply, ProbeReply, ProbeRequest, QuotaReply, QuotaRequest, QuotaReturn,
+};
 pub use base::digest::RequestDigest;
 pub use base::evacuation::{EvacuationState, EvacuationUpdate};
 pub use base::findings::{FileFinding, FindingList, TextPosition, closest_name};
@@ -60,9 +63,8 @@
     BLAMED_AFTER_CRASHES, RUNS_ALONE_AFTER_CRASHES, SuspectRecord, SuspectUpdate,
 };
 pub use base::wire::{
-    AnswerHead, CallHead, CallPriority, GuardDatagram, GuardReply, KeyClaim, ProbeReply,
-    ProbeRequest, QuotaReply, QuotaRequest, RefusalReason, RevokeHead, RevokeReply, WatchHead,
-    WireError, decode, encode,
+    AnswerHead, CallHead, CallPriority, KeyClaim, RefusalReason, RevokeHead, RevokeReply,
+    WatchHead, WireError, decode, encode,
 };
 pub use call::headers::*;
 pub use call::responses::CallOutcome;
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -20,6 +20,7 @@
 use crate::decide::probe_budget::ProbeBudget;
 use crate::durable::{self, ConfigSource, PlatformParts, PlatformRings};
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
+use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::duty::threads::{self, DutyFactory, duty_factory};
@@ -97,6 +98,8 @@
     admin: RingInbox<AdminEvent>,
     from_guard: GuardRings,
     from_entry: RingSender<PeersEvent>,
+    /// Sender from the entry to the guard of the same daemon.
+    nested_ends: RingSender<GuardEvent>,
     from_peers: PeersRings,
     from_platform: PlatformRings,
     from_admin: AdminRings,
@@ -126,6 +129,7 @@
     let incarnation = own.incarnation;
     let rings = open_rings();
     let readiness = DaemonReadiness::default();
+    let own_target = OwnTarget::default();
     let mut duties: Vec<(&str, DutyFactory)> = Vec::new();
 
     let parts = EntryParts {
@@ -135,10 +139,12 @@
         crossing_cost: deployment
             .map_or(0.0, |deployment| f64::from(deployment.crossing_cost) / 1_000.0),
         own_service: deployment.map(|deployment| deployment.service.clone()),
+        own_target: own_target.clone(),
         retry_share: reload::retry_share(terms),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         readiness: readiness.clone(),
         peers: rings.from_entry,
+        guard: rings.nested_ends,
         probe_budget: ProbeBudget::open(
             settings.probe_budget.messages_per_s,
             settings.probe_budget.bytes_per_s,
@@ -155,6 +161,7 @@
         incarnation,
         header_names,
         own_service: deployment.map(|deployment| deployment.service.clone()),
+        own_target,
         target_address: deployment.and_then(|deployment| deployment.target_address),
         target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
         cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
@@ -269,6 +276,7 @@
             platform: platform.add_sender(RING_CAPACITY),
         },
         reports: guard.add_sender(RING_CAPACITY),
+        nested_ends: guard.add_sender(RING_CAPACITY),
         entry,
         guard,
         peers,
