Slots for nested calls: routes that only targets call, and slots reserved for their calls

Change: a guard learns per route whether only targets call it (decide/nested), from the service of the caller's host and whether its target is busy; other guards' findings count until disproved. Nested calls go before outer ones of the same priority, use slots reserved by their mean offered concurrency unless a more urgent outer call waits for a slot, may wait until their deadline less their work, and carry the priority of the most urgent run of their target. The guard publishes what its target runs in OwnTarget. Logs, dump and a metric for both.

Existing tests changed: WaitingCall literals gained nested: false. No load was measured.

--- a/benches/policies/guards.rs
+++ b/benches/policies/guards.rs
@@ -19,6 +19,7 @@
             queue_deadline: call.deadline,
             work_us: 0,
             last_target: call.call_attempts.is_last_attempt(),
+            nested: false,
         };
         self.step_queue(target, AdmissionEvent::Arrive(waiting));
     }
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) invalid_statements: IntCounter,
     /// Targets of this host that state the rate of calls they take.
     pub(crate) limited_targets: IntGauge,
+    /// Slots that targets of this host reserve for nested calls.
+    pub(crate) reserved_slots: IntGauge,
     /// Crashes of targets: unannounced ends while calls ran.
     pub(crate) target_crashes: IntCounter,
     /// Calls rejected by this entry because their request is blamed for crashing targets.
@@ -83,6 +85,9 @@
         let limited_targets =
             IntGauge::new("railspan_rate_limited_targets", "Targets that state a rate of calls")?;
         registry.register(Box::new(limited_targets.clone()))?;
+        let reserved_slots =
+            IntGauge::new("railspan_reserved_slots", "Slots reserved for nested calls")?;
+        registry.register(Box::new(reserved_slots.clone()))?;
         Ok(Self {
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
@@ -111,6 +116,7 @@
                 "Statements of targets that could not be read",
             )?,
             limited_targets,
+            reserved_slots,
             target_crashes: counter(
                 "railspan_target_crashes_total",
                 "Targets that ended under calls",
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -206,12 +206,17 @@
 ///
 /// The call is refused once it would probably miss its latency objective, while another
 /// target or a later attempt may still serve it. A call without an objective shorter than
-/// its deadline may wait until the deadline.
+/// its deadline may wait until the deadline. A nested call may wait until its deadline less
+/// its work, since its run can use a late answer.
 fn max_wait(call: &CallerCall, work_us: f64, now: MicroTime) -> MicroTime {
+    let work = MicroTime((work_us * WORK_MARGIN) as u64);
+    if call.nested {
+        return call.deadline.since(now).since(work);
+    }
     if call.options.objective_ms >= call.options.deadline_ms {
         return call.deadline.since(now);
     }
-    call.objective().since(now).since(MicroTime((work_us * WORK_MARGIN) as u64))
+    call.objective().since(now).since(work)
 }
 
 fn make_head(
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -112,8 +112,12 @@
     // Callers other than targets have a token on every route that is not public.
     let has_no_token = account.is_none() && !config.accounts.is_empty() && !route.public;
     let nested = has_no_token || duty.is_nested_route(&route.name);
-    let options =
+    let mut options =
         route.call_options(stated_deadline.and_then(|text| text.trim().parse().ok()), rank);
+    if nested && let Some(highest) = duty.own_target.highest_priority() {
+        // The run that made the call is among those, but it is not known which one it is.
+        options.priority = highest;
+    }
     let mut forwarded = headers::forward_request_headers(&parts.headers, names);
     if !config.accounts.is_empty() {
         forwarded.retain(|(name, _)| name != AUTHORIZATION.as_str());
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -172,6 +172,7 @@
             queue_deadline: call.deadline.min(call.queue_deadline),
             work_us: head.work_us,
             last_target: head.last,
+            nested: call.nested,
         };
         if let Some(target) = self.targets.borrow_mut().get_mut(&call.target_key) {
             target.last_call_at = self.clock.now();
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -152,6 +152,7 @@
             "life": self.incarnation,
             "cold": self.queue.cold_start(),
             "rate_limit": self.queue.rate_limit(),
+            "nested": self.queue.nested_load(),
             "ready": self.lease.is_ready(now),
             "running": self.queue.running(),
             "waiting": self.queue.waiting(),
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -36,6 +36,7 @@
 use crate::base::wire::{AnswerHead, RefusalReason};
 use crate::call::guard::load_reports::GuardWatchers;
 use crate::call::guard::local_target::LocalTarget;
+use crate::call::guard::nested::GuardNested;
 use crate::call::guard::quota::GuardQuotas;
 use crate::call::guard::served_call::ServedCall;
 use crate::call::guard::target_connections::TargetConnections;
@@ -125,6 +126,8 @@
     pub(crate) cold_terms: Cell<ColdTerms>,
     /// Parts of account quotas that this daemon holds.
     quotas: GuardQuotas,
+    /// The calls that targets make while they serve others.
+    nested: GuardNested,
     /// Whether the host's data centre is evacuated and accepts no calls.
     pub(crate) evacuated: Cell<bool>,
     pub(crate) max_body: usize,
@@ -169,6 +172,7 @@
         target_lease: Cell::new(parts.target_lease),
         cold_terms: Cell::new(parts.cold_terms),
         quotas: GuardQuotas::default(),
+        nested: GuardNested::default(),
         evacuated: Cell::new(false),
         max_body: parts.max_body,
         metrics,
@@ -198,7 +202,10 @@
                 self.update_cold_rates();
                 self.update_held_quotas();
             }
-            GuardEvent::Fleet(view) => self.set_fleet_view(view),
+            GuardEvent::Fleet(view) => {
+                self.nested.set_fleet_view(&view);
+                self.set_fleet_view(view);
+            }
             GuardEvent::Isolated(isolated) => self.set_isolated(isolated),
             GuardEvent::Settings { lease, cold, quota } => {
                 self.target_lease.set(lease);
@@ -238,7 +245,7 @@
     pub(crate) fn step_queue(&self, key: &(ServiceName, TargetName), event: AdmissionEvent) {
         let mut actions = Vec::new();
         if let Some(target) = self.targets.borrow_mut().get_mut(key) {
-            let before = target.queue.limit();
+            let (before, reserved) = (target.queue.limit(), target.queue.reserved_slots());
             target.queue.step(self.clock.now(), event, &mut actions);
             let limit = target.queue.limit();
             if limit != before {
@@ -247,7 +254,9 @@
                     "running" => target.queue.running(),
                     "waiting" => target.queue.waiting());
             }
+            self.log_reserved_slots(&key.1, target, reserved);
         }
+        self.publish_own_target();
         self.execute_actions(actions);
     }
 
@@ -273,9 +282,13 @@
             timer.tick().await;
             let mut actions = Vec::new();
             let now = self.clock.now();
-            for target in self.targets.borrow_mut().values_mut() {
+            for ((_, name), target) in self.targets.borrow_mut().iter_mut() {
+                let reserved = target.queue.reserved_slots();
                 target.queue.step(now, AdmissionEvent::Tick, &mut actions);
+                self.log_reserved_slots(name, target, reserved);
             }
+            self.publish_own_target();
+            self.count_reserved_slots();
             self.execute_actions(actions);
             self.apply_leases();
             self.notify_watchers(now);
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -22,6 +22,7 @@
 use crate::base::wire::CallHead;
 use crate::call::guard::GuardDuty;
 use crate::call::guard::crash_detection::RunOutcome;
+use crate::call::guard::nested::CallFinding;
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
 use crate::call::guard::target_connections::TargetFailure;
 use crate::call::headers;
@@ -77,6 +78,8 @@
     /// The caller's request id; empty if the caller gave none.
     pub(crate) request_id: String,
     pub(crate) target_key: (ServiceName, TargetName),
+    /// Whether a target made the call.
+    pub(crate) nested: bool,
     /// Whether only targets call the route of this call, as far as known.
     pub(crate) nested_route: bool,
     arrived_at: MicroTime,
@@ -123,16 +126,24 @@
         // The time until the deadline counts from when the entry sent the call, not from
         // its arrival.
         let sent_at = head.sent.map_or(now, |sent| sent.min(now));
+        let deadline = sent_at + MicroTime::from_millis(remaining);
+        let queue_deadline = sent_at + MicroTime::from_millis(u64::from(head.max_wait_ms));
+        let CallFinding { nested, nested_route } = duty.find_nested(head);
         Self {
             duty: Rc::clone(duty),
             call_id: head.call,
             digest: head.digest,
             request_id: request_id.unwrap_or_default().to_owned(),
             target_key: (head.service.clone(), head.target.clone()),
-            nested_route: head.nested,
+            nested,
+            nested_route,
             arrived_at: now,
-            deadline: sent_at + MicroTime::from_millis(remaining),
-            queue_deadline: sent_at + MicroTime::from_millis(u64::from(head.max_wait_ms)),
+            deadline,
+            queue_deadline: if nested {
+                queue_deadline.max(GuardDuty::nested_queue_deadline(head, deadline))
+            } else {
+                queue_deadline
+            },
             enqueued: Cell::default(),
             exclusive_lock: RefCell::default(),
             started_at: Cell::default(),
@@ -177,6 +188,9 @@
             () = sleep_until(deadline) => None,
         };
         let unanswered = answered.is_none();
+        if unanswered && head.repeatable {
+            duty.record_abandoned_run();
+        }
         let mut relay = AnswerRelay { call: self, head, respond: Some(respond), stream: None };
         let status = if let Some(answered) = answered {
             relay.forward(answered).await
--- a/src/decide/admission/events.rs
+++ b/src/decide/admission/events.rs
@@ -23,6 +23,8 @@
     pub work_us: u32,
     /// Whether the entry has no other target left to try.
     pub last_target: bool,
+    /// Whether a target made the call for one of its runs.
+    pub nested: bool,
 }
 
 /// An input event of an admission queue.
--- a/src/decide/admission/forecast.rs
+++ b/src/decide/admission/forecast.rs
@@ -34,19 +34,20 @@
         MicroTime(remaining.max(total * OVERDUE_FRACTION) as u64)
     }
 
-    /// Returns the expected time until a call gets a slot if the calls in `ahead` get
-    /// theirs first.
+    /// Returns the expected time until a call that may start while fewer than `limit` calls
+    /// run gets a slot if the calls in `ahead` get theirs first.
     pub(super) fn wait_behind<'a>(
         &self,
+        limit: usize,
         ahead: impl Iterator<Item = &'a WaitingCall>,
     ) -> MicroTime {
         let mut free_in: Vec<MicroTime> =
             self.running.values().map(|running| self.remaining_time(running)).collect();
-        // After a decrease of the limit more calls run than it allows: the first ones to
-        // end free no slot.
+        // After a decrease of the limit, or with nested calls in the reserved slots, more
+        // calls run than it allows: the first ones to end free no slot.
         free_in.sort_unstable();
-        free_in.drain(..free_in.len().saturating_sub(self.limit()));
-        free_in.resize(self.limit(), MicroTime(0));
+        free_in.drain(..free_in.len().saturating_sub(limit));
+        free_in.resize(limit, MicroTime(0));
         for call in ahead {
             let first = minimum(&mut free_in);
             *first = *first + self.expected_time(call);
@@ -63,7 +64,7 @@
     /// again.
     #[must_use]
     pub fn retry_after_ms(&self) -> u32 {
-        let queue = self.wait_behind(self.waiting.iter());
+        let queue = self.wait_behind(self.limit(), self.waiting.iter());
         let cold = self.cold_start.wait_behind(self.now, self.waiting.len());
         let rate = self.rate_limit.wait_behind(self.now, self.waiting.len());
         let slow = self.speed.slow_period_left(self.now);
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -12,6 +12,7 @@
 
 mod events;
 mod forecast;
+mod nested_slots;
 mod order;
 mod refusal;
 mod report;
@@ -20,11 +21,12 @@
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, CallId};
-use crate::base::wire::RefusalReason;
+use crate::base::wire::{CallPriority, RefusalReason};
 use crate::decide::cold_start::ColdStartLimit;
 use crate::decide::host_speed::HostSpeed;
 use crate::decide::limit::ConcurrencyLimit;
 use crate::decide::rate_limit::RateLimit;
+use nested_slots::NestedLoad;
 
 pub use events::{AdmissionAction, AdmissionEvent, WaitingCall};
 
@@ -48,6 +50,8 @@
 #[derive(Clone, Debug)]
 struct RunningCall {
     account: AccountName,
+    priority: CallPriority,
+    nested: bool,
     started_at: MicroTime,
     /// Expected service time on a host of normal speed, in microseconds; zero if unknown.
     work_us: u32,
@@ -59,15 +63,17 @@
 
 /// The admission queue of one target.
 ///
-/// Invariants: a call starts only while fewer than `limit` calls run and the cold-start and
-/// rate limits permit it; a call waits only if one of these limits is reached or the host is
-/// in a slow period; each arrival gets exactly one `Start` or `Refuse`, unless cancelled.
+/// Invariants: an outer call starts only while fewer than `limit` calls run, a nested call only
+/// while fewer than `limit` plus the reserved slots do, and both only if the cold-start and rate
+/// limits permit it; a call waits only if one of these limits is reached or the host is in a
+/// slow period; each arrival gets exactly one `Start` or `Refuse`, unless cancelled.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     limit: ConcurrencyLimit,
     speed: HostSpeed,
     cold_start: ColdStartLimit,
     rate_limit: RateLimit,
+    nested_load: NestedLoad,
     /// Integral over time of the number of running calls, in microseconds.
     running_time_us: f64,
     running: HashMap<CallId, RunningCall>,
@@ -97,6 +103,7 @@
             speed: HostSpeed::default(),
             cold_start: ColdStartLimit::default(),
             rate_limit: RateLimit::default(),
+            nested_load: NestedLoad::default(),
             running_time_us: 0.0,
             running: HashMap::new(),
             waiting: Vec::new(),
@@ -130,8 +137,7 @@
 
     /// Checks the invariants, in builds with debug assertions.
     fn check(&self) {
-        let is_full = !self.has_capacity();
-        let has_to_wait = |call: &WaitingCall| is_full || self.should_wait(call);
+        let has_to_wait = |call: &WaitingCall| !self.may_start(call);
         debug_assert!(self.waiting.iter().all(has_to_wait), "a call waits despite a free slot");
         let is_running = |call: &WaitingCall| self.running.contains_key(&call.call);
         debug_assert!(!self.waiting.iter().any(is_running), "a call is both waiting and running");
@@ -234,6 +240,7 @@
         let elapsed = now.since(self.now).0 as f64;
         self.running_time_us += elapsed * self.running.len() as f64;
         self.limit.advance(now, !self.waiting.is_empty());
+        self.nested_load.advance(now, self.limit.slots());
         self.now = now;
     }
 
@@ -242,7 +249,10 @@
             out.push(self.refuse(&call, RefusalReason::Leaving));
             return;
         }
-        if self.has_capacity() && self.waiting.is_empty() {
+        if call.nested {
+            self.record_nested_arrival(&call);
+        }
+        if self.has_capacity_for(&call) && self.is_next(&call) {
             self.arrive_at_free_slot(call, out);
             return;
         }
@@ -275,11 +285,6 @@
         call.queue_deadline > self.now && self.speed.is_worth_waiting(f64::from(call.work_us))
     }
 
-    /// Returns whether the concurrency, cold-start and rate limits permit one more call.
-    fn has_capacity(&self) -> bool {
-        self.running.len() < self.limit() && self.may_start_now()
-    }
-
     /// Frees the slot of a call and updates the statistics, unless it was never dispatched.
     fn finish(&mut self, call: CallId, took: Option<MicroTime>, failed: bool) {
         let Some(ended) = self.running.remove(&call) else { return };
@@ -288,6 +293,9 @@
         // The time to a failure says nothing about the time to an answer.
         if !failed {
             self.service_us += SERVICE_WEIGHT * (took.0 as f64 - self.service_us);
+            if ended.nested {
+                self.nested_load.record_duration(took);
+            }
             self.record_slowdown(&ended);
         }
     }
@@ -330,8 +338,8 @@
 
     /// Starts waiting calls in queue order while the limits permit it.
     fn start_waiting(&mut self, out: &mut Vec<AdmissionAction>) {
-        while self.has_capacity() {
-            let may_start = |&index: &usize| !self.should_wait(&self.waiting[index]);
+        while !self.waiting.is_empty() && self.may_start_now() {
+            let may_start = |&index: &usize| self.may_start(&self.waiting[index]);
             let first = (0..self.waiting.len()).filter(may_start).reduce(|first, index| {
                 let before = self.goes_before(&self.waiting[index], &self.waiting[first]);
                 if before { index } else { first }
@@ -345,6 +353,8 @@
     fn start_call(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
         let running = RunningCall {
             account: call.account,
+            priority: call.priority,
+            nested: call.nested,
             started_at: self.now,
             work_us: call.work_us,
             slowness: self.speed.slowness(),
--- a/src/decide/admission/order.rs
+++ b/src/decide/admission/order.rs
@@ -28,6 +28,9 @@
         if left.priority != right.priority {
             return left.priority > right.priority;
         }
+        if left.nested != right.nested {
+            return left.nested;
+        }
         let (left_usage, right_usage) = (self.share_usage(left), self.share_usage(right));
         if left.account != right.account && left_usage != right_usage {
             return left_usage < right_usage;
--- a/src/decide/admission/refusal.rs
+++ b/src/decide/admission/refusal.rs
@@ -27,10 +27,13 @@
         if rate_is_too_late || !call.last_target && rate_wait > SHORT_RATE_WAIT {
             return Some(RefusalReason::RateLimited);
         }
-        if self.now + self.wait_behind(ahead).max(cold_wait) >= call.queue_deadline {
+        if self.now + self.wait_behind(self.limit_for(call), ahead).max(cold_wait)
+            >= call.queue_deadline
+        {
             return Some(RefusalReason::TooLate);
         }
-        let is_full = self.waiting.len() >= self.limit() / SHORT_QUEUE_DIVISOR;
+        let queued = if call.nested { ahead_count } else { self.waiting.len() };
+        let is_full = queued >= self.limit() / SHORT_QUEUE_DIVISOR;
         // A short wait for the rate is no sign of a queue that drains slowly.
         (!call.last_target && is_full && rate_wait == MicroTime(0)).then_some(RefusalReason::Full)
     }
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -174,6 +174,12 @@
         self.levels[level].max_running
     }
 
+    /// Returns the number of slots, which is the upper bound of the limit.
+    #[must_use]
+    pub const fn slots(&self) -> usize {
+        self.slots
+    }
+
     /// Starts and ends trials. No trial starts unless `has_waiting`, that is, unless calls wait
     /// for a slot.
     pub fn advance(&mut self, now: MicroTime, has_waiting: bool) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod known_statements;
 pub(crate) mod lease;
 pub(crate) mod limit;
+pub(crate) mod nested;
 pub(crate) mod probe_budget;
 pub(crate) mod quota;
 pub(crate) mod rate_limit;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //!     queue_deadline: MicroTime::from_millis(100),
 //!     work_us: 0,
 //!     last_target: true,
+//!     nested: false,
 //! };
 //! queue.step(MicroTime(0), AdmissionEvent::Arrive(call), &mut actions);
 //! assert_eq!(actions, [AdmissionAction::Start(CallId(7))]);
@@ -84,6 +85,7 @@
 pub use decide::known_statements::KnownStatements;
 pub use decide::lease::{TargetCondition, TargetLease};
 pub use decide::limit::ConcurrencyLimit;
+pub use decide::nested::{RouteCall, RouteClassifier, RouteFinding, ServiceShares};
 pub use decide::probe_budget::ProbeBudget;
 pub use decide::quota::{
     AccountQuota, GRANT_LIFETIME, HolderChange, QuotaCredit, QuotaDecision, QuotaGrant,
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -46,6 +46,7 @@
         queue_deadline: deadline,
         work_us: 0,
         last_target: true,
+        nested: false,
     }
 }
 
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -286,6 +286,7 @@
                 queue_deadline: now + MicroTime::from_millis(100),
                 work_us: WORK_MS as u32 * 1_000,
                 last_target: true,
+                nested: false,
             };
             arrived.push(now_ms);
             queue.step(now, AdmissionEvent::Arrive(call), &mut out);
@@ -365,6 +366,7 @@
         queue_deadline: now + MicroTime::from_millis(300),
         work_us: 40_000,
         last_target,
+        nested: false,
     };
     let mut out = Vec::new();
     queue.step(now, AdmissionEvent::Arrive(call), &mut out);
--- a/tests/limited_fleet.rs
+++ b/tests/limited_fleet.rs
@@ -128,6 +128,7 @@
             queue_deadline: MicroTime::from_millis(objective_ms - WORK_MS),
             work_us: 0,
             last_target: call.last,
+            nested: false,
         };
         self.step_queue(now_ms, call.target, AdmissionEvent::Arrive(waiting));
     }
--- a/tests/rate_limit.rs
+++ b/tests/rate_limit.rs
@@ -274,6 +274,7 @@
         queue_deadline: millis(queue_deadline_ms),
         work_us: 0,
         last_target: last,
+        nested: false,
     }
 }
 
--- a/tests/suspended_host.rs
+++ b/tests/suspended_host.rs
@@ -27,6 +27,7 @@
         queue_deadline: deadline,
         work_us: 0,
         last_target: true,
+        nested: false,
     }
 }
 
