--- a/src/base/consts.rs
+++ b/src/base/consts.rs
@@ -86,3 +86,7 @@
 ///
 /// It is long enough to have the revocation confirmed and still answer the caller in time.
 pub const REVOKE_MARGIN: Duration = Duration::from_millis(40);
+
+/// Time reserved for a call's work, as a multiple of the average of its route: shared hosts take
+/// about a quarter longer, and the times of single calls vary by half.
+pub(crate) const WORK_MARGIN: f64 = 1.5;
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::base::call_status::{CallStatus, ClaimRow};
 use crate::base::clock::MicroTime;
-use crate::base::consts::REVOKE_MARGIN;
+use crate::base::consts::{REVOKE_MARGIN, WORK_MARGIN};
 use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
@@ -32,10 +32,6 @@
 /// Maximum size of a body that is sent in one write with its head, in bytes.
 const MAX_INLINE_BODY: usize = 64 << 10;
 
-/// Time reserved for a call's work, as a multiple of the average of its route: shared hosts take
-/// about a quarter longer, and the times of single calls vary by half.
-const WORK_MARGIN: f64 = 1.5;
-
 /// End of an attempt.
 pub(crate) enum AttemptEnd {
     /// The target answered.
--- a/src/call/guard/dump.rs
+++ b/src/call/guard/dump.rs
@@ -15,7 +15,7 @@
             "targets": targets,
             "blamed": self.suspects.borrow().blamed(),
             "quotas": self.quotas.dump(),
-            "nested": self.nested.dump(),
+            "nested_routes": self.nested.dump(now),
             "calls_remembered": self.ledger.borrow().len(),
             "streams": *self.open_streams.borrow(),
             "stopping": *self.stopping.borrow(),
--- a/src/call/guard/nested.rs
+++ b/src/call/guard/nested.rs
@@ -8,6 +8,7 @@
 use super::GuardDuty;
 use super::local_target::LocalTarget;
 use crate::base::clock::MicroTime;
+use crate::base::consts::WORK_MARGIN;
 use crate::base::ids::{ServiceName, TargetName};
 use crate::base::member::FleetView;
 use crate::base::wire::CallHead;
@@ -41,8 +42,8 @@
         self.classifier.borrow_mut().set_shares(ServiceShares::of(view));
     }
 
-    pub(super) fn dump(&self) -> Value {
-        json!(*self.classifier.borrow())
+    pub(super) fn dump(&self, now: MicroTime) -> Value {
+        json!(self.classifier.borrow().states(now))
     }
 }
 
@@ -78,7 +79,7 @@
     /// Returns the time by which a nested call must have a slot: its deadline less the time for
     /// its work, since its run can use the answer until then.
     pub(super) fn nested_queue_deadline(head: &CallHead, deadline: MicroTime) -> MicroTime {
-        deadline - MicroTime(u64::from(head.work_us))
+        deadline - MicroTime((f64::from(head.work_us) * WORK_MARGIN) as u64)
     }
 
     /// Updates what the entry of this daemon knows of the host's own target.
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -240,7 +240,8 @@
         let elapsed = now.since(self.now).0 as f64;
         self.running_time_us += elapsed * self.running.len() as f64;
         self.limit.advance(now, !self.waiting.is_empty());
-        self.nested_load.advance(now, self.limit.slots());
+        let nested = self.running.values().filter(|running| running.nested).count();
+        self.nested_load.advance(now.since(self.now), nested, self.limit.slots());
         self.now = now;
     }
 
@@ -249,9 +250,6 @@
             out.push(self.refuse(&call, RefusalReason::Leaving));
             return;
         }
-        if call.nested {
-            self.record_nested_arrival(&call);
-        }
         if self.has_capacity_for(&call) && self.is_next(&call) {
             self.arrive_at_free_slot(call, out);
             return;
@@ -293,9 +291,6 @@
         // The time to a failure says nothing about the time to an answer.
         if !failed {
             self.service_us += SERVICE_WEIGHT * (took.0 as f64 - self.service_us);
-            if ended.nested {
-                self.nested_load.record_duration(took);
-            }
             self.record_slowdown(&ended);
         }
     }
--- a/src/decide/admission/nested_slots.rs
+++ b/src/decide/admission/nested_slots.rs
@@ -2,21 +2,18 @@
 //!
 //! The run that made a nested call holds a slot of another target until the call ends, so the
 //! call may start beyond the concurrency limit. The number of slots reserved for that is the mean
-//! concurrency that the nested calls ask for: the rate at which they arrive, times their duration.
+//! concurrency of the nested calls here: the rate at which they start, times their duration.
 
 use serde::Serialize;
 
-use super::{AdmissionQueue, SERVICE_WEIGHT, WaitingCall};
+use super::{AdmissionQueue, WaitingCall};
 use crate::base::clock::MicroTime;
 use crate::base::wire::CallPriority;
 use crate::decide::selection::decay;
 
-/// Time constant with which arrivals of nested calls are forgotten, in microseconds: some tens
-/// of their durations, and less than the duration of most bursts.
-const MEMORY_US: f64 = 2_000_000.0;
-
-/// Half-life that corresponds to [`MEMORY_US`].
-const HALF_LIFE_US: f64 = MEMORY_US * std::f64::consts::LN_2;
+/// Half-life of the mean concurrency, in microseconds, at a time constant of 2 s: some tens of
+/// durations of a nested call, and less than most bursts last.
+const HALF_LIFE_US: f64 = 2_000_000.0 * std::f64::consts::LN_2;
 
 /// Mean concurrency below which no slot is reserved: a few nested calls within seconds find a
 /// slot without that.
@@ -26,61 +23,31 @@
 /// reserved slot is given up, so that the number doesn't alternate.
 const RELEASE_MARGIN: f64 = 0.25;
 
-/// Load of a target with nested calls, and the slots reserved for it.
+/// Concurrency of a target's nested calls, and the slots reserved for them.
 ///
-/// Arrivals count, not starts: with too few slots most nested calls are refused, and the starts
-/// would justify no further slot.
+/// Calls that were refused don't count: callers try again at other targets, so that a shortage
+/// would reserve slots for the same call everywhere.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct NestedLoad {
-    /// Sum of the expected durations of the nested calls that arrived, with exponential decay.
-    offered_us: f64,
-    /// Moving average of the duration of nested calls, in microseconds; zero before the first.
-    duration_us: f64,
+    /// Mean number of running nested calls, with exponential decay.
+    concurrency: f64,
     /// Number of reserved slots.
     reserved: usize,
-    /// Time up to which the decay is applied.
-    decayed_at: MicroTime,
 }
 
 impl NestedLoad {
-    /// Returns the mean number of nested calls that would run if all of them got a slot.
-    fn concurrency(&self) -> f64 {
-        self.offered_us / MEMORY_US
-    }
-
-    /// Applies the decay up to `now`, and updates the number of reserved slots of `slots` in all.
-    pub(super) fn advance(&mut self, now: MicroTime, slots: usize) {
-        if self.offered_us > 0.0 {
-            self.offered_us *= decay(now.since(self.decayed_at).0 as f64, HALF_LIFE_US);
-        }
-        self.decayed_at = self.decayed_at.max(now);
-        self.update_reserved(slots);
-    }
-
-    /// Records the arrival of a nested call; `expected` is its duration if no nested call has
-    /// ended here yet.
-    fn record_arrival(&mut self, expected: MicroTime, slots: usize) {
-        let known = self.duration_us > 0.0;
-        self.offered_us += if known { self.duration_us } else { expected.0 as f64 };
-        self.update_reserved(slots);
-    }
-
-    /// Records the time that an answered nested call held its slot.
-    pub(super) fn record_duration(&mut self, took: MicroTime) {
-        let took = took.0 as f64;
-        let known = self.duration_us > 0.0;
-        let weight = if known { SERVICE_WEIGHT } else { 1.0 };
-        self.duration_us += weight * (took - self.duration_us);
-    }
-
-    fn update_reserved(&mut self, slots: usize) {
-        let concurrency = self.concurrency();
-        if concurrency < MIN_CONCURRENCY {
+    /// Records that `running` nested calls ran for `elapsed`, and updates the number of reserved
+    /// slots of `slots` in all.
+    pub(super) fn advance(&mut self, elapsed: MicroTime, running: usize, slots: usize) {
+        let kept = decay(elapsed.0 as f64, HALF_LIFE_US);
+        self.concurrency = running as f64 + (self.concurrency - running as f64) * kept;
+        if self.concurrency < MIN_CONCURRENCY {
             self.reserved = 0;
             return;
         }
-        let highest = (concurrency + RELEASE_MARGIN).ceil() as usize;
-        self.reserved = self.reserved.clamp(concurrency.ceil() as usize, highest).min(slots);
+        let highest = (self.concurrency + RELEASE_MARGIN).ceil() as usize;
+        let lowest = self.concurrency.ceil() as usize;
+        self.reserved = self.reserved.clamp(lowest, highest).min(slots);
     }
 }
 
@@ -101,11 +68,6 @@
         self.running.values().map(|running| running.priority).max()
     }
 
-    pub(super) fn record_nested_arrival(&mut self, call: &WaitingCall) {
-        let expected = self.expected_time(call);
-        self.nested_load.record_arrival(expected, self.limit.slots());
-    }
-
     /// Returns the number of calls below which a call may start.
     ///
     /// While a more urgent outer call waits for a slot, no nested call starts beyond the limit:
--- a/src/decide/nested/evidence.rs
+++ b/src/decide/nested/evidence.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::{RouteCall, ServiceShares};
+use super::{RouteCall, RouteFinding, ServiceShares};
 use crate::base::clock::MicroTime;
 use crate::base::ids::ServiceName;
 
@@ -34,6 +34,9 @@
     score: f64,
     /// Whether an entry reported another guard's finding that the route is nested.
     reported: bool,
+    /// Finding at the latest call.
+    #[serde(skip)]
+    found: bool,
     last_call: MicroTime,
     /// Time of the last call that disproved that the route is nested.
     disproved_at: MicroTime,
@@ -54,8 +57,21 @@
         self.disproof > MicroTime(0) && now < self.disproved_at + self.disproof
     }
 
-    pub(super) fn record(&mut self, now: MicroTime, call: &RouteCall<'_>, shares: &ServiceShares) {
+    /// Records a call; returns what follows.
+    pub(super) fn record(
+        &mut self,
+        now: MicroTime,
+        call: &RouteCall<'_>,
+        shares: &ServiceShares,
+    ) -> RouteFinding {
         self.last_call = now;
+        self.weigh(now, call, shares);
+        let nested = self.is_nested(now);
+        let before = std::mem::replace(&mut self.found, nested);
+        RouteFinding { nested, changed: nested != before }
+    }
+
+    fn weigh(&mut self, now: MicroTime, call: &RouteCall<'_>, shares: &ServiceShares) {
         let is_of_target = call.caller_service.is_some() && call.caller_busy;
         if !is_of_target || self.service.is_some() && self.service.as_ref() != call.caller_service {
             self.disprove(now);
--- a/src/decide/nested/mod.rs
+++ b/src/decide/nested/mod.rs
@@ -46,13 +46,20 @@
     pub changed: bool,
 }
 
+/// State of a route, for operators.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct RouteState<'a> {
+    route: &'a str,
+    nested: bool,
+    evidence: &'a RouteEvidence,
+}
+
 /// Classifier of the routes that a guard serves.
 ///
 /// Invariant: holds evidence of at most [`MAX_ROUTES`] routes, those called last.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
 pub struct RouteClassifier {
     routes: HashMap<String, RouteEvidence>,
-    #[serde(skip)]
     shares: ServiceShares,
 }
 
@@ -66,12 +73,12 @@
     pub fn record(&mut self, now: MicroTime, call: &RouteCall<'_>) -> RouteFinding {
         if !self.routes.contains_key(call.route) {
             self.make_room();
+            self.routes.insert(call.route.to_owned(), RouteEvidence::default());
         }
-        let evidence = self.routes.entry(call.route.to_owned()).or_default();
-        let before = evidence.is_nested(now);
-        evidence.record(now, call, &self.shares);
-        let nested = evidence.is_nested(now);
-        RouteFinding { nested, changed: nested != before }
+        let Some(evidence) = self.routes.get_mut(call.route) else {
+            return RouteFinding { nested: false, changed: false };
+        };
+        evidence.record(now, call, &self.shares)
     }
 
     /// Returns whether only targets call a route, as far as known.
@@ -80,6 +87,16 @@
         self.routes.get(route).is_some_and(|evidence| evidence.is_nested(now))
     }
 
+    /// Returns the state of each route, for operators.
+    pub(crate) fn states(&self, now: MicroTime) -> Vec<RouteState<'_>> {
+        let states = self.routes.iter().map(|(route, evidence)| RouteState {
+            route,
+            nested: evidence.is_nested(now),
+            evidence,
+        });
+        states.collect()
+    }
+
     /// Returns the number of routes with evidence.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -84,6 +84,16 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
+    /// Starts a daemon in the first data centre whose target offers another service.
+    pub fn start_daemon_of(&self, index: usize, service: &str) -> DaemonProcess {
+        let mut spec = self.daemon_spec(index);
+        spec.data_centre = String::from("ba-norte-1");
+        if let Some(deployment) = &mut spec.deployment {
+            deployment["service"] = json!(service);
+        }
+        DaemonProcess::spawn(&spec).expect("daemon")
+    }
+
     /// Starts a daemon that advertises other guard and peer addresses than it binds.
     pub fn start_daemon_advertising(
         &self,
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -144,3 +144,25 @@
     assert!(passed <= allowed_by_rate + 60, "{passed} passed");
     assert_eq!(call_with_key(&fleet, 0, "/open/", Some(KEY), "not-counted").status, 200);
 }
+
+/// Requests without a key on a route that is not public come from targets, which must not wait
+/// behind clients; those of clients get no slot beyond the limit.
+#[test]
+fn slots_are_reserved_for_requests_without_a_key_only() {
+    let fleet = spawn_with_accounts(1_000, 1_000);
+    fleet.targets.iter().for_each(|target| target.set_service_time(Duration::from_millis(200)));
+    let reserved = || -> u64 {
+        let of = |index| fleet.state(index)["guard"]["targets"][0]["nested"]["reserved"].as_u64();
+        (0..3).map(|index| of(index).expect("reserved slots")).sum()
+    };
+    for number in 0..6 {
+        call_with_key(&fleet, 0, SAFE_PREFIX, Some(KEY), &format!("client{number}"));
+        assert_eq!(reserved(), 0);
+    }
+    let mut numbers = 0..;
+    eventually("slots reserved", || {
+        let number: u32 = numbers.next().expect("number");
+        call_with_key(&fleet, 0, SAFE_PREFIX, None, &format!("nested{number}"));
+        reserved() > 0
+    });
+}
--- a/tests/nested_routes.rs
+++ b/tests/nested_routes.rs
@@ -182,7 +182,16 @@
 fn a_route_is_found_again_some_seconds_after_one_call_that_seemed_to_disprove_it() {
     let (mut classifier, _) = classifier(&CHAINED);
     let caller = ServiceName::from("shares");
-    let found = nested_after(&mut classifier, 400, |number| call("order", &caller, number != 100));
+    let mut changes = 0;
+    let found: Vec<u64> = (1..=400)
+        .filter(|number| {
+            let call = call("order", &caller, *number != 100);
+            let finding = classifier.record(MicroTime(number * INTERVAL.0), &call);
+            changes += u32::from(finding.changed);
+            finding.nested
+        })
+        .collect();
+    assert_eq!(changes, 3, "found, disproved and found again: nested at {found:?}");
     let again = found.iter().find(|number| **number > 100).expect("found again");
     assert!((200..300).contains(again), "found again at {again}");
 }
