--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -2,6 +2,7 @@
 //! platform's adapter, one target per daemon, and the stand-in for the store.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -84,9 +85,11 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
-    /// Starts a daemon in the first data centre whose target offers another service.
-    pub fn start_daemon_of(&self, index: usize, service: &str) -> DaemonProcess {
+    /// Starts a daemon in the first data centre whose target offers a service, and which writes
+    /// its log to a file.
+    pub fn start_daemon_of(&self, index: usize, service: &str, log: PathBuf) -> DaemonProcess {
         let mut spec = self.daemon_spec(index);
+        spec.log_file = Some(log);
         spec.data_centre = String::from("ba-norte-1");
         if let Some(deployment) = &mut spec.deployment {
             deployment["service"] = json!(service);
--- a/tests/hosted_nested.rs
+++ b/tests/hosted_nested.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::path::Path;
 use std::time::Duration;
 
 use common::eventually;
@@ -18,7 +19,9 @@
     let mut called = config["services"][0].clone();
     called["name"] = json!(CALLED);
     config["services"].as_array_mut().expect("services").push(called);
-    config["virtual_hosts"][0]["paths"][0]["service"] = json!(CALLED);
+    let paths = &mut config["virtual_hosts"][0]["paths"];
+    paths[0]["service"] = json!(CALLED);
+    paths[0]["priority"] = json!(3);
     config.to_string()
 }
 
@@ -29,14 +32,25 @@
     routes.iter().find(|state| state["route"] == route)?["nested"].as_bool()
 }
 
+/// Returns the worth that a call had when its target was chosen, if the log has the choice.
+fn worth_at_choice(log: &Path, id: &str) -> Option<u64> {
+    let text = std::fs::read_to_string(log).ok()?;
+    let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let mut choices = lines.filter(|line| line["msg"] == "chosen" && line["id"] == id);
+    choices.next()?["worth"].as_u64()
+}
+
 /// A guard that doesn't know which calls targets make would refuse them behind those of clients,
-/// and one that takes clients' calls for them would give these the reserved slots.
+/// and one that takes clients' calls for them would give these the reserved slots. A nested call
+/// at the rank of its own route would wait behind calls less urgent than its run.
 #[test]
 fn a_guard_finds_a_route_that_targets_call_and_gives_it_up_when_a_client_calls_it() {
+    let logs = tempfile::tempdir().expect("folder");
+    let log_of = |index: usize| logs.path().join(format!("host-{index}.log"));
     let mut fleet = HostedFleet::spawn(0, Duration::ZERO);
     fleet.platform.write_config(&config_with_two_services());
     for (index, service) in [SERVICE, CALLED].into_iter().enumerate() {
-        let daemon = fleet.start_daemon_of(index, service);
+        let daemon = fleet.start_daemon_of(index, service, log_of(index));
         let target = HostedTarget::spawn(service, &format!("i-{index}"), Duration::from_millis(20));
         let target = target.expect("target");
         target.send_heartbeats_to(daemon.endpoints().control.expect("control"));
@@ -61,7 +75,13 @@
             fleet.call(0, SAFE_PREFIX, &format!("nested{number}")).expect("answer");
             is_nested(&fleet, 1, "read") == Some(true)
         });
+        fleet.call(0, SAFE_PREFIX, "known").expect("answer");
+        fleet.call(0, SAFE_PREFIX, "prioritised").expect("answer");
     });
+    // The entry knows the route from the answer to the first of the two calls.
+    let worth_of = |id| worth_at_choice(&log_of(0), id);
+    eventually("the choice in the log", || worth_of("prioritised").is_some());
+    assert_eq!((worth_of("nested0"), worth_of("prioritised")), (Some(97), Some(99)));
     // The target of the second host is idle, so this is a client's call.
     fleet.call(1, SAFE_PREFIX, "client").expect("answer");
     assert_eq!(is_nested(&fleet, 1, "read"), Some(false));
