--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -12,7 +12,7 @@
 
 use crate::base::call_status::{CallStatus, ClaimRow};
 use crate::base::clock::MicroTime;
-use crate::base::consts::REVOKE_MARGIN;
+use crate::base::consts::{REVOKE_MARGIN, WORK_MARGIN};
 use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
@@ -32,10 +32,6 @@
 /// Maximum size of a body that is sent in one write with its head, in bytes.
 const MAX_INLINE_BODY: usize = 64 << 10;
 
-/// Time reserved for a call's work, as a multiple of the average of its route: shared hosts take
-/// about a quarter longer, and the times of single calls vary by half.
-const WORK_MARGIN: f64 = 1.5;
-
 /// End of an attempt.
 pub(crate) enum AttemptEnd {
     /// The target answered.
@@ -206,12 +202,17 @@
 ///
 /// The call is refused once it would probably miss its latency objective, while another
 /// target or a later attempt may still serve it. A call without an objective shorter than
-/// its deadline may wait until the deadline.
+/// its deadline may wait until the deadline. A nested call may wait until its deadline less
+/// its work, since its run can use a late answer.
 fn max_wait(call: &CallerCall, work_us: f64, now: MicroTime) -> MicroTime {
+    let work = MicroTime((work_us * WORK_MARGIN) as u64);
+    if call.nested {
+        return call.deadline.since(now).since(work);
+    }
     if call.options.objective_ms >= call.options.deadline_ms {
         return call.deadline.since(now);
     }
-    call.objective().since(now).since(MicroTime((work_us * WORK_MARGIN) as u64))
+    call.objective().since(now).since(work)
 }
 
 fn make_head(
