Refuse starts whose downstream calls are not answered

Cause: runs whose nested calls are refused or time out end with a 500; their slot time and work are lost. The entry reports the end of each nested call to its guard, the guard refuses with reason downstream before a call is enqueued, and the entry tries one more target at most.

--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) blamed_calls: IntCounter,
     /// Blamed requests, which are currently not sent to any target.
     pub(crate) blamed_requests: IntGauge,
+    /// Calls refused because calls that their run makes could not be served.
+    pub(crate) downstream_refusals: IntCounter,
     /// Log lines dropped because the log was not read fast enough.
     pub(crate) log_dropped: IntCounter,
     /// Messages dropped because the ring buffer of a duty was full, by duty.
@@ -120,6 +122,10 @@
                 "Calls of requests that end targets",
             )?,
             blamed_requests,
+            downstream_refusals: counter(
+                "railspan_downstream_refusals_total",
+                "Calls whose own calls could not be served",
+            )?,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             ring_drops: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/call/entry/nested.rs
+++ b/src/call/entry/nested.rs
@@ -1,8 +1,13 @@
 //! Calls that the target on this host makes while it serves others.
 
 use std::collections::HashSet;
+use std::rc::Rc;
+
+use http::StatusCode;
 
 use super::EntryDuty;
+use crate::base::clock::MicroTime;
+use crate::base::ids::ServiceName;
 use crate::call::entry::intake::CallerCall;
 use crate::duty::events::{GuardEvent, NestedEnd};
 
@@ -42,16 +47,50 @@
         self.nested_routes.borrow_mut().record(&call.options.kind, nested);
     }
 
-    /// Reports the end of a nested call to the guard of this host.
-    pub(super) fn report_nested_end(&self, call: &CallerCall, answered: bool) {
-        let end = NestedEnd {
+    /// Returns a handle that reports the end of a call to the guard of this host, if the target
+    /// on this host made the call.
+    pub(super) fn watch_nested_end(self: &Rc<Self>, call: &CallerCall) -> Option<NestedCall> {
+        call.nested.then(|| NestedCall {
+            duty: Rc::clone(self),
+            arrived_at: call.arrived_at,
             route: call.options.kind.clone(),
             service: call.service.clone(),
-            answered,
-            took: self.clock.now().since(call.arrived_at),
-        };
+            answered: false,
+        })
+    }
+
+    /// Reports the end of a nested call to the guard of this host.
+    fn report_nested_end(&self, end: NestedEnd) {
         if self.guard.push(GuardEvent::NestedEnded(end)).is_err() {
             self.metrics.ring_drops.with_label_values(&["guard"]).inc();
         }
     }
 }
+
+/// A nested call whose end is reported when this is dropped, as unanswered unless
+/// [`Self::finish`] was called: its caller has disconnected.
+pub(super) struct NestedCall {
+    duty: Rc<EntryDuty>,
+    arrived_at: MicroTime,
+    route: String,
+    service: ServiceName,
+    answered: bool,
+}
+
+impl NestedCall {
+    /// Ends the call with its response; a run that gets a server error has no use of it.
+    pub(super) fn finish(mut self, status: StatusCode) {
+        self.answered = !status.is_server_error();
+    }
+}
+
+impl Drop for NestedCall {
+    fn drop(&mut self) {
+        self.duty.report_nested_end(NestedEnd {
+            route: std::mem::take(&mut self.route),
+            service: self.service.clone(),
+            answered: self.answered,
+            took: self.duty.clock.now().since(self.arrived_at),
+        });
+    }
+}
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -97,9 +97,11 @@
                     if !matches!(reason, RefusalReason::Full | RefusalReason::Slow) {
                         unusable.push(chosen.name);
                     }
-                    let declined = reason == RefusalReason::Declined;
-                    let result =
-                        if declined { AttemptResult::Declined } else { AttemptResult::Refused };
+                    let result = match reason {
+                        RefusalReason::Declined => AttemptResult::Declined,
+                        RefusalReason::Downstream => AttemptResult::Downstream,
+                        _ => AttemptResult::Refused,
+                    };
                     (result, reason.label())
                 }
                 AttemptEnd::Lost => {
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -89,7 +89,14 @@
             answered: Cell::new(false),
         };
         let mut response = match intake::receive(&self, request, &request_id).await {
-            Ok(call) => self.route(call).await,
+            Ok(call) => {
+                let nested = self.watch_nested_end(&call);
+                let response = self.route(call).await;
+                if let Some(nested) = nested {
+                    nested.finish(response.status());
+                }
+                response
+            }
             Err(response) => response,
         };
         let outcome = response.headers().get(headers::OUTCOME);
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -78,6 +78,7 @@
         let call = ServedCall::open(self, &head);
         let reply = match self.admit(&call, &head, &mut respond).await {
             Ok(claim) => {
+                let _own_run = self.begin_own_run(&head);
                 call.run(&head, body, claim, respond).await;
                 return;
             }
@@ -111,6 +112,10 @@
         if !self.ledger.borrow_mut().register(self.clock.now(), head.call) {
             return Err(Some(self.refusal(call, RefusalReason::Revoked, UNAVAILABLE_RETRY_MS)));
         }
+        if let Err(retry_after_ms) = self.check_downstream(call, head) {
+            self.prevent_dispatch(call);
+            return Err(Some(self.refusal(call, RefusalReason::Downstream, retry_after_ms)));
+        }
         self.merge_suspects(&[SuspectUpdate { digest: head.digest, record: head.suspect }]);
         let lock = self.wait_for_exclusive_run(call).await;
         let lock = lock.map_err(|reason| {
--- /dev/null
+++ b/src/call/guard/downstream.rs
@@ -0,0 +1,79 @@
+//! Refusals of calls to the host's own target whose runs would make calls that can't be served.
+
+use std::rc::Rc;
+
+use slog::info;
+
+use super::GuardDuty;
+use crate::base::clock::MicroTime;
+use crate::base::ids::ServiceName;
+use crate::base::wire::CallHead;
+use crate::call::guard::served_call::ServedCall;
+use crate::decide::downstream::StartDecision;
+use crate::duty::events::NestedEnd;
+
+/// A run at the host's own target; ends when dropped.
+pub(super) struct OwnRun {
+    duty: Rc<GuardDuty>,
+    route: String,
+}
+
+impl Drop for OwnRun {
+    fn drop(&mut self) {
+        self.duty.downstream.borrow_mut().end_run(self.duty.clock.now(), &self.route);
+    }
+}
+
+impl GuardDuty {
+    /// Handles the end of a call that the host's own target made.
+    pub(super) fn handle_nested_end(&self, end: &NestedEnd) {
+        let mut downstream = self.downstream.borrow_mut();
+        downstream.record_call(self.clock.now(), &end.service, end.answered);
+    }
+
+    /// Decides whether a call may start, given the calls that its run would make.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay in milliseconds if the call is refused.
+    pub(super) fn check_downstream(&self, call: &ServedCall, head: &CallHead) -> Result<(), u32> {
+        if !self.is_own_service(&head.service) {
+            return Ok(());
+        }
+        let nested = head.nested || call.nested_route;
+        let now = self.clock.now();
+        let mut downstream = self.downstream.borrow_mut();
+        match downstream.request_start(now, &head.route, head.priority, nested) {
+            StartDecision::Permit => Ok(()),
+            StartDecision::Refuse { service, retry_after } => {
+                self.metrics.downstream_refusals.inc();
+                info!(self.logger, "calls of the run would not be served";
+                    "id" => &*call.request_id, "route" => &*head.route, "service" => %service);
+                Err(retry_after.ceil_millis() as u32)
+            }
+        }
+    }
+
+    /// Records that a call runs at the host's own target until the result is dropped; `None` for
+    /// a call of another service.
+    pub(super) fn begin_own_run(self: &Rc<Self>, head: &CallHead) -> Option<OwnRun> {
+        if !self.is_own_service(&head.service) {
+            return None;
+        }
+        self.downstream.borrow_mut().begin_run(self.clock.now(), &head.route);
+        Some(OwnRun { duty: Rc::clone(self), route: head.route.clone() })
+    }
+
+    /// Logs considerable changes of the share of calls that are refused.
+    pub(super) fn log_downstream_changes(&self, now: MicroTime) {
+        for change in self.downstream.borrow_mut().take_changes(now) {
+            info!(self.logger, "downstream refusals changed"; "service" => %change.service,
+                "share" => change.share, "before" => change.before,
+                "made" => change.made, "answered" => change.answered);
+        }
+    }
+
+    fn is_own_service(&self, service: &ServiceName) -> bool {
+        self.own_service.as_ref() == Some(service)
+    }
+}
--- a/src/call/guard/dump.rs
+++ b/src/call/guard/dump.rs
@@ -15,6 +15,7 @@
             "targets": targets,
             "blamed": self.suspects.borrow().blamed(),
             "quotas": self.quotas.dump(),
+            "downstream": self.downstream.borrow().dump(now),
             "calls_remembered": self.ledger.borrow().len(),
             "streams": *self.open_streams.borrow(),
             "stopping": *self.stopping.borrow(),
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -4,6 +4,7 @@
 mod cold_targets;
 mod crash_detection;
 mod datagrams;
+mod downstream;
 mod dump;
 mod health;
 mod load_reports;
@@ -44,6 +45,7 @@
 use crate::decide::call_ledger::CallLedger;
 use crate::decide::cold_start::ColdTerms;
 use crate::decide::crash_suspects::CrashSuspects;
+use crate::decide::downstream::DownstreamThrottle;
 use crate::decide::quota::QuotaTerms;
 use crate::decide::target_incarnation::TargetIncarnation;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
@@ -119,6 +121,8 @@
     own_service: Option<ServiceName>,
     /// What the host's own target runs, for the entry of this daemon.
     own_target: OwnTarget,
+    /// Throttle of the calls to the host's own target, by the calls that its runs make.
+    downstream: RefCell<DownstreamThrottle>,
     /// Configuration in force; `None` until the first one arrives.
     pub(crate) config: RefCell<Option<Arc<FleetConfig>>>,
     pub(crate) target_lease: Cell<Duration>,
@@ -165,6 +169,7 @@
         header_names: parts.header_names,
         own_service: parts.own_service,
         own_target: parts.own_target,
+        downstream: RefCell::default(),
         config: RefCell::default(),
         target_lease: Cell::new(parts.target_lease),
         cold_terms: Cell::new(parts.cold_terms),
@@ -277,6 +282,7 @@
                 target.queue.step(now, AdmissionEvent::Tick, &mut actions);
             }
             self.execute_actions(actions);
+            self.log_downstream_changes(now);
             self.apply_leases();
             self.notify_watchers(now);
             health::check_stale_targets(&self, now);
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -112,6 +112,8 @@
     Answered,
     /// The call was not sent to the target.
     Refused,
+    /// The call was not sent to the target, since calls that its run makes could not be served.
+    Downstream,
     /// The target received the call and reports that it did not run it.
     Declined,
     /// A target answered that it failed; its answer may be delivered.
@@ -139,8 +141,9 @@
 /// Attempts of one call.
 ///
 /// Invariants: at most [`MAX_ATTEMPTS`] consecutive attempts, and at most `max_sent` that reach a
-/// target, hedges included; after a lost attempt the decision is never `ReportNotRun`, and a call
-/// that is not repeatable is not retried.
+/// target, hedges included; at most one attempt after a refusal because of the calls of the run,
+/// since all targets of a service call the same services; after a lost attempt the decision is
+/// never `ReportNotRun`, and a call that is not repeatable is not retried.
 #[derive(Clone, Debug)]
 pub struct CallAttempts {
     repeatable: bool,
@@ -150,6 +153,8 @@
     ended: u32,
     /// Number of attempts that reached a target, hedges included.
     sent: u32,
+    /// Whether an attempt ended with [`AttemptResult::Downstream`].
+    downstream_refusal: bool,
     /// Whether the call may have run.
     may_have_run: bool,
 }
@@ -158,7 +163,14 @@
     /// Starts a call that reaches targets at most `max_sent` times.
     #[must_use]
     pub const fn open(repeatable: bool, max_sent: u32) -> Self {
-        Self { repeatable, max_sent, ended: 0, sent: 0, may_have_run: false }
+        Self {
+            repeatable,
+            max_sent,
+            ended: 0,
+            sent: 0,
+            downstream_refusal: false,
+            may_have_run: false,
+        }
     }
 
     /// Records the result of an attempt and decides whether to make another one, which needs
@@ -170,7 +182,7 @@
         budget: &mut RetryBudget,
     ) -> RetryDecision {
         self.ended += 1;
-        let may_continue = in_time && self.ended < MAX_ATTEMPTS;
+        let may_continue = in_time && !self.is_exhausted();
         match result {
             AttemptResult::Answered => {
                 budget.record_success();
@@ -180,6 +192,12 @@
                 return RetryDecision::Retry;
             }
             AttemptResult::Refused | AttemptResult::TakeOver => {}
+            AttemptResult::Downstream => {
+                self.downstream_refusal = true;
+                if may_continue {
+                    return RetryDecision::Retry;
+                }
+            }
             AttemptResult::Declined => {
                 self.sent += 1;
                 if may_continue && self.sent < self.max_sent && budget.try_take() {
@@ -210,10 +228,15 @@
         self.sent += 1;
     }
 
+    /// Returns whether no attempt may follow the one that has just ended.
+    const fn is_exhausted(&self) -> bool {
+        self.ended >= MAX_ATTEMPTS || self.downstream_refusal
+    }
+
     /// Returns whether no attempt may follow the next one.
     #[must_use]
     pub const fn is_last_attempt(&self) -> bool {
-        self.ended + 1 >= MAX_ATTEMPTS
+        self.ended + 1 >= MAX_ATTEMPTS || self.downstream_refusal
     }
 
     /// Returns what to report to the caller if no target is left to try.
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -84,6 +84,19 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
+    /// Starts a daemon on the host of a target of another service, and that target.
+    pub fn start_host_of(&self, index: usize, service: &str) -> (DaemonProcess, HostedTarget) {
+        let mut spec = self.daemon_spec(index);
+        if let Some(deployment) = &mut spec.deployment {
+            deployment["service"] = json!(service);
+        }
+        let daemon = DaemonProcess::spawn(&spec).expect("daemon");
+        let target = HostedTarget::spawn(service, &format!("i-{index}"), Duration::from_millis(5));
+        let target = target.expect("target");
+        target.send_heartbeats_to(daemon.endpoints().control.expect("control"));
+        (daemon, target)
+    }
+
     /// Starts a daemon that advertises other guard and peer addresses than it binds.
     pub fn start_daemon_advertising(
         &self,
