--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -112,11 +112,11 @@
         if !self.ledger.borrow_mut().register(self.clock.now(), head.call) {
             return Err(Some(self.refusal(call, RefusalReason::Revoked, UNAVAILABLE_RETRY_MS)));
         }
+        self.merge_suspects(&[SuspectUpdate { digest: head.digest, record: head.suspect }]);
         if let Err(retry_after_ms) = self.check_downstream(call, head) {
             self.prevent_dispatch(call);
             return Err(Some(self.refusal(call, RefusalReason::Downstream, retry_after_ms)));
         }
-        self.merge_suspects(&[SuspectUpdate { digest: head.digest, record: head.suspect }]);
         let lock = self.wait_for_exclusive_run(call).await;
         let lock = lock.map_err(|reason| {
             self.prevent_dispatch(call);
--- a/src/call/guard/downstream.rs
+++ b/src/call/guard/downstream.rs
@@ -45,10 +45,8 @@
         let mut downstream = self.downstream.borrow_mut();
         match downstream.request_start(now, &head.route, head.priority, nested) {
             StartDecision::Permit => Ok(()),
-            StartDecision::Refuse { service, retry_after } => {
+            StartDecision::Refuse { retry_after } => {
                 self.metrics.downstream_refusals.inc();
-                info!(self.logger, "calls of the run would not be served";
-                    "id" => &*call.request_id, "route" => &*head.route, "service" => %service);
                 Err(retry_after.ceil_millis() as u32)
             }
         }
@@ -68,7 +66,8 @@
     pub(super) fn log_downstream_changes(&self, now: MicroTime) {
         for change in self.downstream.borrow_mut().take_changes(now) {
             info!(self.logger, "downstream refusals changed"; "service" => %change.service,
-                "share" => change.share, "before" => change.before,
+                "refused_permille" => (change.share * 1_000.0) as u32,
+                "before_permille" => (change.before * 1_000.0) as u32,
                 "made" => change.made, "answered" => change.answered);
         }
     }
--- a/src/decide/downstream/mod.rs
+++ b/src/decide/downstream/mod.rs
@@ -48,8 +48,6 @@
     Permit,
     /// The call is refused; its caller may return after the delay.
     Refuse {
-        /// Service whose calls are not answered.
-        service: ServiceName,
         /// Time after which the caller should return.
         retry_after: MicroTime,
     },
@@ -121,9 +119,9 @@
             runs.permitted_at = Some(now);
             return StartDecision::Permit;
         };
-        let service = services.entry(name.clone()).or_default();
+        let service = services.entry(name).or_default();
         let retry_after = service.reserve_return(now, priority, share, calls);
-        StartDecision::Refuse { service: name, retry_after }
+        StartDecision::Refuse { retry_after }
     }
 
     /// Records the start of a run.
--- a/src/decide/downstream/service.rs
+++ b/src/decide/downstream/service.rs
@@ -23,8 +23,9 @@
 /// Maximum refused share as a multiple of the share of unanswered calls.
 ///
 /// Calls that fail whatever the load would otherwise let the permitted starts shrink to the
-/// minimum, since the start factor makes up for few failures only.
-const REFUSALS_PER_FAILURE: f64 = 3.0;
+/// minimum, since the start factor makes up for few failures only. Some runs of a route may need
+/// no call and are refused in vain, so the bound is low.
+const REFUSALS_PER_FAILURE: f64 = 1.5;
 
 /// Maximum factor by which this bound raises the permitted share above that of the window, so
 /// that a few answered calls don't open a throttled target at once.
