--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -211,6 +211,22 @@
     assert!(refused[0] > 100 && refused[1] == 0, "{refused:?} refused");
 }
 
+/// Guards against a log line for each refusal, and against changes that are not logged.
+#[test]
+fn a_considerable_change_of_the_share_is_reported_once() {
+    let mut target = SteadyTarget::open();
+    let mut changes = Vec::new();
+    for (seconds, answered) in [(2, true), (10, false), (5, true)] {
+        for _ in 0..seconds * 50 {
+            target.request("order", ROUTINE, Some(("ledgers", answered)));
+            changes.extend(target.throttle.take_changes(MicroTime(target.now)));
+        }
+    }
+    assert!((2..10).contains(&changes.len()), "{changes:?}");
+    assert!(changes.iter().any(|change| change.share > 0.8), "{changes:?}");
+    assert!(changes.last().is_some_and(|change| change.share <= 0.0), "{changes:?}");
+}
+
 /// Guards against refused callers that all return at once.
 #[test]
 fn refused_callers_get_different_retry_delays() {
