--- a/src/call/guard/dump.rs
+++ b/src/call/guard/dump.rs
@@ -16,6 +16,7 @@
             "blamed": self.suspects.borrow().blamed(),
             "quotas": self.quotas.dump(),
             "nested_routes": self.nested.dump(now),
+            "downstream": self.downstream.borrow().dump(now),
             "calls_remembered": self.ledger.borrow().len(),
             "streams": *self.open_streams.borrow(),
             "stopping": *self.stopping.borrow(),
--- a/src/call/guard/nested.rs
+++ b/src/call/guard/nested.rs
@@ -13,7 +13,6 @@
 use crate::base::member::FleetView;
 use crate::base::wire::CallHead;
 use crate::decide::nested::{RouteCall, RouteClassifier, ServiceShares};
-use crate::duty::events::NestedEnd;
 
 /// Time for which the host's own target counts as busy after a run whose answer the guard no
 /// longer waits for: the run may go on for as long as its host is slow, and make calls.
@@ -48,9 +47,6 @@
 }
 
 impl GuardDuty {
-    /// Handles the end of a call that the host's own target made.
-    pub(super) fn handle_nested_end(&self, _end: &NestedEnd) {}
-
     /// Records an arriving call as evidence about its route, and returns what is known of both.
     ///
     /// Where the configuration has accounts, the entry knows by the missing token that a target
