Bodies follow their call's admission; expensive calls queue nearby first

Cause: an attempt carries its body to the guard before the guard looks at the call, so a refused upload costs its bytes, often between data centres. Calls that time out before their last byte is sent, or that a guard discards unread, end as unknown although they did not run.

Change: a body above 14 KiB is announced with `body_follows` and sent after the guard's `SendBody`; the guard first plays the arrival on a copy of the admission queue and refuses at once what would be refused. A call whose bytes cost at least its worth queues once at an open target of its own data centre. A send that fails or times out before the last byte, a refused stream and a stream above the last one of a GOAWAY are "not run"; no attempt starts so late that its revocation could not be confirmed.

--- a/src/base/h2io.rs
+++ b/src/base/h2io.rs
@@ -36,6 +36,9 @@
     /// The stream ended before the message was complete.
     #[snafu(display("stream ended before the message was complete"))]
     EndedEarly,
+    /// The stream goes on after the end of the message.
+    #[snafu(display("stream goes on after the end of the message"))]
+    TooLong,
     /// The head can't be decoded.
     #[snafu(display("{source}"))]
     Head { source: WireError },
@@ -81,6 +84,9 @@
 }
 
 /// Sends all bytes, as fast as the peer's window allows; `end` closes the stream after them.
+///
+/// If this fails, the last byte was not handed to the connection: `h2` reports the failure of a
+/// stream before it queues bytes for it.
 pub(crate) async fn send_all(
     stream: &mut SendStream<Bytes>,
     mut bytes: Bytes,
@@ -117,21 +123,34 @@
     }
 
     /// Reads and decodes the head.
+    ///
+    /// If the result is dropped before it is ready, the head can be read again.
     pub(crate) async fn head<T: DeserializeOwned>(&mut self) -> Result<T, StreamError> {
         self.fill(HEAD_LENGTH_BYTES).await?;
-        let length = self.buffer.get_u32() as usize;
+        let length = (&self.buffer[..HEAD_LENGTH_BYTES]).get_u32() as usize;
         if length > MAX_HEAD {
             return Err(WireError::TooLong { length, limit: MAX_HEAD }).context(HeadSnafu);
         }
-        self.fill(length).await?;
+        self.fill(HEAD_LENGTH_BYTES + length).await?;
+        self.buffer.advance(HEAD_LENGTH_BYTES);
         let bytes = self.buffer.split_to(length);
         wire::decode(&bytes).context(HeadSnafu)
     }
 
-    /// Reads a body of exactly `length` bytes.
-    pub(crate) async fn body(&mut self, length: usize) -> Result<Bytes, StreamError> {
+    /// Reads a body of exactly `length` bytes, with which the stream must end.
+    pub(crate) async fn last_body(&mut self, length: usize) -> Result<Bytes, StreamError> {
         self.fill(length).await?;
-        Ok(self.buffer.split_to(length).freeze())
+        while self.buffer.len() == length {
+            match self.stream.data().await {
+                None => return Ok(self.buffer.split().freeze()),
+                Some(part) => {
+                    let part = part.context(BrokenSnafu)?;
+                    release(&mut self.stream, part.len());
+                    self.buffer.extend_from_slice(&part);
+                }
+            }
+        }
+        Err(StreamError::TooLong)
     }
 
     /// Returns the bytes received after those read, and the stream.
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -21,6 +21,8 @@
     pub(crate) retries: IntCounterVec,
     /// Calls refused by this guard, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Calls at this guard whose body was announced, by whether it was requested.
+    pub(crate) announced_bodies: IntCounterVec,
     /// Calls that this guard dispatched to its target.
     pub(crate) dispatched: IntCounter,
     /// Load probes sent.
@@ -88,6 +90,11 @@
             latency,
             retries: family("railspan_retries_total", "Attempts after the first", "cause")?,
             refusals: family("railspan_refusals_total", "Refusals by this guard", "reason")?,
+            announced_bodies: family(
+                "railspan_announced_bodies_total",
+                "Bodies announced to this guard",
+                "reply",
+            )?,
             dispatched: counter("railspan_dispatched_total", "Calls dispatched to targets")?,
             probe_messages: counter("railspan_probe_messages_total", "Measuring messages")?,
             probe_bytes: counter("railspan_probe_bytes_total", "Measuring bytes")?,
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -1,23 +1,23 @@
 //! One attempt of a call at one target.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::client::{ResponseFuture, SendRequest};
-use http::{Request, Response};
+use h2::client::SendRequest;
+use http::Response;
 use slog::info;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::base::call_status::{CallStatus, ClaimRow};
 use crate::base::clock::MicroTime;
 use crate::base::consts::REVOKE_MARGIN;
-use crate::base::h2io::{self, HeadReader};
-use crate::base::ids::{CallId, DaemonIncarnation, ServiceName, TargetName};
+use crate::base::h2io::HeadReader;
+use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
-use crate::base::wire::{AnswerHead, CallHead, RefusalReason, RevokeHead, RevokeReply};
+use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
 use crate::call::entry::EntryDuty;
+use crate::call::entry::exchange::{self, AnswerFailure, NotSent, SentCall};
 use crate::call::entry::intake::CallerCall;
 use crate::call::entry::load_watch;
 use crate::call::responses::{self, GuardBody, ResponseBody};
@@ -26,12 +26,6 @@
 /// Retry delay after an attempt that the entry itself counts as refused, in milliseconds.
 const ENTRY_REFUSAL_RETRY_MS: u32 = 100;
 
-/// Maximum wait for a guard's reply to a revocation.
-const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Maximum size of a body that is sent in one write with its head, in bytes.
-const MAX_INLINE_BODY: usize = 64 << 10;
-
 /// Time reserved for a call's work, as a multiple of the average of its route: shared hosts take
 /// about a quarter longer, and the times of single calls vary by half.
 const WORK_MARGIN: f64 = 1.5;
@@ -50,7 +44,12 @@
 
 impl AttemptEnd {
     const fn unreachable() -> Self {
-        Self::Refused { reason: RefusalReason::Unreachable, retry_after_ms: ENTRY_REFUSAL_RETRY_MS }
+        Self::not_run(RefusalReason::Unreachable)
+    }
+
+    /// Ends an attempt that the entry itself knows not to run.
+    const fn not_run(reason: RefusalReason) -> Self {
+        Self::Refused { reason, retry_after_ms: ENTRY_REFUSAL_RETRY_MS }
     }
 }
 
@@ -118,10 +117,10 @@
         failed: false,
         unreachable: false,
     };
+    let margin = revoke_margin(call);
     let remaining = call.deadline.since(now).duration();
-    if remaining.is_zero() {
-        let reason = RefusalReason::TooLate;
-        return AttemptEnd::Refused { reason, retry_after_ms: ENTRY_REFUSAL_RETRY_MS };
+    if remaining <= margin {
+        return AttemptEnd::not_run(RefusalReason::TooLate);
     }
     let deadline = Instant::now() + remaining;
     let Some(sender) = connect(duty, location, deadline).await else {
@@ -140,39 +139,34 @@
     }
     load_watch::watch_target(duty, &call.service, target, location);
     let remaining = call.deadline.since(duty.clock.now()).duration();
+    if remaining <= margin {
+        return AttemptEnd::not_run(RefusalReason::TooLate);
+    }
+    let revoke_at = Instant::now() + remaining.saturating_sub(margin);
     let head = make_head(duty, call, target, location, guard_time, remaining, last_target);
-    let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
-    let response = match sent {
-        Ok(Ok(response)) => response,
-        Ok(Err(SendFailure::NotSent)) => {
-            outstanding.failed = true;
+    let pending = match timeout_at(revoke_at, exchange::send(sender, &head, &call.body)).await {
+        Ok(Ok(SentCall::Complete(pending))) => pending,
+        Ok(Ok(SentCall::Refused(answer, reader))) => {
+            record_answer(duty, call, &answer);
+            return end_attempt(outstanding, head.call, &answer, reader);
+        }
+        Ok(Err(NotSent)) => {
+            outstanding.mark_unreachable(location);
             return AttemptEnd::unreachable();
         }
-        Ok(Err(SendFailure::MaybeSent)) | Err(_) => {
-            outstanding.failed = true;
-            return AttemptEnd::Lost;
+        Err(_elapsed) => {
+            // The guard lacks the end of the call; the revocation shows whether it responds.
+            outstanding.failed = revoke(duty, call, location, head.call).await.is_none();
+            return AttemptEnd::not_run(RefusalReason::Revoked);
         }
     };
-    let mut answer_future = Box::pin(read_answer(response));
-    let answer_timeout = remaining.saturating_sub(REVOKE_MARGIN.min(remaining / 4));
-    let answer = match timeout(answer_timeout, &mut answer_future).await {
+    let mut answer_future = Box::pin(pending.read());
+    let answer = match timeout_at(revoke_at, &mut answer_future).await {
         Ok(answer) => answer,
         Err(_elapsed) => {
-            let status =
-                revoke(duty, location.guard, location.incarnation, head.call, call.deadline).await;
+            let status = revoke(duty, call, location, head.call).await;
             if status == Some(CallStatus::NotRun) {
-                return AttemptEnd::Refused {
-                    reason: RefusalReason::Revoked,
-                    retry_after_ms: ENTRY_REFUSAL_RETRY_MS,
-                };
-            }
-            if status.is_none() {
-                // Neither the call nor the revocation was answered; the connection may
-                // be dead while the guard is not.
-                duty.pool.remove(location.guard, location.incarnation);
-                duty.report_unreachable(&location.host);
-                info!(duty.logger, "guard not responding"; "id" => &*call.request_id,
-                    "at" => %location.host);
+                return AttemptEnd::not_run(RefusalReason::Revoked);
             }
             let Ok(answer) = timeout_at(deadline, &mut answer_future).await else {
                 outstanding.failed = status.is_none();
@@ -181,27 +175,72 @@
             answer
         }
     };
-    if let Some((answer, reader)) = answer {
-        if let AnswerHead::Answered { status, length, work_us, .. } = &answer
-            && *status < 400
-        {
-            let bytes = call.body.len() as u64 + length.unwrap_or_default();
-            duty.route_stats.borrow_mut().record(&call.options.kind, *work_us, bytes);
-        }
-        if let AnswerHead::Answered { nested, .. } | AnswerHead::Refused { nested, .. } = &answer {
-            duty.record_nested_route(call, *nested);
+    let failure = match answer {
+        Ok((answer, reader)) => {
+            record_answer(duty, call, &answer);
+            return end_attempt(outstanding, head.call, &answer, reader);
         }
-        if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = &answer {
-            duty.merge_suspect(call, *suspect);
-        }
-        return end_attempt(outstanding, head.call, &answer, reader);
-    }
+        Err(failure) => failure,
+    };
     // The connection broke, as it does some time after its host has failed.
     outstanding.failed = true;
     duty.report_unreachable(&location.host);
+    if failure == AnswerFailure::NotRun {
+        return AttemptEnd::unreachable();
+    }
+    // A guard that is still up may have kept the call from its target. A call that may be
+    // repeated is sent elsewhere instead, without a wait for the guard.
+    if !call.options.repeatable
+        && revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun)
+    {
+        return AttemptEnd::not_run(RefusalReason::Revoked);
+    }
     AttemptEnd::Lost
 }
 
+/// Returns the time before the deadline at which an unanswered attempt of a call is revoked; no
+/// attempt starts later, since its revocation could not be confirmed in time.
+fn revoke_margin(call: &CallerCall) -> Duration {
+    REVOKE_MARGIN.min(call.deadline.since(call.arrived_at).duration() / 4)
+}
+
+/// Asks a guard to ensure that an attempt never runs; returns the attempt's status, or `None` if
+/// the guard does not reply in time.
+async fn revoke(
+    duty: &EntryDuty,
+    call: &CallerCall,
+    location: &TargetLocation,
+    attempt: CallId,
+) -> Option<CallStatus> {
+    let (guard, incarnation) = (location.guard, location.incarnation);
+    let status = exchange::revoke(duty, guard, incarnation, attempt, call.deadline).await;
+    if status.is_none() {
+        // Neither the call nor the revocation was answered; the connection may be dead while
+        // the guard is not.
+        duty.pool.remove(guard, incarnation);
+        duty.report_unreachable(&location.host);
+        info!(duty.logger, "guard not responding"; "id" => &*call.request_id,
+            "at" => %location.host);
+    }
+    status
+}
+
+/// Records what a guard's answer says about the call, apart from its target's load.
+fn record_answer(duty: &EntryDuty, call: &CallerCall, answer: &AnswerHead) {
+    if let AnswerHead::Answered { status, length, work_us, .. } = answer
+        && *status < 400
+    {
+        let bytes = call.body.len() as u64 + length.unwrap_or_default();
+        duty.route_stats.borrow_mut().record(&call.options.kind, *work_us, bytes);
+    }
+    if let AnswerHead::Answered { nested, .. } | AnswerHead::Refused { nested, .. } = answer {
+        duty.record_nested_route(call, *nested);
+    }
+    if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = answer {
+        duty.merge_suspect(call, *suspect);
+    }
+}
+
 /// Returns how long a call may still wait for a slot.
 ///
 /// The call is refused once it would probably miss its latency objective, while another
@@ -246,7 +285,7 @@
         caller_busy: call.caller_busy,
         nested: call.nested,
         account_usage: 0,
-        body_follows: false,
+        body_follows: exchange::body_follows(&call.body),
         stated_rate: duty.rate_stated_earlier(&call.service, target, location.incarnation),
         claim: call.claim.clone(),
         method: call.method.clone(),
@@ -265,47 +304,6 @@
     timeout_at(deadline, connecting).await.ok()?
 }
 
-/// Failure to send a call.
-enum SendFailure {
-    /// The guard did not receive the whole call, so it can't run it.
-    NotSent,
-    /// The guard may have received the whole call.
-    MaybeSent,
-}
-
-/// Sends a call; a guard can run it only once it has received the last byte.
-async fn send(
-    mut sender: SendRequest<Bytes>,
-    head: &CallHead,
-    body: &Bytes,
-) -> Result<ResponseFuture, SendFailure> {
-    let inline = body.len() <= MAX_INLINE_BODY;
-    let first_part = if inline { body.as_ref() } else { &[] };
-    let framed =
-        h2io::encode_frame_with_body(head, first_part).map_err(|_too_long| SendFailure::NotSent)?;
-    let request = Request::post("http://guard/call").body(());
-    let request = request.map_err(|_never| SendFailure::NotSent)?;
-    let sent = sender.send_request(request, false).map_err(|_closed| SendFailure::NotSent);
-    let (response, mut stream) = sent?;
-    let first_sent = h2io::send_all(&mut stream, framed, inline).await;
-    if inline {
-        first_sent.map_err(|_broken| SendFailure::MaybeSent)?;
-        return Ok(response);
-    }
-    first_sent.map_err(|_broken| SendFailure::NotSent)?;
-    let rest_sent = h2io::send_all(&mut stream, body.clone(), true).await;
-    rest_sent.map_err(|_broken| SendFailure::MaybeSent)?;
-    Ok(response)
-}
-
-/// Reads the head of a guard's answer; returns `None` if the stream broke.
-async fn read_answer(response: ResponseFuture) -> Option<(AnswerHead, HeadReader)> {
-    let response = response.await.ok()?;
-    let mut reader = HeadReader::open(response.into_body());
-    let head = reader.head().await.ok()?;
-    Some((head, reader))
-}
-
 /// Converts a guard's answer to the end of the attempt.
 fn end_attempt(
     mut outstanding: OutstandingCall,
@@ -325,7 +323,7 @@
             AttemptEnd::Lost
         }
         AnswerHead::SendBody { .. } => {
-            // The guard asks only for bodies that were announced to follow.
+            // `exchange::send` has answered the request for the body.
             outstanding.failed = true;
             AttemptEnd::Lost
         }
@@ -356,29 +354,3 @@
         }
     }
 }
-
-/// Asks a guard to ensure that a call never runs; returns the call's status, or `None` if
-/// the guard does not reply in time.
-pub(crate) async fn revoke(
-    duty: &EntryDuty,
-    guard: SocketAddr,
-    incarnation: DaemonIncarnation,
-    call: CallId,
-    deadline: MicroTime,
-) -> Option<CallStatus> {
-    let reply_timeout = deadline.since(duty.clock.now()).duration().min(REVOKE_TIMEOUT);
-    let status = request_revocation(duty, guard, incarnation, call);
-    timeout(reply_timeout, status).await.ok()?
-}
-
-async fn request_revocation(
-    duty: &EntryDuty,
-    guard: SocketAddr,
-    incarnation: DaemonIncarnation,
-    call: CallId,
-) -> Option<CallStatus> {
-    let head = RevokeHead { call, incarnation };
-    let mut reader = duty.pool.request(guard, incarnation, "/revoke", &head).await?;
-    let reply: RevokeReply = reader.head().await.ok()?;
-    Some(reply.status)
-}
--- /dev/null
+++ b/src/call/entry/exchange.rs
@@ -0,0 +1,163 @@
+//! Sends a call to a guard and receives the head of the guard's answer, on one HTTP/2 stream.
+//!
+//! A guard runs a call only once it has the last byte of it, so a call whose last byte was not
+//! handed to the connection did not run.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::{Either, select};
+use h2::Reason;
+use h2::client::{ResponseFuture, SendRequest};
+use http::Request;
+use tokio::time::timeout;
+
+use crate::base::call_status::CallStatus;
+use crate::base::clock::MicroTime;
+use crate::base::h2io::{self, HeadReader, StreamError};
+use crate::base::ids::{CallId, DaemonIncarnation};
+use crate::base::wire::{AnswerHead, CallHead, RevokeHead, RevokeReply};
+use crate::call::entry::EntryDuty;
+
+/// Maximum size of a body that is sent together with its head, in bytes.
+///
+/// To announce a body costs a round trip and spares its bytes if the call is refused. A body up
+/// to this size reaches the guard together with its head, in the first ten segments that TCP
+/// sends without an acknowledgement; a larger one needs more round trips by itself.
+const MAX_INLINE_BODY: usize = 14 << 10;
+
+/// Maximum wait for a guard's reply to a revocation.
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The guard did not receive the whole call, so the call does not run.
+#[derive(Debug)]
+pub(super) struct NotSent;
+
+/// A call that was sent to a guard.
+pub(super) enum SentCall {
+    /// The whole call was sent, and the guard may run it.
+    Complete(PendingAnswer),
+    /// The guard refused the call before it had the whole of it.
+    Refused(AnswerHead, HeadReader),
+}
+
+/// An answer that is still to be read.
+pub(super) enum PendingAnswer {
+    /// The guard has not responded yet.
+    Response(ResponseFuture),
+    /// The guard has responded to the head of the call.
+    Stream(HeadReader),
+}
+
+/// Why there is no answer to a call that was sent as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerFailure {
+    /// The guard discarded the call before it had read it.
+    NotRun,
+    /// The connection broke; the call may have run.
+    Lost,
+}
+
+/// Returns whether a body is sent only after the guard asks for it.
+pub(super) const fn body_follows(body: &Bytes) -> bool {
+    body.len() > MAX_INLINE_BODY
+}
+
+/// Sends a call. If the result is dropped before it is ready, the guard does not get the last
+/// byte.
+pub(super) async fn send(
+    mut sender: SendRequest<Bytes>,
+    head: &CallHead,
+    body: &Bytes,
+) -> Result<SentCall, NotSent> {
+    let inline_body: &[u8] = if head.body_follows { &[] } else { body };
+    let framed = h2io::encode_frame_with_body(head, inline_body).map_err(|_too_long| NotSent)?;
+    let request = Request::post("http://guard/call").body(()).map_err(|_never| NotSent)?;
+    let sent = sender.send_request(request, false).map_err(|_closed| NotSent);
+    let (response, mut stream) = sent?;
+    let first_sent = h2io::send_all(&mut stream, framed, !head.body_follows).await;
+    first_sent.map_err(|_broken| NotSent)?;
+    if !head.body_follows {
+        return Ok(SentCall::Complete(PendingAnswer::Response(response)));
+    }
+    let response = response.await.map_err(|_broken| NotSent)?;
+    let mut reader = HeadReader::open(response.into_body());
+    match reader.head().await.map_err(|_broken| NotSent)? {
+        AnswerHead::SendBody { call } if call == head.call => {}
+        refused @ AnswerHead::Refused { .. } => return Ok(SentCall::Refused(refused, reader)),
+        _ => return Err(NotSent),
+    }
+    // A guard that stops meanwhile refuses the call without the rest of its body.
+    let early_answer = {
+        let sending = pin!(h2io::send_all(&mut stream, body.clone(), true));
+        match select(sending, pin!(reader.head())).await {
+            Either::Left((Ok(()), _reading)) => None,
+            Either::Left((Err(_broken), reading)) => Some(reading.await),
+            Either::Right((answer, _sending)) => Some(answer),
+        }
+    };
+    match early_answer {
+        None => Ok(SentCall::Complete(PendingAnswer::Stream(reader))),
+        Some(Ok(refused @ AnswerHead::Refused { .. })) => Ok(SentCall::Refused(refused, reader)),
+        Some(_) => Err(NotSent),
+    }
+}
+
+impl PendingAnswer {
+    /// Reads the head of the answer.
+    pub(super) async fn read(self) -> Result<(AnswerHead, HeadReader), AnswerFailure> {
+        let mut reader = match self {
+            Self::Response(response) => {
+                let response = response.await.map_err(|error| classify_failure(&error))?;
+                HeadReader::open(response.into_body())
+            }
+            Self::Stream(reader) => reader,
+        };
+        match reader.head().await {
+            Ok(head) => Ok((head, reader)),
+            Err(StreamError::Broken { source }) => Err(classify_failure(&source)),
+            Err(_) => Err(AnswerFailure::Lost),
+        }
+    }
+}
+
+/// Returns what the failure of a stream implies for the call that was sent on it.
+///
+/// By the protocol, a stream that was refused, or whose number is above the last one that the
+/// guard states when it closes the connection, was not processed.
+fn classify_failure(error: &h2::Error) -> AnswerFailure {
+    let is_refused = error.is_reset() && error.reason() == Some(Reason::REFUSED_STREAM);
+    if error.is_remote() && (is_refused || error.is_go_away()) {
+        AnswerFailure::NotRun
+    } else {
+        AnswerFailure::Lost
+    }
+}
+
+/// Asks a guard to ensure that a call never runs; returns the call's status, or `None` if
+/// the guard does not reply in time.
+pub(crate) async fn revoke(
+    duty: &EntryDuty,
+    guard: SocketAddr,
+    incarnation: DaemonIncarnation,
+    call: CallId,
+    deadline: MicroTime,
+) -> Option<CallStatus> {
+    let reply_timeout = deadline.since(duty.clock.now()).duration().min(REVOKE_TIMEOUT);
+    let status = request_revocation(duty, guard, incarnation, call);
+    timeout(reply_timeout, status).await.ok()?
+}
+
+async fn request_revocation(
+    duty: &EntryDuty,
+    guard: SocketAddr,
+    incarnation: DaemonIncarnation,
+    call: CallId,
+) -> Option<CallStatus> {
+    let head = RevokeHead { call, incarnation };
+    let mut reader = duty.pool.request(guard, incarnation, "/revoke", &head).await?;
+    let reply: RevokeReply = reader.head().await.ok()?;
+    Some(reply.status)
+}
--- a/src/call/entry/hedge.rs
+++ b/src/call/entry/hedge.rs
@@ -44,7 +44,8 @@
     last_target: bool,
     tried: &mut Vec<TargetName>,
 ) -> AttemptEnd {
-    let mut first = pin!(attempt::run(duty, call, &chosen.name, &chosen.location, last_target));
+    let may_wait = last_target || chosen.queues;
+    let mut first = pin!(attempt::run(duty, call, &chosen.name, &chosen.location, may_wait));
     // A request that may crash its target must not run at two targets.
     let must_not_hedge = last_target || duty.suspect_record(call).is_suspected();
     if must_not_hedge || call.options.hedge == HedgeRule::Never || !attempts.may_hedge() {
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry duty: accepts calls from callers and sends each to a target's guard.
 
 mod attempt;
+mod exchange;
 mod hedge;
 mod intake;
 mod load_probe;
--- a/src/call/entry/route_stats.rs
+++ b/src/call/entry/route_stats.rs
@@ -70,9 +70,21 @@
         options: &CallOptions,
         remaining: MicroTime,
         crossing_cost: f64,
+    ) -> CallEstimate {
+        self.estimate_with_body(options, remaining, crossing_cost, 0)
+    }
+
+    /// Returns the same estimate as [`Self::estimate`], with at least the bytes of the call's own
+    /// body.
+    pub(crate) fn estimate_with_body(
+        &self,
+        options: &CallOptions,
+        remaining: MicroTime,
+        crossing_cost: f64,
+        body_len: usize,
     ) -> CallEstimate {
         let known = self.routes.get(&options.kind);
-        let bytes = known.map_or(0.0, |known| known.bytes) + HEAD_BYTES;
+        let bytes = known.map_or(0.0, |known| known.bytes).max(body_len as f64) + HEAD_BYTES;
         CallEstimate {
             work_us: known.map_or_else(|| default_work_us(options), |known| known.work_us),
             objective_us: remaining.0 as f64,
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -11,13 +11,14 @@
 use crate::base::ids::TargetName;
 use crate::base::load_report::LoadReport;
 use crate::base::wire::RefusalReason;
-use crate::call::entry::attempt::{self, AttemptEnd};
-use crate::call::entry::hedge;
+use crate::call::entry::attempt::AttemptEnd;
 use crate::call::entry::intake::{CallerCall, NOT_READY_RETRY_MS};
 use crate::call::entry::load_probe;
+use crate::call::entry::{exchange, hedge};
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
 use crate::decide::call_ledger::ClaimVerdict;
+use crate::decide::crossing::LocalQueueing;
 use crate::decide::retry::{AttemptResult, CallAttempts, RetryDecision};
 use crate::decide::selection::TargetLocation;
 
@@ -37,6 +38,8 @@
     pub(crate) load_age: MicroTime,
     /// Number of other targets that have not been tried and may start a call in time.
     pub(crate) untried: usize,
+    /// Whether the call may wait there although others are left.
+    pub(crate) queues: bool,
 }
 
 impl EntryDuty {
@@ -47,6 +50,7 @@
         // The tried targets that would not serve another attempt soon.
         let mut unusable: Vec<TargetName> = Vec::new();
         let mut attempts = CallAttempts::open(call.options.repeatable, call.options.attempts);
+        let mut local_queueing = LocalQueueing::default();
         let mut refusal = ("no_target", NOT_READY_RETRY_MS);
         // A target's server error, returned if no other target answers.
         let mut failure: Option<Response<ResponseBody>> = None;
@@ -59,14 +63,16 @@
                 // A target that was full may still have the shortest queue of all.
                 tried = self.left_out_of_last_round(&call, &unusable);
             }
-            let Some(chosen) = self.choose(&call, &tried) else {
+            let elsewhere = self.left_out_of_local_queueing(&call, &tried, &mut local_queueing);
+            let Some(mut chosen) = self.choose(&call, elsewhere.as_ref().unwrap_or(&tried)) else {
                 return failure
                     .unwrap_or_else(|| final_response(attempts.failure_decision(), refusal));
             };
             load_probe::probe_random_target(self, &call.service);
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
-            let last_target = last_round || chosen.untried == 0;
+            chosen.queues = elsewhere.is_some();
+            let last_target = last_round || (chosen.untried == 0 && !chosen.queues);
             let (result, cause) = match hedge::run(
                 self,
                 &call,
@@ -159,6 +165,7 @@
             load: record.load,
             load_age: now.since(record.reported_at),
             untried,
+            queues: false,
         })
     }
 
@@ -180,6 +187,28 @@
         untried.any(|target| benefit::is_promising(target, now, &estimate))
     }
 
+    /// Returns the targets to leave out of an attempt that queues in the own data centre, or
+    /// `None` if the attempt may go to any target that is not in `tried`.
+    fn left_out_of_local_queueing(
+        &self,
+        call: &CallerCall,
+        tried: &[TargetName],
+        local_queueing: &mut LocalQueueing,
+    ) -> Option<Vec<TargetName>> {
+        let now = self.clock.now();
+        let remaining = call.objective().since(now);
+        let stats = self.route_stats.borrow();
+        let estimate =
+            stats.estimate_with_body(&call.options, remaining, self.crossing_cost, call.body.len());
+        // All entries send a suspected request to the same target.
+        if self.suspect_record(call).is_suspected() {
+            return None;
+        }
+        let registry = self.registry.borrow();
+        let targets = &registry.services.get(&call.service)?.targets;
+        local_queueing.left_out(now, targets, tried, &estimate)
+    }
+
     fn only_limited_left(&self, call: &CallerCall, tried: &[TargetName]) -> bool {
         let registry = self.registry.borrow();
         let now = self.clock.now();
@@ -230,7 +259,7 @@
             ClaimVerdict::Unknown => return Some(responses::unknown("earlier_call_lost", None)),
             ClaimVerdict::AskGuard => {}
         }
-        match attempt::revoke(self, row.guard, row.incarnation, row.call, call.deadline).await {
+        match exchange::revoke(self, row.guard, row.incarnation, row.call, call.deadline).await {
             Some(CallStatus::NotRun) => None,
             Some(CallStatus::Answered(answer)) => Some(responses::recorded(&answer)),
             Some(CallStatus::Running) => {
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -3,7 +3,6 @@
 //! Invariants: a call is dispatched at most once; a call that was reported as not run is
 //! never dispatched.
 
-use std::future::poll_fn;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -15,10 +14,11 @@
 
 use crate::base::call_status::{CallStatus, ClaimRow, ClaimState};
 use crate::base::consts::{CLAIM_TIMEOUT, SENDER_TIMEOUT};
-use crate::base::h2io::{self, HeadReader, StreamError};
+use crate::base::h2io::{self, HeadReader};
 use crate::base::ids::CallId;
 use crate::base::suspect::SuspectUpdate;
 use crate::base::wire::{AnswerHead, CallHead, KeyClaim, RefusalReason, RevokeHead, RevokeReply};
+use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::crash_detection::RunOutcome;
 use crate::call::guard::served_call::{ClaimPermit, HeldClaim, ServedCall};
 use crate::call::guard::{AdmissionDecision, GuardDuty, UNAVAILABLE_RETRY_MS};
@@ -68,27 +68,43 @@
     pub(crate) async fn serve_call(
         self: &Rc<Self>,
         mut reader: HeadReader,
-        mut respond: SendResponse<Bytes>,
+        respond: SendResponse<Bytes>,
     ) {
-        let received = timeout(SENDER_TIMEOUT, receive_call(&mut reader, self.max_body)).await;
-        let Ok(Ok((head, body))) = received else {
-            respond.send_reset(Reason::PROTOCOL_ERROR);
+        let mut answer = AnswerStream::open(respond);
+        let Ok(Ok(head)) = timeout(SENDER_TIMEOUT, reader.head::<CallHead>()).await else {
+            answer.reset(Reason::REFUSED_STREAM);
             return;
         };
+        // Opened before the body arrives: the time that the call waits counts from its head.
         let call = ServedCall::open(self, &head);
-        let reply = match self.admit(&call, &head, &mut respond).await {
-            Ok(claim) => {
-                call.run(&head, body, claim, respond).await;
+        let received = self.receive_body(&call, &head, &mut reader, &mut answer).await;
+        let admitted = match received {
+            Ok(body) => self.admit(&call, &head, &mut answer).await.map(|claim| (body, claim)),
+            Err(reply) => Err(reply),
+        };
+        let reply = match admitted {
+            Ok((body, claim)) => {
+                call.run(&head, body, claim, answer).await;
                 return;
             }
             Err(Some(reply)) => reply,
             Err(None) => return,
         };
         drop(call);
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        if let Ok(bytes) = h2io::encode_frame(&reply) {
-            drop(h2io::send_all(&mut stream, bytes, true).await);
+        drop(answer.send_head(&reply, true).await);
+    }
+
+    /// Refuses a call that is for another incarnation of this guard or for an unknown target.
+    pub(super) fn check_presence(
+        &self,
+        call: &ServedCall,
+        head: &CallHead,
+    ) -> Result<(), AnswerHead> {
+        let known = self.targets.borrow().contains_key(&call.target_key);
+        if head.incarnation == self.incarnation && known {
+            return Ok(());
         }
+        Err(self.refusal(call, RefusalReason::Absent, UNAVAILABLE_RETRY_MS))
     }
 
     /// Admits a call up to its dispatch; returns the claim of its idempotency key, if it has one.
@@ -101,13 +117,9 @@
         &self,
         call: &ServedCall,
         head: &CallHead,
-        respond: &mut SendResponse<Bytes>,
+        answer: &mut AnswerStream,
     ) -> Result<Option<HeldClaim>, Option<AnswerHead>> {
-        if head.incarnation != self.incarnation
-            || !self.targets.borrow().contains_key(&call.target_key)
-        {
-            return Err(Some(self.refusal(call, RefusalReason::Absent, UNAVAILABLE_RETRY_MS)));
-        }
+        self.check_presence(call, head).map_err(Some)?;
         if !self.ledger.borrow_mut().register(self.clock.now(), head.call) {
             return Err(Some(self.refusal(call, RefusalReason::Revoked, UNAVAILABLE_RETRY_MS)));
         }
@@ -121,7 +133,7 @@
         let decision = self.enqueue(call, head);
         let admitted = tokio::select! {
             decision = decision => decision.unwrap_or(Err((RefusalReason::Leaving, UNAVAILABLE_RETRY_MS))),
-            _ = poll_fn(|cx| respond.poll_reset(cx)) => {
+            () = answer.wait_for_reset() => {
                 self.prevent_dispatch(call);
                 return Err(None);
             }
@@ -163,7 +175,20 @@
         let (waiter, decision) = oneshot::channel();
         self.waiters.borrow_mut().insert(head.call, waiter);
         call.enqueued.set(true);
-        let waiting = WaitingCall {
+        let waiting = Self::waiting_call(call, head);
+        if let Some(target) = self.targets.borrow_mut().get_mut(&call.target_key) {
+            target.last_call_at = self.clock.now();
+        }
+        if head.stated_rate.is_some() {
+            self.note_rate(&call.target_key, head.stated_rate, RateSource::Entry);
+        }
+        self.step_queue(&call.target_key, AdmissionEvent::Arrive(waiting));
+        decision
+    }
+
+    /// Returns a call as its target's admission queue gets it.
+    pub(super) fn waiting_call(call: &ServedCall, head: &CallHead) -> WaitingCall {
+        WaitingCall {
             call: head.call,
             account: head.account.clone(),
             share: head.share,
@@ -172,15 +197,7 @@
             queue_deadline: call.deadline.min(call.queue_deadline),
             work_us: head.work_us,
             last_target: head.last,
-        };
-        if let Some(target) = self.targets.borrow_mut().get_mut(&call.target_key) {
-            target.last_call_at = self.clock.now();
         }
-        if head.stated_rate.is_some() {
-            self.note_rate(&call.target_key, head.stated_rate, RateSource::Entry);
-        }
-        self.step_queue(&call.target_key, AdmissionEvent::Arrive(waiting));
-        decision
     }
 
     /// Makes sure that a call which was not dispatched never will be.
@@ -235,21 +252,3 @@
         }
     }
 }
-
-/// Reads a call's head and body.
-///
-/// # Errors
-///
-/// Returns an error if the stream breaks or the body is longer than `max_body` bytes.
-async fn receive_call(
-    reader: &mut HeadReader,
-    max_body: usize,
-) -> Result<(CallHead, Bytes), StreamError> {
-    let head: CallHead = reader.head().await?;
-    let length = head.body_len as usize;
-    if length > max_body {
-        return Err(StreamError::EndedEarly);
-    }
-    let body = reader.body(length).await?;
-    Ok((head, body))
-}
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -1,5 +1,7 @@
 //! The guard duty: admits calls to the targets of its host and is their only client.
 
+mod answer_stream;
+mod body_transfer;
 mod call_admission;
 mod cold_targets;
 mod crash_detection;
--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -1,9 +1,8 @@
 //! Relays a target's answer from its guard to the entry.
 
 use bytes::Bytes;
-use h2::server::SendResponse;
-use h2::{Reason, SendStream};
-use http::{HeaderMap, Response, StatusCode};
+use h2::Reason;
+use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
@@ -13,6 +12,7 @@
 use crate::base::h2io;
 use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
 use crate::call::guard::UNAVAILABLE_RETRY_MS;
+use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
 use crate::call::guard::target_connections::TargetFailure;
 use crate::call::headers;
@@ -21,11 +21,10 @@
 pub(super) struct AnswerRelay<'a> {
     pub(super) call: &'a ServedCall,
     pub(super) head: &'a CallHead,
-    /// Handle for the response; taken when the answer's head is sent.
-    pub(super) respond: Option<SendResponse<Bytes>>,
-    /// Stream for the answer's body; `None` before the head is sent and after the stream was
-    /// closed.
-    pub(super) stream: Option<SendStream<Bytes>>,
+    /// The response before the answer's head is sent.
+    pub(super) unsent: Option<AnswerStream>,
+    /// The response while the answer's body is sent; `None` once it was ended or reset.
+    pub(super) stream: Option<AnswerStream>,
 }
 
 impl AnswerRelay<'_> {
@@ -76,7 +75,7 @@
     }
 
     /// Reports to the entry that the call did not run and never will.
-    async fn refuse(&mut self, reason: RefusalReason) -> CallStatus {
+    pub(super) async fn refuse(&mut self, reason: RefusalReason) -> CallStatus {
         self.call.dispatched_at.set(None);
         let refusal = self.call.duty.refusal(self.call, reason, UNAVAILABLE_RETRY_MS);
         self.send_head(&refusal, true).await;
@@ -136,41 +135,36 @@
         }
         answer.connection.release(&answer.headers);
         if let Some(mut stream) = self.stream.take() {
-            drop(h2io::send_all(&mut stream, Bytes::new(), true).await);
+            drop(stream.send(Bytes::new(), true).await);
         }
         CallStatus::Answered(recorded)
     }
 
     /// Sends an answer that was read whole, in one frame if the flow-control window allows.
     async fn send_whole(&mut self, answer: &AnswerHead, body: Bytes) {
-        let Some(mut respond) = self.respond.take() else { return };
+        let Some(mut stream) = self.unsent.take() else { return };
         let Ok(bytes) = h2io::encode_frame_with_body(answer, &body) else {
-            respond.send_reset(Reason::INTERNAL_ERROR);
+            stream.reset(Reason::INTERNAL_ERROR);
             return;
         };
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        let sent = timeout(BODY_STALL_TIMEOUT, h2io::send_all(&mut stream, bytes, true)).await;
+        let sent = timeout(BODY_STALL_TIMEOUT, stream.send(bytes, true)).await;
         if !sent.is_ok_and(|sent| sent.is_ok()) {
-            stream.send_reset(Reason::INTERNAL_ERROR);
+            stream.reset(Reason::INTERNAL_ERROR);
         }
     }
 
     async fn send_head(&mut self, answer: &AnswerHead, end: bool) {
-        let Some(mut respond) = self.respond.take() else { return };
-        let Ok(bytes) = h2io::encode_frame(answer) else {
-            respond.send_reset(Reason::INTERNAL_ERROR);
-            return;
-        };
-        let Ok(mut stream) = respond.send_response(Response::new(()), false) else { return };
-        if h2io::send_all(&mut stream, bytes, end).await.is_ok() {
-            self.stream = Some(stream);
+        let Some(mut stream) = self.unsent.take() else { return };
+        match stream.send_head(answer, end).await {
+            Ok(()) => self.stream = Some(stream),
+            Err(_broken) => stream.reset(Reason::INTERNAL_ERROR),
         }
     }
 
     /// Sends a part of the body; returns `false` once the entry no longer receives it.
     async fn send_data(&mut self, data: Bytes) -> bool {
         let Some(stream) = &mut self.stream else { return false };
-        let sent = timeout(BODY_STALL_TIMEOUT, h2io::send_all(stream, data, false)).await;
+        let sent = timeout(BODY_STALL_TIMEOUT, stream.send(data, false)).await;
         let sent = sent.is_ok_and(|sent| sent.is_ok());
         if !sent {
             self.reset();
@@ -181,7 +175,7 @@
     /// Resets the stream, so that a truncated body isn't taken for a complete one.
     fn reset(&mut self) {
         if let Some(mut stream) = self.stream.take() {
-            stream.send_reset(Reason::INTERNAL_ERROR);
+            stream.reset(Reason::INTERNAL_ERROR);
         }
     }
 }
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -3,12 +3,10 @@
 mod answer_relay;
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::server::SendResponse;
 use slog::info;
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep_until, timeout};
@@ -19,8 +17,9 @@
 use crate::base::consts::MAX_DEADLINE_MS;
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{CallId, ServiceName, TargetName};
-use crate::base::wire::CallHead;
+use crate::base::wire::{CallHead, RefusalReason};
 use crate::call::guard::GuardDuty;
+use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::crash_detection::RunOutcome;
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
 use crate::call::guard::target_connections::TargetFailure;
@@ -92,6 +91,8 @@
     pub(crate) started_at: Cell<Option<MicroTime>>,
     /// Time at which the call was sent to the target.
     dispatched_at: Cell<Option<MicroTime>>,
+    /// Whether the request for the target was made, so that the target may get it.
+    request_made: Cell<bool>,
     /// Whether the call failed at the target, which counts against the target.
     failed: Cell<bool>,
 }
@@ -137,6 +138,7 @@
             exclusive_lock: RefCell::default(),
             started_at: Cell::default(),
             dispatched_at: Cell::default(),
+            request_made: Cell::default(),
             failed: Cell::default(),
         }
     }
@@ -159,7 +161,7 @@
         head: &CallHead,
         body: Bytes,
         claim: Option<HeldClaim>,
-        mut respond: SendResponse<Bytes>,
+        mut answer: AnswerStream,
     ) {
         let duty = &self.duty;
         duty.metrics.dispatched.inc();
@@ -173,13 +175,17 @@
         let mut exchange = Box::pin(self.call_target(head, body));
         let answered = tokio::select! {
             answered = &mut exchange => Some(answered),
-            _ = poll_fn(|cx| respond.poll_reset(cx)), if head.repeatable => None,
+            () = answer.wait_for_reset(), if head.repeatable => None,
             () = sleep_until(deadline) => None,
         };
         let unanswered = answered.is_none();
-        let mut relay = AnswerRelay { call: self, head, respond: Some(respond), stream: None };
+        let mut relay = AnswerRelay { call: self, head, unsent: Some(answer), stream: None };
         let status = if let Some(answered) = answered {
             relay.forward(answered).await
+        } else if !self.request_made.get() {
+            // The target could not be connected to before the deadline.
+            drop(exchange);
+            relay.refuse(RefusalReason::TooLate).await
         } else {
             relay.report_lost().await;
             if head.repeatable {
@@ -235,6 +241,7 @@
         };
         let address = address.ok_or(TargetFailure::NotSent)?;
         let make_request = || {
+            self.request_made.set(true);
             let remaining_ms = self.deadline.since(duty.clock.now()).duration().as_millis() as u32;
             target_call::make_request(head, body.clone(), address, remaining_ms, duty.header_names)
         };
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -10,6 +10,7 @@
 //! queue order decides which. A call that can't be served in time is refused at once, unless
 //! it can use capacity that no other call needs.
 
+mod announced;
 mod events;
 mod forecast;
 mod order;
@@ -62,7 +63,7 @@
 /// Invariants: a call starts only while fewer than `limit` calls run and the cold-start and
 /// rate limits permit it; a call waits only if one of these limits is reached or the host is
 /// in a slow period; each arrival gets exactly one `Start` or `Refuse`, unless cancelled.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct AdmissionQueue {
     limit: ConcurrencyLimit,
     speed: HostSpeed,
--- a/src/decide/benefit.rs
+++ b/src/decide/benefit.rs
@@ -116,6 +116,13 @@
     has_spare && expected_us(record, now, estimate) < estimate.objective_us
 }
 
+/// Returns whether a call that may wait at a target would likely be in time, if the target is
+/// open: it gets calls and is not avoided.
+pub(crate) fn can_queue(record: &TargetRecord, now: MicroTime, estimate: &CallEstimate) -> bool {
+    let is_open = !record.left_before() && !record.is_avoided(now);
+    is_open && expected_us(record, now, estimate) < estimate.objective_us
+}
+
 /// Returns the expected time to the answer of a call sent now, in microseconds.
 fn expected_us(record: &TargetRecord, now: MicroTime, estimate: &CallEstimate) -> f64 {
     let load = &record.load;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod cold_start;
 pub(crate) mod commit_backoff;
 pub(crate) mod crash_suspects;
+pub(crate) mod crossing;
 pub(crate) mod host_speed;
 pub(crate) mod known_statements;
 pub(crate) mod lease;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub use decide::cold_start::{COLD_RATE_WINDOW, ColdStartLimit, ColdTerms};
 pub use decide::commit_backoff::CommitBackoff;
 pub use decide::crash_suspects::{CrashSuspects, MAX_SUSPECTS, MergeEffect};
+pub use decide::crossing::LocalQueueing;
 pub use decide::host_speed::HostSpeed;
 pub use decide::known_statements::KnownStatements;
 pub use decide::lease::{TargetCondition, TargetLease};
