--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -151,7 +151,8 @@
             return end_attempt(outstanding, head.call, &answer, reader);
         }
         Ok(Err(NotSent)) => {
-            outstanding.mark_unreachable(location);
+            outstanding.failed = true;
+            duty.report_unreachable(&location.host);
             return AttemptEnd::unreachable();
         }
         Err(_elapsed) => {
@@ -188,11 +189,8 @@
     if failure == AnswerFailure::NotRun {
         return AttemptEnd::unreachable();
     }
-    // A guard that is still up may have kept the call from its target. A call that may be
-    // repeated is sent elsewhere instead, without a wait for the guard.
-    if !call.options.repeatable
-        && revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun)
-    {
+    // A guard that is still up knows whether the call was kept from its target.
+    if revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun) {
         return AttemptEnd::not_run(RefusalReason::Revoked);
     }
     AttemptEnd::Lost
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -68,10 +68,10 @@
                 return failure
                     .unwrap_or_else(|| final_response(attempts.failure_decision(), refusal));
             };
+            chosen.queues = elsewhere.is_some();
             load_probe::probe_random_target(self, &call.service);
             self.log_choice(&call, &chosen);
             tried.push(chosen.name.clone());
-            chosen.queues = elsewhere.is_some();
             let last_target = last_round || (chosen.untried == 0 && !chosen.queues);
             let (result, cause) = match hedge::run(
                 self,
@@ -236,7 +236,7 @@
             "in_flight" => load.in_flight, "queued" => load.queued, "slots" => load.slots,
             "service_us" => load.service_us, "slowness" => load.slowness,
             "load_age_us" => chosen.load_age.0,
-            "rate_left" => load.rate.map(|rate| rate.available),
+            "queues" => chosen.queues, "rate_left" => load.rate.map(|rate| rate.available),
             "left_us" => call.deadline.since(self.clock.now()).0);
     }
 
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -14,7 +14,7 @@
 use self::answer_relay::AnswerRelay;
 use crate::base::call_status::{CallStatus, ClaimRow, ClaimState};
 use crate::base::clock::MicroTime;
-use crate::base::consts::MAX_DEADLINE_MS;
+use crate::base::consts::{MAX_DEADLINE_MS, REVOKE_MARGIN};
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::wire::{CallHead, RefusalReason};
@@ -172,18 +172,27 @@
             "left_us" => self.deadline.since(duty.clock.now()).0);
         let remaining = self.deadline.since(duty.clock.now()).duration();
         let deadline = tokio::time::Instant::now() + remaining;
+        // A call for which no connection is open by then is given up early enough that the entry
+        // learns before the deadline that it did not run.
+        let unsent_deadline = tokio::time::Instant::now()
+            + remaining.saturating_sub(REVOKE_MARGIN.min(remaining / 4));
         let mut exchange = Box::pin(self.call_target(head, body));
         let answered = tokio::select! {
             answered = &mut exchange => Some(answered),
             () = answer.wait_for_reset(), if head.repeatable => None,
-            () = sleep_until(deadline) => None,
+            () = async {
+                sleep_until(unsent_deadline).await;
+                if self.request_made.get() {
+                    sleep_until(deadline).await;
+                }
+            } => None,
         };
         let unanswered = answered.is_none();
         let mut relay = AnswerRelay { call: self, head, unsent: Some(answer), stream: None };
         let status = if let Some(answered) = answered {
             relay.forward(answered).await
         } else if !self.request_made.get() {
-            // The target could not be connected to before the deadline.
+            // No connection to the target was open in time.
             drop(exchange);
             relay.refuse(RefusalReason::TooLate).await
         } else {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -68,7 +68,17 @@
                     let deadline = now + MicroTime(remaining_us);
                     let call = waiting_call(number as u128, account, CallPriority { urgent, worth }, deadline);
                     waiting.insert(call.call, deadline);
-                    queue.step(now, AdmissionEvent::Arrive(call), &mut out);
+                    let state_before = format!("{queue:?}");
+                    let forecast = queue.check_arrival(now, &call);
+                    prop_assert_eq!(state_before, format!("{:?}", queue), "a check changed the queue");
+                    queue.step(now, AdmissionEvent::Arrive(call.clone()), &mut out);
+                    let refused = out.iter().find_map(|action| match action {
+                        AdmissionAction::Refuse { call: refused, reason, retry_after_ms } if *refused == call.call => {
+                            Some((*reason, *retry_after_ms))
+                        }
+                        _ => None,
+                    });
+                    prop_assert_eq!(forecast, refused, "the check and the arrival differ");
                 }
                 Step::Finish { index, failed } if !running.is_empty() => {
                     let call = running.swap_remove(index % running.len());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! the platform as threads of the test.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod guard_wire;
 pub mod hosted;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/tests/entry_outcomes.rs
@@ -0,0 +1,321 @@
+//! An entry reports a call as not run, with a time to retry, whenever its guard provably kept it
+//! from every target, and as unknown otherwise. The test plays the guard of the only target.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::guard_wire::{FrameReader, frame};
+use common::hosted::{HostedFleet, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST};
+use h2::Reason;
+use h2::server::SendResponse;
+use http::{Request, Response};
+use railspan::{
+    AnswerHead, CallHead, CallStatus, LoadReport, RefusalReason, RevokeHead, RevokeReply,
+    SuspectRecord,
+};
+use railspan_standins::{FaultyLink, HostedResponse, HostedTarget, hosted_call};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// Length of a body that an entry announces, in bytes.
+const ANNOUNCED: usize = 200_000;
+
+/// Length of a body that an entry sends with the head of its call, in bytes.
+const INLINE: usize = 1_000;
+
+/// Time to the deadline of a call, in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+
+/// Time to the deadline of a call whose target's load is reported late, in milliseconds; an
+/// entry waits longer than this for the report.
+const SHORT_DEADLINE_MS: u64 = 140;
+
+/// What the fake guard does with each call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Conduct {
+    /// Reports its target's load only after the deadline of the call.
+    ReportLate,
+    /// Resets the stream as refused, without reading it.
+    RefuseStream,
+    /// Closes the connection once it has the head.
+    BreakAfterHead,
+    /// Requests the body and closes the connection.
+    BreakAfterRequest,
+    /// Requests the body and refuses the call without reading it.
+    RefuseAfterRequest,
+    /// Closes the connection once it has the whole call; answers revocations.
+    BreakAfterCall(RevokeStatus),
+    /// Never answers the call; answers revocations.
+    StaySilent(RevokeStatus),
+    /// Requests the body, never reads it, and never answers revocations.
+    Stall,
+}
+
+/// The reply of the fake guard to revocations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RevokeStatus {
+    NotRun,
+    Running,
+    Unknown,
+}
+
+impl RevokeStatus {
+    fn status(self) -> CallStatus {
+        match self {
+            Self::NotRun => CallStatus::NotRun,
+            Self::Running => CallStatus::Running,
+            Self::Unknown => CallStatus::Unknown,
+        }
+    }
+}
+
+/// Serves the connections of a listener as a guard that behaves as `conduct` says.
+async fn serve_guard(listener: TcpListener, conduct: Conduct) {
+    loop {
+        let (socket, _) = listener.accept().await.expect("accept");
+        tokio::spawn(serve_connection(socket, conduct));
+    }
+}
+
+/// Serves a connection until a stream asks to close it.
+async fn serve_connection(socket: TcpStream, conduct: Conduct) {
+    let close = Arc::new(Notify::new());
+    let Ok(mut connection) = h2::server::handshake(socket).await else { return };
+    loop {
+        tokio::select! {
+            accepted = connection.accept() => {
+                let Some(Ok((request, respond))) = accepted else { return };
+                tokio::spawn(serve_stream(request, respond, conduct, Arc::clone(&close)));
+            }
+            () = close.notified() => return,
+        }
+    }
+}
+
+async fn serve_stream(
+    request: Request<h2::RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    conduct: Conduct,
+    close: Arc<Notify>,
+) {
+    let path = request.uri().path().to_owned();
+    let mut reader = FrameReader::open(request.into_body());
+    let answer = |respond: &mut SendResponse<Bytes>, bytes: Bytes, end: bool| {
+        let mut stream = respond.send_response(Response::new(()), false).expect("response");
+        stream.send_data(bytes, end).expect("data");
+        stream
+    };
+    if path == "/watch" {
+        if conduct == Conduct::ReportLate {
+            tokio::time::sleep(Duration::from_millis(SHORT_DEADLINE_MS + 50)).await;
+        }
+        let load = LoadReport { slots: 4, sequence: 1, ..LoadReport::default() };
+        let _stream = answer(&mut respond, frame(&load), false);
+        return std::future::pending().await;
+    }
+    if path == "/revoke" {
+        let _head: Option<RevokeHead> = reader.head().await;
+        match conduct {
+            Conduct::BreakAfterCall(reply) | Conduct::StaySilent(reply) => {
+                drop(answer(&mut respond, frame(&RevokeReply { status: reply.status() }), true));
+            }
+            _ => std::future::pending().await,
+        }
+        return;
+    }
+    if conduct == Conduct::RefuseStream {
+        return respond.send_reset(Reason::REFUSED_STREAM);
+    }
+    let Some(head) = reader.head::<CallHead>().await else { return };
+    let call = head.call;
+    if conduct == Conduct::BreakAfterHead {
+        return close.notify_one();
+    }
+    let request_body = frame(&AnswerHead::SendBody { call });
+    let mut stream = head.body_follows.then(|| answer(&mut respond, request_body, false));
+    match conduct {
+        Conduct::BreakAfterRequest => {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            close.notify_one();
+        }
+        Conduct::RefuseAfterRequest => {
+            let refused = AnswerHead::Refused {
+                call,
+                reason: RefusalReason::Leaving,
+                retry_after_ms: 7_000,
+                load: LoadReport::default(),
+                suspect: SuspectRecord::default(),
+                nested: false,
+            };
+            let stream = stream.as_mut().expect("announced");
+            stream.send_data(frame(&refused), true).expect("refusal");
+        }
+        Conduct::BreakAfterCall(_) => {
+            reader.bytes(head.body_len as usize).await;
+            close.notify_one();
+        }
+        Conduct::StaySilent(_) => {
+            reader.bytes(head.body_len as usize).await;
+            std::future::pending().await
+        }
+        _ => std::future::pending().await,
+    }
+}
+
+/// Plays a guard that answers `/watch` and closes the connection when a call arrives, stating that
+/// it processed only the first stream, as a daemon that stops does to a stream it did not accept.
+///
+/// Speaks in raw frames, since `h2` accepts each stream that it reads.
+async fn serve_going_away(listener: TcpListener) {
+    const DATA: u8 = 0;
+    const HEADERS: u8 = 1;
+    const SETTINGS: u8 = 4;
+    const GOAWAY: u8 = 7;
+    /// Length above which a message is a call with its body and not a watch, in bytes.
+    const CALL_BYTES: usize = 500;
+    let raw = |kind: u8, flags: u8, stream: u32, payload: &[u8]| {
+        let length = (payload.len() as u32).to_be_bytes();
+        [&length[1..], &[kind, flags], &stream.to_be_bytes(), payload].concat()
+    };
+    loop {
+        let (mut socket, _) = listener.accept().await.expect("accept");
+        let mut preface = [0; 24];
+        socket.read_exact(&mut preface).await.expect("preface");
+        socket.write_all(&raw(SETTINGS, 0, 0, &[])).await.expect("settings");
+        loop {
+            let mut head = [0; 9];
+            if socket.read_exact(&mut head).await.is_err() {
+                break;
+            }
+            let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+            let stream = u32::from_be_bytes(head[5..].try_into().expect("stream"));
+            let mut payload = vec![0; length];
+            socket.read_exact(&mut payload).await.expect("payload");
+            if head[3] == DATA && length > CALL_BYTES {
+                let last_stream_and_reason = [0, 0, 0, 1, 0, 0, 0, 0];
+                let goaway = raw(GOAWAY, 0, 0, &last_stream_and_reason);
+                socket.write_all(&goaway).await.expect("goaway");
+                break;
+            }
+            if head[3] == DATA && stream == 1 {
+                // The byte is the header field `:status: 200`.
+                let load = LoadReport { slots: 4, sequence: 1, ..LoadReport::default() };
+                let status = raw(HEADERS, 4, stream, &[0x88]);
+                let report = raw(DATA, 0, stream, &frame(&load));
+                socket.write_all(&[status, report].concat()).await.expect("report");
+            }
+        }
+    }
+}
+
+/// Sends a call that must not be repeated, with a body of `length` bytes, through the entry of a
+/// fleet whose only target is behind `guard`.
+fn call_through(
+    runtime: &tokio::runtime::Runtime,
+    guard: SocketAddr,
+    length: usize,
+    deadline_ms: u64,
+) -> HostedResponse {
+    let peer_link = FaultyLink::bind(runtime.handle(), true).expect("link");
+    let mut fleet = HostedFleet::spawn(2, Duration::from_millis(5));
+    fleet.daemons[1].kill().expect("kill");
+    fleet.daemons[1] = fleet.start_daemon_advertising(1, guard, peer_link.address());
+    peer_link.set_upstream(fleet.daemons[1].endpoints().peer);
+    fleet.targets[1].send_heartbeats_to(fleet.control(1));
+    fleet.wait_for_targets(0, 2);
+    assert_eq!(fleet.targets[0].leave(fleet.control(0)).expect("leave"), 200);
+    fleet.wait_for_targets(0, 1);
+    let deadline = deadline_ms.to_string();
+    let headers = [("Host", VIRTUAL_HOST), ("X-Request-Id", "call"), ("X-Deadline-Ms", &deadline)];
+    let caller = fleet.daemons[0].endpoints().caller;
+    let path = format!("{UNSAFE_PREFIX}call");
+    hosted_call(caller, "POST", &path, &headers, &vec![b'x'; length]).expect("answer")
+}
+
+#[track_caller]
+fn assert_not_run(answer: &HostedResponse) {
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
+
+/// Returns the answer to a call if the guard of the only target behaves as `conduct` says.
+fn answer_to(conduct: Conduct, length: usize) -> HostedResponse {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("listener");
+    let guard = listener.local_addr().expect("address");
+    runtime.spawn(serve_guard(listener, conduct));
+    let late = conduct == Conduct::ReportLate;
+    call_through(&runtime, guard, length, if late { SHORT_DEADLINE_MS } else { DEADLINE_MS })
+}
+
+#[test_case(Conduct::ReportLate, INLINE; "deadline passed before it was sent")]
+#[test_case(Conduct::RefuseStream, INLINE; "reset before the head was read")]
+#[test_case(Conduct::BreakAfterHead, ANNOUNCED; "connection lost before the body was requested")]
+#[test_case(Conduct::BreakAfterRequest, ANNOUNCED; "connection lost within the body")]
+#[test_case(Conduct::Stall, ANNOUNCED; "deadline passed within the body")]
+#[test_case(Conduct::StaySilent(RevokeStatus::NotRun), INLINE; "deadline passed while waiting")]
+#[test_case(Conduct::BreakAfterCall(RevokeStatus::NotRun), INLINE; "connection lost while waiting")]
+fn a_call_that_its_guard_did_not_dispatch_is_not_run(conduct: Conduct, length: usize) {
+    assert_not_run(&answer_to(conduct, length));
+}
+
+#[test]
+fn a_refusal_within_the_body_states_the_time_to_retry_of_the_guard() {
+    let answer = answer_to(Conduct::RefuseAfterRequest, ANNOUNCED);
+    assert_not_run(&answer);
+    assert!(answer.headers["retry-after"].starts_with('7'), "{answer:?}");
+}
+
+#[test]
+fn a_call_whose_target_accepts_no_connection_is_not_run() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let (full, _connections) = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+        socket.bind("127.0.0.2:0".parse().expect("address")).expect("bind");
+        let listener = socket.listen(1).expect("listen");
+        let address = listener.local_addr().expect("address");
+        let mut connections = Vec::new();
+        // The system drops connection requests once the queue of the listener is full.
+        let limit = Duration::from_millis(300);
+        while let Ok(open) = tokio::time::timeout(limit, TcpStream::connect(address)).await {
+            connections.push(open.expect("connect"));
+        }
+        (address, (listener, connections))
+    });
+    let fleet = HostedFleet::spawn(1, Duration::from_millis(5));
+    assert_eq!(fleet.targets[0].leave(fleet.control(0)).expect("leave"), 200);
+    fleet.wait_for_targets(0, 0);
+    let target = HostedTarget::spawn(SERVICE, "full", Duration::from_millis(5)).expect("target");
+    target.send_heartbeats_as(full, fleet.control(0));
+    fleet.wait_for_targets(0, 1);
+    let answer = fleet.call_with_deadline(0, UNSAFE_PREFIX, "call", 200).expect("answer");
+    assert_not_run(&answer);
+}
+
+#[test]
+fn a_call_that_a_stopping_guard_did_not_accept_is_not_run() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("listener");
+    let guard = listener.local_addr().expect("address");
+    runtime.spawn(serve_going_away(listener));
+    assert_not_run(&call_through(&runtime, guard, INLINE, DEADLINE_MS));
+}
+
+#[test]
+fn a_call_whose_guard_is_gone_before_the_start_is_not_run() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    // Nothing listens at the address.
+    assert_not_run(&call_through(&runtime, common::ephemeral_address(), INLINE, DEADLINE_MS));
+}
+
+#[test_case(Conduct::StaySilent(RevokeStatus::Running); "still running at the deadline")]
+#[test_case(Conduct::BreakAfterCall(RevokeStatus::Unknown); "guard replaced after the whole call")]
+fn a_call_that_may_have_run_stays_unknown(conduct: Conduct) {
+    assert_eq!(answer_to(conduct, INLINE).status, 504);
+}
