--- a/src/call/entry/exchange.rs
+++ b/src/call/entry/exchange.rs
@@ -86,7 +86,9 @@
     let mut reader = HeadReader::open(response.into_body());
     match reader.head().await.map_err(|_broken| NotSent)? {
         AnswerHead::SendBody { call } if call == head.call => {}
-        refused @ AnswerHead::Refused { .. } => return Ok(SentCall::Refused(refused, reader)),
+        answer if is_refusal_of(head.call, &answer) => {
+            return Ok(SentCall::Refused(answer, reader));
+        }
         _ => return Err(NotSent),
     }
     // A guard that stops meanwhile refuses the call without the rest of its body.
@@ -100,11 +102,17 @@
     };
     match early_answer {
         None => Ok(SentCall::Complete(PendingAnswer::Stream(reader))),
-        Some(Ok(refused @ AnswerHead::Refused { .. })) => Ok(SentCall::Refused(refused, reader)),
+        Some(Ok(answer)) if is_refusal_of(head.call, &answer) => {
+            Ok(SentCall::Refused(answer, reader))
+        }
         Some(_) => Err(NotSent),
     }
 }
 
+fn is_refusal_of(attempt: CallId, answer: &AnswerHead) -> bool {
+    matches!(answer, AnswerHead::Refused { call, .. } if *call == attempt)
+}
+
 impl PendingAnswer {
     /// Reads the head of the answer.
     pub(super) async fn read(self) -> Result<(AnswerHead, HeadReader), AnswerFailure> {
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -33,8 +33,10 @@
             return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
         }
         if head.body_follows {
-            self.check_before_body(call, head).map_err(Some)?;
-            self.metrics.announced_bodies.with_label_values(&["requested"]).inc();
+            let checked = self.check_before_body(call, head);
+            let reply = if checked.is_ok() { "requested" } else { "refused" };
+            self.metrics.announced_bodies.with_label_values(&[reply]).inc();
+            checked.map_err(Some)?;
             let request = AnswerHead::SendBody { call: head.call };
             answer.send_head(&request, false).await.map_err(|_broken| None)?;
         }
@@ -71,7 +73,6 @@
             target.and_then(|target| target.queue.check_arrival(self.clock.now(), &waiting))
         };
         let Some((reason, retry_after_ms)) = refused else { return Ok(()) };
-        self.metrics.announced_bodies.with_label_values(&["refused"]).inc();
         Err(self.refusal(call, reason, retry_after_ms))
     }
 }
--- a/tests/announced_bodies.rs
+++ b/tests/announced_bodies.rs
@@ -1,14 +1,20 @@
 //! A guard requests an announced body only if the call could be admitted, and a call whose body
 //! does not arrive as announced must not run: the test speaks to the guard as an entry does.
+//! An entry announces large bodies and sends them whole.
 
 mod common;
 
+use std::time::Duration;
+
 use common::guard_wire::{GuardMessage, call_head};
+use common::hosted::{HostedFleet, UNSAFE_PREFIX, VIRTUAL_HOST};
 use common::{FleetPlan, TestFleet, eventually};
 use railspan::{
     AnswerHead, CallHead, CallId, CallStatus, DaemonIncarnation, RefusalReason, RevokeHead,
     RevokeReply,
 };
+use railspan_standins::hosted_call;
+use test_case::test_case;
 
 /// Length of the announced bodies, in bytes.
 const BODY_LEN: usize = 40_000;
@@ -147,3 +153,21 @@
     let report = fleet.call(0, &fleet.get_request("/other?size=10"));
     assert_eq!(report.status, 200, "the only slot was taken by a call without its body");
 }
+
+#[test_case(14 << 10, 0; "sent with its head")]
+#[test_case(300_000, 1; "announced")]
+fn an_entry_announces_a_large_body_and_sends_it_whole(length: usize, announced: usize) {
+    let fleet = HostedFleet::spawn(1, Duration::from_millis(1));
+    let body: Vec<u8> = (0..length).map(|index| index as u8).collect();
+    let endpoints = fleet.daemons[0].endpoints();
+    let headers = [("Host", VIRTUAL_HOST), ("X-Request-Id", "upload"), ("X-Deadline-Ms", "5000")];
+    let path = format!("{UNSAFE_PREFIX}upload");
+    let answer = hosted_call(endpoints.caller, "POST", &path, &headers, &body).expect("answer");
+    assert_eq!(answer.status, 200);
+    let runs = fleet.targets[0].runs();
+    assert!(runs.len() == 1 && runs[0].body == body, "the target got another body");
+    let metrics = hosted_call(endpoints.admin, "GET", "/metrics", &[], b"").expect("metrics");
+    let metrics = String::from_utf8(metrics.body).expect("text");
+    let requested = "railspan_announced_bodies_total{reply=\"requested\"} 1";
+    assert_eq!(metrics.matches(requested).count(), announced, "{metrics}");
+}
--- a/tests/entry_outcomes.rs
+++ b/tests/entry_outcomes.rs
@@ -162,7 +162,7 @@
         }
         Conduct::StaySilent(_) => {
             reader.bytes(head.body_len as usize).await;
-            std::future::pending().await
+            std::future::pending::<()>().await;
         }
         _ => std::future::pending().await,
     }
