No attempt starts too late to be revoked; outcome tests bear a busy machine

Cause: a call revoked 40 ms before its deadline was tried at another target with the rest of its time, and that attempt's revocation could not be confirmed: it ended as unknown. A revocation after a reset stream could go over the connection that was about to close. Two cases of entry_outcomes failed in 2 of 10 runs at a load average of 28 (still_running_at_the_deadline and connection_lost_while_waiting): the fake guard reset the stream before it closed the connection, and the entry may give up a call before it sends it.

The pooled connection is dropped before the revocation.

--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -117,11 +117,10 @@
         failed: false,
         unreachable: false,
     };
-    let margin = revoke_margin(call);
-    let remaining = call.deadline.since(now).duration();
-    if remaining <= margin {
+    if !has_time_left(call, now) {
         return AttemptEnd::not_run(RefusalReason::TooLate);
     }
+    let remaining = call.deadline.since(now).duration();
     let deadline = Instant::now() + remaining;
     let Some(sender) = connect(duty, location, deadline).await else {
         outstanding.mark_unreachable(location);
@@ -138,11 +137,12 @@
         guard_time = duty.guard_time(&call.service, target);
     }
     load_watch::watch_target(duty, &call.service, target, location);
-    let remaining = call.deadline.since(duty.clock.now()).duration();
-    if remaining <= margin {
+    let now = duty.clock.now();
+    if !has_time_left(call, now) {
         return AttemptEnd::not_run(RefusalReason::TooLate);
     }
-    let revoke_at = Instant::now() + remaining.saturating_sub(margin);
+    let remaining = call.deadline.since(now).duration();
+    let revoke_at = Instant::now() + remaining.saturating_sub(revoke_margin(call));
     let head = make_head(duty, call, target, location, guard_time, remaining, last_target);
     let pending = match timeout_at(revoke_at, exchange::send(sender, &head, &call.body)).await {
         Ok(Ok(SentCall::Complete(pending))) => pending,
@@ -189,19 +189,26 @@
     if failure == AnswerFailure::NotRun {
         return AttemptEnd::unreachable();
     }
-    // A guard that is still up knows whether the call was kept from its target.
+    // A guard that is still up knows whether the call was kept from its target. The connection
+    // may be about to close, so a new one is opened.
+    duty.pool.remove(location.guard, location.incarnation);
     if revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun) {
         return AttemptEnd::not_run(RefusalReason::Revoked);
     }
     AttemptEnd::Lost
 }
 
-/// Returns the time before the deadline at which an unanswered attempt of a call is revoked; no
-/// attempt starts later, since its revocation could not be confirmed in time.
+/// Returns the time before the deadline at which an unanswered attempt of a call is revoked.
 fn revoke_margin(call: &CallerCall) -> Duration {
     REVOKE_MARGIN.min(call.deadline.since(call.arrived_at).duration() / 4)
 }
 
+/// Returns whether an attempt of a call may start: later, its revocation could not be confirmed
+/// before the deadline, and the call would be reported as unknown.
+pub(crate) fn has_time_left(call: &CallerCall, now: MicroTime) -> bool {
+    call.deadline.since(now).duration() > revoke_margin(call)
+}
+
 /// Asks a guard to ensure that an attempt never runs; returns the attempt's status, or `None` if
 /// the guard does not reply in time.
 async fn revoke(
