--- a/tests/announced_bodies.rs
+++ b/tests/announced_bodies.rs
@@ -103,6 +103,21 @@
     assert_eq!(run_count(&fleet), 0);
 }
 
+#[test]
+fn a_call_whose_entry_dies_while_it_waits_for_a_slot_does_not_run() {
+    let fleet = spawn_fleet(1);
+    let busy = fleet.start_call(0, fleet.get_request("/busy?size=10&us=1500000"));
+    eventually("the only slot is taken", || !fleet.targets[0].runs().is_empty());
+    let mut message = announce(&fleet, &announced_call(&fleet, 1));
+    message.send_body(vec![7; BODY_LEN], true);
+    let state = || fleet.state(fleet.addresses(0).admin);
+    eventually("the call waits", || state()["guard"]["targets"][0]["waiting"] == 1);
+    drop(message);
+    fleet.join_call(busy);
+    assert_eq!(fleet.call(0, &fleet.get_request("/after?size=10")).status, 200);
+    assert_eq!(run_count(&fleet), 0);
+}
+
 #[test]
 fn a_call_whose_body_is_too_slow_is_refused_at_its_deadline() {
     let fleet = spawn_fleet(4);
