--- a/src/call/guard/downstream.rs
+++ b/src/call/guard/downstream.rs
@@ -7,7 +7,7 @@
 use super::GuardDuty;
 use crate::base::clock::MicroTime;
 use crate::base::ids::ServiceName;
-use crate::base::wire::CallHead;
+use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
 use crate::call::guard::served_call::ServedCall;
 use crate::decide::downstream::StartDecision;
 use crate::duty::events::NestedEnd;
@@ -35,21 +35,27 @@
     ///
     /// # Errors
     ///
-    /// Returns the retry delay in milliseconds if the call is refused.
-    pub(super) fn check_downstream(&self, call: &ServedCall, head: &CallHead) -> Result<(), u32> {
+    /// Returns the answer to a call that is refused; it is never dispatched.
+    pub(super) fn check_downstream(
+        &self,
+        call: &ServedCall,
+        head: &CallHead,
+    ) -> Result<(), AnswerHead> {
         if !self.is_own_service(&head.service) {
             return Ok(());
         }
-        let nested = call.nested;
         let now = self.clock.now();
-        let mut downstream = self.downstream.borrow_mut();
-        match downstream.request_start(now, &head.route, head.priority, nested) {
-            StartDecision::Permit => Ok(()),
-            StartDecision::Refuse { retry_after } => {
-                self.metrics.downstream_refusals.inc();
-                Err(retry_after.ceil_millis() as u32)
-            }
-        }
+        let decision = self.downstream.borrow_mut().request_start(
+            now,
+            &head.route,
+            head.priority,
+            call.nested,
+        );
+        let StartDecision::Refuse { retry_after } = decision else { return Ok(()) };
+        self.metrics.downstream_refusals.inc();
+        self.prevent_dispatch(call);
+        let retry_after_ms = retry_after.ceil_millis() as u32;
+        Err(self.refusal(call, RefusalReason::Downstream, retry_after_ms))
     }
 
     /// Records that a call runs at the host's own target until the result is dropped; `None` for
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -3,12 +3,10 @@
 mod answer_relay;
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::server::SendResponse;
 use slog::info;
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep_until, timeout};
@@ -16,11 +14,12 @@
 use self::answer_relay::AnswerRelay;
 use crate::base::call_status::{CallStatus, ClaimRow, ClaimState};
 use crate::base::clock::MicroTime;
-use crate::base::consts::MAX_DEADLINE_MS;
+use crate::base::consts::{MAX_DEADLINE_MS, REVOKE_MARGIN};
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{CallId, ServiceName, TargetName};
-use crate::base::wire::CallHead;
+use crate::base::wire::{CallHead, RefusalReason};
 use crate::call::guard::GuardDuty;
+use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::crash_detection::RunOutcome;
 use crate::call::guard::nested::CallFinding;
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
@@ -95,6 +94,8 @@
     pub(crate) started_at: Cell<Option<MicroTime>>,
     /// Time at which the call was sent to the target.
     dispatched_at: Cell<Option<MicroTime>>,
+    /// Whether the request for the target was made, so that the target may get it.
+    request_made: Cell<bool>,
     /// Whether the call failed at the target, which counts against the target.
     failed: Cell<bool>,
 }
@@ -148,6 +149,7 @@
             exclusive_lock: RefCell::default(),
             started_at: Cell::default(),
             dispatched_at: Cell::default(),
+            request_made: Cell::default(),
             failed: Cell::default(),
         }
     }
@@ -170,7 +172,7 @@
         head: &CallHead,
         body: Bytes,
         claim: Option<HeldClaim>,
-        mut respond: SendResponse<Bytes>,
+        mut answer: AnswerStream,
     ) {
         let duty = &self.duty;
         duty.metrics.dispatched.inc();
@@ -181,19 +183,32 @@
             "left_us" => self.deadline.since(duty.clock.now()).0);
         let remaining = self.deadline.since(duty.clock.now()).duration();
         let deadline = tokio::time::Instant::now() + remaining;
+        // A call for which no connection is open by then is given up early enough that the entry
+        // learns before the deadline that it did not run.
+        let unsent_deadline = tokio::time::Instant::now()
+            + remaining.saturating_sub(REVOKE_MARGIN.min(remaining / 4));
         let mut exchange = Box::pin(self.call_target(head, body));
         let answered = tokio::select! {
             answered = &mut exchange => Some(answered),
-            _ = poll_fn(|cx| respond.poll_reset(cx)), if head.repeatable => None,
-            () = sleep_until(deadline) => None,
+            () = answer.wait_for_reset(), if head.repeatable => None,
+            () = async {
+                sleep_until(unsent_deadline).await;
+                if self.request_made.get() {
+                    sleep_until(deadline).await;
+                }
+            } => None,
         };
         let unanswered = answered.is_none();
         if unanswered && head.repeatable {
             duty.record_abandoned_run();
         }
-        let mut relay = AnswerRelay { call: self, head, respond: Some(respond), stream: None };
+        let mut relay = AnswerRelay { call: self, head, unsent: Some(answer), stream: None };
         let status = if let Some(answered) = answered {
             relay.forward(answered).await
+        } else if !self.request_made.get() {
+            // No connection to the target was open in time.
+            drop(exchange);
+            relay.refuse(RefusalReason::TooLate).await
         } else {
             relay.report_lost().await;
             if head.repeatable {
@@ -249,6 +264,7 @@
         };
         let address = address.ok_or(TargetFailure::NotSent)?;
         let make_request = || {
+            self.request_made.set(true);
             let remaining_ms = self.deadline.since(duty.clock.now()).duration().as_millis() as u32;
             target_call::make_request(head, body.clone(), address, remaining_ms, duty.header_names)
         };
