Calls on routes compete by their account's recent use of a target

Routed calls reached guards with the empty account and share 1, so that the queue could not tell accounts apart. They now carry the account's name and, as weight, its quota or share. The queue orders equal priorities by the decayed slot time of the account over its share, in coarse steps (decide/account_usage), and evicts the less urgent calls of accounts far above their share first.

--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -245,7 +245,7 @@
         caller_service: duty.own_service.clone(),
         caller_busy: call.caller_busy,
         nested: call.nested,
-        account_usage: 0,
+        account_usage: duty.account_usage(&call.account),
         body_follows: false,
         stated_rate: duty.rate_stated_earlier(&call.service, target, location.incarnation),
         claim: call.claim.clone(),
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -132,6 +132,8 @@
         duty.admit(account, options.priority, request_id).await?;
     }
     let account_name = account.map_or(NO_ACCOUNT, |account| account.name.as_str());
+    // A nested call competes as part of the run that made it, not for its account.
+    let competitor = account.filter(|_| !nested);
     let host = host.unwrap_or_default().to_ascii_lowercase();
     Ok(CallerCall {
         request_id: Arc::clone(request_id),
@@ -143,8 +145,9 @@
             &body,
         ),
         service,
-        account: AccountName::from(NO_ACCOUNT),
-        share: 1,
+        account: competitor
+            .map_or_else(|| AccountName::from(NO_ACCOUNT), |account| account.name.clone()),
+        share: competitor.map_or(1, AccountParameters::weight),
         policy: &benefit::EXPECTED_BENEFIT,
         options,
         method: parts.method.to_string(),
@@ -185,7 +188,7 @@
         digest: digest_request(account_name, service_name, parts.method.as_str(), &path, &body),
         service: service.name.clone(),
         account: account.name.clone(),
-        share: account.share,
+        share: account.weight(),
         policy: service.selection_policy(),
         options,
         method: parts.method.to_string(),
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry duty: accepts calls from callers and sends each to a target's guard.
 
+mod accounts;
 mod attempt;
 mod hedge;
 mod intake;
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -174,7 +174,9 @@
             last_target: head.last,
         };
         if let Some(target) = self.targets.borrow_mut().get_mut(&call.target_key) {
-            target.last_call_at = self.clock.now();
+            let now = self.clock.now();
+            target.last_call_at = now;
+            target.queue.note_account(now, &head.account, head.share, head.account_usage);
         }
         if head.stated_rate.is_some() {
             self.note_rate(&call.target_key, head.stated_rate, RateSource::Entry);
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -153,6 +153,7 @@
             "cold": self.queue.cold_start(),
             "rate_limit": self.queue.rate_limit(),
             "ready": self.lease.is_ready(now),
+            "accounts": self.queue.accounts().dump(now),
             "running": self.queue.running(),
             "waiting": self.queue.waiting(),
             "claiming": self.claiming,
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -3,7 +3,7 @@
 //! Every event carries the time. The number of running calls is limited to the number at
 //! which the target answers the most calls per second, which may be less than its slots.
 //! A short queue holds further calls, ordered by priority, then by account (the one that
-//! uses the least of its share first), then by earliest deadline; in overload, by latest
+//! used the least of its share lately first), then by earliest deadline; in overload, by latest
 //! deadline instead, which puts the newest calls first. While the host is in a slow period,
 //! calls that would be late if they started now wait for its end or are sent on to another
 //! target. A cold target starts at most as many calls per second as it can sustain; the
@@ -21,6 +21,7 @@
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, CallId};
 use crate::base::wire::RefusalReason;
+use crate::decide::account_usage::AccountUsage;
 use crate::decide::cold_start::ColdStartLimit;
 use crate::decide::host_speed::HostSpeed;
 use crate::decide::limit::ConcurrencyLimit;
@@ -70,6 +71,8 @@
     rate_limit: RateLimit,
     /// Integral over time of the number of running calls, in microseconds.
     running_time_us: f64,
+    /// Use of the target by client accounts.
+    accounts: AccountUsage,
     running: HashMap<CallId, RunningCall>,
     waiting: Vec<WaitingCall>,
     /// Moving average of the service time, in microseconds.
@@ -98,6 +101,7 @@
             cold_start: ColdStartLimit::default(),
             rate_limit: RateLimit::default(),
             running_time_us: 0.0,
+            accounts: AccountUsage::open(),
             running: HashMap::new(),
             waiting: Vec::new(),
             service_us: INITIAL_SERVICE_US,
@@ -119,7 +123,7 @@
             AdmissionEvent::Cancel(call) => {
                 self.waiting.retain(|waiting| waiting.call != call);
                 // The call may have started just before its caller disconnected.
-                self.running.remove(&call);
+                self.release_slot(call);
             }
             AdmissionEvent::Tick => {}
         }
@@ -178,6 +182,18 @@
         self.slowness = percent;
     }
 
+    /// Records an account's use of its quota over the fleet, in thousandths; zero if unknown.
+    pub fn note_account(&mut self, now: MicroTime, account: &AccountName, share: u16, usage: u16) {
+        self.accounts.record_arrival(now, account, share);
+        self.accounts.record_quota_use(account, usage);
+    }
+
+    /// Returns the use of the target by client accounts.
+    #[must_use]
+    pub const fn accounts(&self) -> &AccountUsage {
+        &self.accounts
+    }
+
     /// Returns the observed speed of the target's host.
     #[must_use]
     pub const fn speed(&self) -> &HostSpeed {
@@ -242,6 +258,7 @@
             out.push(self.refuse(&call, RefusalReason::Leaving));
             return;
         }
+        self.accounts.record_arrival(self.now, &call.account, call.share);
         if self.has_capacity() && self.waiting.is_empty() {
             self.arrive_at_free_slot(call, out);
             return;
@@ -282,7 +299,7 @@
 
     /// Frees the slot of a call and updates the statistics, unless it was never dispatched.
     fn finish(&mut self, call: CallId, took: Option<MicroTime>, failed: bool) {
-        let Some(ended) = self.running.remove(&call) else { return };
+        let Some(ended) = self.release_slot(call) else { return };
         let Some(took) = took else { return };
         self.failure_rate += FAILURE_WEIGHT * (f64::from(u8::from(failed)) - self.failure_rate);
         // The time to a failure says nothing about the time to an answer.
@@ -292,6 +309,12 @@
         }
     }
 
+    fn release_slot(&mut self, call: CallId) -> Option<RunningCall> {
+        let ended = self.running.remove(&call)?;
+        self.accounts.record_end(self.now, &ended.account);
+        Some(ended)
+    }
+
     /// Passes on to the concurrency limit by which factor an answered call took longer than
     /// normal, apart from the host's slowness.
     fn record_slowdown(&mut self, ended: &RunningCall) {
@@ -343,6 +366,7 @@
     }
 
     fn start_call(&mut self, call: WaitingCall, out: &mut Vec<AdmissionAction>) {
+        self.accounts.record_start(self.now, &call.account);
         let running = RunningCall {
             account: call.account,
             started_at: self.now,
--- a/src/decide/admission/order.rs
+++ b/src/decide/admission/order.rs
@@ -1,6 +1,6 @@
 //! Order of the waiting calls: which one starts next, and which one a full queue drops.
 
-use super::{AdmissionAction, AdmissionQueue, RunningCall, WaitingCall};
+use super::{AdmissionAction, AdmissionQueue, WaitingCall};
 use crate::base::clock::MicroTime;
 use crate::base::wire::RefusalReason;
 
@@ -9,12 +9,12 @@
 const OVERLOAD_DURATION: MicroTime = MicroTime::from_millis(1_000);
 
 impl AdmissionQueue {
-    /// Refuses the last call of the queue order, which may be the newest arrival.
+    /// Refuses the call that goes last, which may be the newest arrival.
     pub(super) fn evict_last(&mut self, out: &mut Vec<AdmissionAction>) {
         let newest = self.waiting.len() - 1;
         let mut last = newest;
         for index in 0..newest {
-            if self.goes_before(&self.waiting[last], &self.waiting[index]) {
+            if self.outlasts(&self.waiting[last], &self.waiting[index]) {
                 last = index;
             }
         }
@@ -23,14 +23,31 @@
         out.push(self.refuse(&call, reason));
     }
 
+    /// Returns whether a full queue evicts `right` before `left`.
+    ///
+    /// Among calls that are equally urgent, those of accounts far above their share are evicted
+    /// first whatever their worth, so that no account fills the queue before others arrive.
+    fn outlasts(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
+        let overuses = |call: &WaitingCall| self.accounts.is_overusing(self.now, &call.account);
+        if left.priority.urgent == right.priority.urgent && overuses(left) != overuses(right) {
+            return overuses(right);
+        }
+        self.goes_before(left, right)
+    }
+
+    /// Returns whether `right` goes behind `left` because of its account alone.
+    pub(super) fn goes_before_by_account(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
+        left.priority == right.priority && self.usage_level(left) < self.usage_level(right)
+    }
+
     /// Returns whether `left` starts before `right`.
     pub(super) fn goes_before(&self, left: &WaitingCall, right: &WaitingCall) -> bool {
         if left.priority != right.priority {
             return left.priority > right.priority;
         }
-        let (left_usage, right_usage) = (self.share_usage(left), self.share_usage(right));
-        if left.account != right.account && left_usage != right_usage {
-            return left_usage < right_usage;
+        let (left_level, right_level) = (self.usage_level(left), self.usage_level(right));
+        if left_level != right_level {
+            return left_level < right_level;
         }
         if self.is_overloaded() {
             return left.deadline > right.deadline;
@@ -47,10 +64,8 @@
         self.last_expiry.is_some_and(|expiry| self.now.since(expiry) < OVERLOAD_DURATION)
     }
 
-    /// Returns the number of calls the account is running here, per thousand shares.
-    fn share_usage(&self, call: &WaitingCall) -> usize {
-        let is_of_account = |running: &&RunningCall| running.account == call.account;
-        let running = self.running.values().filter(is_of_account).count();
-        running * 1_000 / usize::from(call.share.max(1))
+    /// Returns how far the account of a call is above its share, in coarse steps.
+    fn usage_level(&self, call: &WaitingCall) -> i32 {
+        self.accounts.level(self.now, &call.account)
     }
 }
--- a/src/decide/admission/refusal.rs
+++ b/src/decide/admission/refusal.rs
@@ -30,7 +30,10 @@
         if self.now + self.wait_behind(ahead).max(cold_wait) >= call.queue_deadline {
             return Some(RefusalReason::TooLate);
         }
-        let is_full = self.waiting.len() >= self.limit() / SHORT_QUEUE_DIVISOR;
+        // Calls of accounts that use more of their share don't keep this one from waiting.
+        let competing =
+            self.waiting.iter().filter(|other| !self.goes_before_by_account(call, other));
+        let is_full = competing.count() >= self.limit() / SHORT_QUEUE_DIVISOR;
         // A short wait for the rate is no sign of a queue that drains slowly.
         (!call.last_target && is_full && rate_wait == MicroTime(0)).then_some(RefusalReason::Full)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub use command::request_trace::{RequestTrace, TraceLine};
 pub use command::status::render_status;
 pub use command::targets::render_targets;
+pub use decide::account_usage::{AccountUsage, MAX_TRACKED_ACCOUNTS};
 pub use decide::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 pub use decide::benefit::BENEFIT_POLICY;
 pub use decide::call_ledger::{CallLedger, ClaimVerdict};
--- a/src/rules/account.rs
+++ b/src/rules/account.rs
@@ -52,6 +52,14 @@
 }
 
 impl AccountParameters {
+    /// Returns the account's weight at a busy target: its quota in requests per second, or its
+    /// share if it has no quota.
+    pub(crate) fn weight(&self) -> u16 {
+        let Some(quota) = self.quota else { return self.share.max(1) };
+        let per_s = quota.per_1000_s.div_ceil(1_000).max(1);
+        u16::try_from(per_s).unwrap_or(u16::MAX)
+    }
+
     /// Returns the hashes of all tokens, in hexadecimal.
     fn token_hashes(&self) -> impl Iterator<Item = &String> {
         self.token_blake3.iter().chain(&self.more_tokens_blake3)
