--- a/src/decide/account_usage.rs
+++ b/src/decide/account_usage.rs
@@ -33,8 +33,10 @@
 /// share: below, the few calls of an account say little about its use.
 const LEVELS: (i32, i32) = (-2, 12);
 
-/// Multiple of its share from which an account counts as overusing the target.
-const OVERUSE_FACTOR: f64 = 5.0;
+/// Multiple of its share from which an account counts as overusing the target. An account
+/// that asks for ten times its share gets about this much while calls are refused, and the
+/// random variation of one within its share does not reach it.
+const OVERUSE_FACTOR: f64 = 3.0;
 
 /// Number of accounts that a dump lists.
 const MAX_DUMPED: usize = 20;
@@ -158,16 +160,19 @@
         let (lowest, highest) = LEVELS;
         let Some(record) = self.records.peek(account) else { return lowest };
         let quota_use = f64::from(record.quota_permille) / 1_000.0;
-        let multiple = self.share_multiple(now, record).max(quota_use);
+        let multiple = self.share_multiple(record, |slots| slots.at(now)).max(quota_use);
         // The logarithm of zero is negative infinity, which is clamped.
         (multiple.log(LEVEL_FACTOR).round() as i32).clamp(lowest, highest)
     }
 
-    /// Returns whether an account uses the target far above its share.
+    /// Returns whether an account lately used the target far above its share. The slots that it
+    /// holds now count only by how long it has held them, since two calls that happen to run at
+    /// once are no overuse.
     #[must_use]
     pub fn is_overusing(&self, now: MicroTime, account: &AccountName) -> bool {
         let record = self.records.peek(account);
-        record.is_some_and(|record| self.share_multiple(now, record) >= OVERUSE_FACTOR)
+        let mean = |slots: &SlotUse| slots.mean_at(now);
+        record.is_some_and(|record| self.share_multiple(record, mean) >= OVERUSE_FACTOR)
     }
 
     /// Returns the number of accounts that are tracked.
@@ -178,7 +183,8 @@
 
     /// Returns the accounts that use most of their share, as JSON.
     pub(crate) fn dump(&self, now: MicroTime) -> Value {
-        let multiple = |record: &AccountRecord| self.share_multiple(now, record);
+        let multiple =
+            |record: &AccountRecord| self.share_multiple(record, |slots| slots.mean_at(now));
         let mut records: Vec<_> = self.records.iter().collect();
         records.sort_by(|left, right| multiple(right.1).total_cmp(&multiple(left.1)));
         let describe = |(account, record): &(&AccountName, &AccountRecord)| {
@@ -196,10 +202,10 @@
     }
 
     /// Returns an account's use as a multiple of its part of all recent use.
-    fn share_multiple(&self, now: MicroTime, record: &AccountRecord) -> f64 {
+    fn share_multiple(&self, record: &AccountRecord, use_of: impl Fn(&SlotUse) -> f64) -> f64 {
         let part = f64::from(record.share) / self.total_share.max(1) as f64;
-        let due = self.total.at(now) * part;
-        if due > 0.0 { record.slots.at(now) / due } else { 0.0 }
+        let due = use_of(&self.total) * part;
+        if due > 0.0 { use_of(&record.slots) / due } else { 0.0 }
     }
 
     /// Stops tracking accounts that have made no call for a long time.
