railspan accounts shows what client accounts request and are served

Operators could not see from outside which account fills a service. Each entry counts the requests of its accounts over about the last ten seconds in bounded memory and offers them as /accounts; the command sums them over the daemons that answer.

--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -1,5 +1,6 @@
 //! Reading and checking of a caller's request: its service, call options and account.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -14,8 +15,9 @@
 use crate::base::consts::{MAX_DEADLINE_MS, MAX_IDEMPOTENCY_KEY, MAX_REQUEST_BODY, SENDER_TIMEOUT};
 use crate::base::digest::{RequestDigest, hash_parts};
 use crate::base::ids::{AccountName, ServiceName};
-use crate::base::wire::KeyClaim;
+use crate::base::wire::{CallPriority, KeyClaim};
 use crate::call::entry::EntryDuty;
+use crate::call::entry::accounts::RankedAccount;
 use crate::call::headers;
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
@@ -23,7 +25,7 @@
 use crate::rules::account::AccountParameters;
 use crate::rules::config::FleetConfig;
 use crate::rules::options::CallOptions;
-use crate::rules::route::RouteRule;
+use crate::rules::route::{RouteRule, rank_of};
 
 /// Retry delay while the daemon or the service is not ready, in milliseconds.
 pub(crate) const NOT_READY_RETRY_MS: u32 = 500;
@@ -68,7 +70,7 @@
     }
 }
 
-/// Reads and checks a call.
+/// Reads and checks a call; sets `counted_for` to its account as soon as that is known.
 ///
 /// # Errors
 ///
@@ -77,6 +79,7 @@
     duty: &EntryDuty,
     request: Request<Incoming>,
     request_id: &Arc<str>,
+    counted_for: &OnceCell<RankedAccount>,
 ) -> Result<CallerCall, Response<ResponseBody>> {
     let arrived_at = duty.clock.now();
     let (parts, body) = request.into_parts();
@@ -84,9 +87,9 @@
         responses::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_ready", NOT_READY_RETRY_MS)
     })?;
     if duty.header_names.railspan_headers {
-        receive_account_call(duty, &config, arrived_at, &parts, body).await
+        receive_account_call(duty, &config, arrived_at, &parts, body, counted_for).await
     } else {
-        receive_routed_call(duty, &config, arrived_at, &parts, body, request_id).await
+        receive_routed_call(duty, &config, arrived_at, &parts, body, request_id, counted_for).await
     }
 }
 
@@ -98,6 +101,7 @@
     parts: &Parts,
     body: Incoming,
     request_id: &Arc<str>,
+    counted_for: &OnceCell<RankedAccount>,
 ) -> Result<CallerCall, Response<ResponseBody>> {
     let names = duty.header_names;
     let host = headers::get_str(&parts.headers, "host");
@@ -114,6 +118,9 @@
     let nested = has_no_token || duty.is_nested_route(&route.name);
     let options =
         route.call_options(stated_deadline.and_then(|text| text.trim().parse().ok()), rank);
+    if let Some(account) = account {
+        count_for(counted_for, account, options.priority);
+    }
     let mut forwarded = headers::forward_request_headers(&parts.headers, names);
     if !config.accounts.is_empty() {
         forwarded.retain(|(name, _)| name != AUTHORIZATION.as_str());
@@ -169,6 +176,7 @@
     arrived_at: MicroTime,
     parts: &Parts,
     body: Incoming,
+    counted_for: &OnceCell<RankedAccount>,
 ) -> Result<CallerCall, Response<ResponseBody>> {
     let reject = |status, reason| responses::not_run(status, reason, 0);
     let account = bearer_token(&parts.headers).and_then(|token| config.account(token));
@@ -177,6 +185,7 @@
     let service = config.service(service);
     let service = service.ok_or_else(|| reject(StatusCode::NOT_FOUND, "no_service"))?;
     let options = config.call_options(service, account, parts.method.as_str(), &path);
+    count_for(counted_for, account, options.priority);
     let deadline_ms = parse_deadline(&parts.headers, options.deadline_ms)
         .ok_or_else(|| reject(StatusCode::BAD_REQUEST, "bad_deadline"))?;
     let deadline = arrived_at + MicroTime::from_millis(u64::from(deadline_ms));
@@ -209,6 +218,17 @@
     Ok(call)
 }
 
+/// Sets the account for which a request is counted.
+fn count_for(
+    counted_for: &OnceCell<RankedAccount>,
+    account: &AccountParameters,
+    priority: CallPriority,
+) {
+    let account = RankedAccount { name: account.name.clone(), rank: rank_of(priority) };
+    // Fails only if it is set already, which a request does once.
+    drop(counted_for.set(account));
+}
+
 /// A token that belongs to no account.
 struct UnknownToken;
 
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -37,6 +37,7 @@
 use crate::call::entry::quota::EntryQuotas;
 use crate::call::entry::route_stats::RouteStats;
 use crate::call::headers::HeaderNames;
+use crate::decide::account_demand::AccountDemand;
 use crate::decide::benefit;
 use crate::decide::crash_suspects::CrashSuspects;
 use crate::decide::probe_budget::ProbeBudget;
@@ -73,6 +74,8 @@
     max_fleet_size: Cell<usize>,
     /// Quotas of client accounts: granted requests and pending requests for grants.
     quotas: EntryQuotas,
+    /// What client accounts requested here lately.
+    account_demand: RefCell<AccountDemand>,
     /// Number that selects which of an account's quota holders this entry asks first.
     holder_offset: usize,
     /// Requests that are suspected of crashing targets.
@@ -150,6 +153,7 @@
         retry_share: Cell::new(parts.retry_share),
         max_fleet_size: Cell::new(1),
         quotas: EntryQuotas::default(),
+        account_demand: RefCell::default(),
         holder_offset: parts.rng_seed as usize,
         suspects: RefCell::default(),
         header_names: parts.header_names,
@@ -209,6 +213,7 @@
                 self.withdrawn.set(true);
                 self.update_readiness();
             }
+            EntryEvent::Accounts(reply) => drop(reply.send(self.describe_accounts())),
             EntryEvent::Dump(reply) => drop(reply.send(self.dump())),
             EntryEvent::Stop(done) => {
                 spawn_local(Rc::clone(self).stop(done));
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -1,6 +1,6 @@
 //! Serving of HTTP connections from callers.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,6 +21,7 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::SENDER_TIMEOUT;
 use crate::base::lingering_socket::LingeringSocket;
+use crate::call::entry::accounts::RankedAccount;
 use crate::call::entry::intake;
 use crate::call::headers;
 use crate::call::responses::ResponseBody;
@@ -86,9 +87,11 @@
             duty: &self,
             request_id: &request_id,
             arrived_at,
+            account: OnceCell::new(),
             answered: Cell::new(false),
         };
-        let mut response = match intake::receive(&self, request, &request_id).await {
+        let received = intake::receive(&self, request, &request_id, &in_progress.account).await;
+        let mut response = match received {
             Ok(call) => self.route(call).await,
             Err(response) => response,
         };
@@ -98,6 +101,9 @@
         let took = self.clock.now().since(arrived_at);
         self.metrics.latency.observe(took.duration().as_secs_f64());
         in_progress.answered.set(true);
+        if let Some(account) = in_progress.account.get() {
+            self.count_request(account, Some(&response));
+        }
         self.log_response(&request_id, &response, took);
         self.finish_head(&mut response);
         response
@@ -164,6 +170,8 @@
     duty: &'a EntryDuty,
     request_id: &'a str,
     arrived_at: MicroTime,
+    /// Account of the request, once it is known.
+    account: OnceCell<RankedAccount>,
     answered: Cell<bool>,
 }
 
@@ -173,6 +181,9 @@
             let elapsed = self.duty.clock.now().since(self.arrived_at);
             info!(self.duty.logger, "caller disconnected"; "id" => self.request_id,
                 "after_us" => elapsed.0);
+            if let Some(account) = self.account.get() {
+                self.duty.count_request(account, None);
+            }
         }
     }
 }
--- a/src/command/cli.rs
+++ b/src/command/cli.rs
@@ -4,6 +4,7 @@
 
 use gumdrop::Options;
 
+use crate::command::accounts::AccountsOptions;
 use crate::command::check::CheckOptions;
 use crate::command::drain::DrainOptions;
 use crate::command::dump::DumpOptions;
@@ -13,7 +14,7 @@
 use crate::command::status::StatusOptions;
 use crate::command::targets::TargetsOptions;
 use crate::command::trace::TraceOptions;
-use crate::command::{check, drain, dump, forgive, publish, status, targets, trace};
+use crate::command::{accounts, check, drain, dump, forgive, publish, status, targets, trace};
 
 #[derive(Debug, Options)]
 struct CommandOptions {
@@ -43,6 +44,8 @@
     Forgive(ForgiveOptions),
     #[options(help = "show how many targets each service has, and list them")]
     Targets(TargetsOptions),
+    #[options(help = "show what client accounts request, summed over the fleet")]
+    Accounts(AccountsOptions),
     #[options(help = "show what the daemons' logs contain about one request")]
     Trace(TraceOptions),
 }
@@ -82,6 +85,7 @@
         OperatorCommand::Drain(options) => drain::run(&options).await,
         OperatorCommand::Forgive(options) => forgive::run(&options).await,
         OperatorCommand::Targets(options) => targets::run(&options).await,
+        OperatorCommand::Accounts(options) => accounts::run(&options).await,
         OperatorCommand::Trace(options) => trace::run(&options),
     }
 }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 //! and `progress` are shared by all. The output is rendered by pure functions of the
 //! daemons' answers, so that it can be tested without a running fleet.
 
+pub(crate) mod accounts;
 pub(crate) mod check;
 pub(crate) mod cli;
 pub(crate) mod drain;
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use snafu::Snafu;
 use tokio::time::timeout;
@@ -167,22 +168,49 @@
 pub(crate) async fn read_status(daemon: SocketAddr) -> Result<Vec<HostStatus>, OperatorError> {
     let view = read_members(daemon).await?;
     let mut hosts: Vec<HostStatus> = view.members.iter().map(initial_status).collect();
+    query_members(&view, "/status", |index, answer| apply_answer(&mut hosts[index], &answer)).await;
+    hosts.sort_by(|a, b| a.host.cmp(&b.host));
+    Ok(hosts)
+}
+
+/// Requests a page of every daemon and waits for at most [`STATUS_TIMEOUT`]; calls `apply` with
+/// each page that can be read. Returns the number of daemons in the fleet.
+///
+/// # Errors
+///
+/// Returns an error if `daemon` can't be reached. Others that can't be reached are left out.
+pub(crate) async fn query_fleet<T: DeserializeOwned>(
+    daemon: SocketAddr,
+    path: &str,
+    mut apply: impl FnMut(T),
+) -> Result<usize, OperatorError> {
+    let view = read_members(daemon).await?;
+    query_members(&view, path, |_, answer| {
+        if let Ok(page) = serde_json::from_value(answer) {
+            apply(page);
+        }
+    })
+    .await;
+    Ok(view.members.len())
+}
+
+/// Requests a page of every member that is up; calls `apply` with the member's position and the
+/// answer of each that answers in time.
+async fn query_members(view: &FleetView, path: &str, mut apply: impl FnMut(usize, Value)) {
     let members = view.members.iter().enumerate().filter(|(_, member)| member.is_up());
     let requests = members.map(|(index, member)| async move {
-        (index, request_json(Method::GET, member.admin, "/status").await.ok())
+        (index, request_json(Method::GET, member.admin, path).await.ok())
     });
     let answers = futures::stream::iter(requests).buffer_unordered(MAX_CONCURRENT_REQUESTS);
     let mut answers = std::pin::pin!(answers.take_until(tokio::time::sleep(STATUS_TIMEOUT)));
-    let mut progress = CommandProgress::open(hosts.len() as u64);
+    let mut progress = CommandProgress::open(view.members.len() as u64);
     for done in 1.. {
         let Some((index, answer)) = answers.next().await else { break };
         progress.set(done);
         if let Some(answer) = answer {
-            apply_answer(&mut hosts[index], &answer);
+            apply(index, answer);
         }
     }
-    hosts.sort_by(|a, b| a.host.cmp(&b.host));
-    Ok(hosts)
 }
 
 /// Returns the status of a host before its daemon has answered.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! event, without a clock, sockets or a runtime. Tests can therefore replay events in any
 //! order. These modules depend on `base` alone.
 
+pub(crate) mod account_demand;
 pub(crate) mod account_usage;
 pub(crate) mod admission;
 pub(crate) mod benefit;
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -42,6 +42,8 @@
     Suspects(Vec<SuspectUpdate>),
     /// Request for the duty's state, as JSON.
     Dump(oneshot::Sender<Value>),
+    /// Request for what client accounts requested lately, as JSON.
+    Accounts(oneshot::Sender<Value>),
     /// The daemon's share of the fleet's retry budget and the tolerances of quotas changed.
     Settings { retries: RetryShare, quota: QuotaTerms },
     /// Ask callers to use other daemons, but continue to serve their calls.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,11 +68,15 @@
 };
 pub use call::headers::*;
 pub use call::responses::CallOutcome;
+pub use command::accounts::{AccountStatus, AccountsPage, DemandSum, FleetDemand, render_accounts};
 pub use command::cli::run_command;
 pub use command::operator::{HostCondition, HostStatus, TargetStatus};
 pub use command::request_trace::{RequestTrace, TraceLine};
 pub use command::status::render_status;
 pub use command::targets::render_targets;
+pub use decide::account_demand::{
+    AccountCounts, AccountDemand, DemandReport, RefusalCount, RequestEnd,
+};
 pub use decide::account_usage::{AccountUsage, MAX_TRACKED_ACCOUNTS};
 pub use decide::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 pub use decide::benefit::BENEFIT_POLICY;
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -76,6 +76,7 @@
             }
             (&Method::GET, "/state") => httpd::json_response(StatusCode::OK, &self.state().await),
             (&Method::GET, "/status") => httpd::json_response(StatusCode::OK, &self.status().await),
+            (&Method::GET, "/accounts") => self.accounts().await,
             (&Method::GET, "/members") => self.members().await,
             (&Method::POST, "/announce") => self.announce(request).await,
             (&Method::POST, "/drain") => self.drain(request).await,
@@ -137,6 +138,13 @@
         }
     }
 
+    async fn accounts(&self) -> Response<Full<Bytes>> {
+        match query_duty(&self.rings.entry, EntryEvent::Accounts).await {
+            Some(page) => httpd::json_response(StatusCode::OK, &page),
+            None => httpd::busy_response(),
+        }
+    }
+
     async fn announce(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let body = match httpd::read_body(request).await {
             Ok(body) => body,
--- a/src/rules/route.rs
+++ b/src/rules/route.rs
@@ -19,6 +19,11 @@
 /// Worth of rank zero, on the scale of [`CallPriority`].
 const TOP_WORTH: u8 = 100;
 
+/// Returns the rank that a priority stands for.
+pub(crate) const fn rank_of(priority: CallPriority) -> u8 {
+    TOP_WORTH.saturating_sub(priority.worth)
+}
+
 /// Route of the requests with one host and path prefix.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
