--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -46,6 +46,7 @@
 #[test_case(&["status", "--daemon", "127.0.0.1:1"], 3; "an unreachable daemon")]
 #[test_case(&["targets", "--daemon", "127.0.0.1:1", "--state", "asleep"], 2; "an unknown state")]
 #[test_case(&["targets", "--daemon", "127.0.0.1:1", "--state", "down"], 3; "an unreachable daemon to list targets")]
+#[test_case(&["accounts", "--daemon", "127.0.0.1:1"], 3; "an unreachable daemon to list accounts")]
 #[test_case(&["dump", "--daemon", "127.0.0.1:1", "--part", "cellar"], 2; "an unknown part")]
 #[test_case(&["dump", "--daemon", "nowhere"], 2; "an invalid address")]
 #[test_case(&["trace", "some-id", "tests/cases/no_such_file.jsonc"], 2; "a missing log file")]
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -144,3 +144,33 @@
     assert!(passed <= allowed_by_rate + 60, "{passed} passed");
     assert_eq!(call_with_key(&fleet, 0, "/open/", Some(KEY), "not-counted").status, 200);
 }
+
+/// The requests of all daemons are summed, and guards know the accounts of the calls that they
+/// get; calls of targets, which have no key, belong to none.
+#[test]
+fn operators_and_guards_see_the_accounts_of_requests() {
+    let fleet = spawn_with_accounts(0, 0);
+    for number in 0..30 {
+        let id = format!("counted-{number}");
+        assert_eq!(call_with_key(&fleet, number % 3, SAFE_PREFIX, Some(KEY), &id).status, 200);
+    }
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, None, "inner").status, 200);
+    let admin = fleet.daemons[0].endpoints().admin.to_string();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_railspan"))
+        .args(["accounts", "--daemon", &admin, "--json"])
+        .output()
+        .expect("run");
+    let demand: Value = serde_json::from_slice(&output.stdout).expect("json");
+    assert_eq!((&demand["daemons"], &demand["answered"]), (&json!(3), &json!(3)), "{demand}");
+    assert_eq!(demand["accounts"].as_array().map(Vec::len), Some(1), "{demand}");
+    let riga = &demand["accounts"][0];
+    assert_eq!((&riga["account"], &riga["answered_share"]), (&json!("riga"), &json!(1.0)));
+    let mut seen = Vec::new();
+    for index in 0..3 {
+        let targets = fleet.state(index)["guard"]["targets"].clone();
+        let accounts = targets.as_array().expect("targets").iter();
+        let accounts = accounts.flat_map(|target| target["accounts"]["highest"].as_array());
+        seen.extend(accounts.flatten().map(|account| account["account"].clone()));
+    }
+    assert!(!seen.is_empty() && seen.iter().all(|account| *account == "riga"), "{seen:?}");
+}
