--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -318,7 +318,7 @@
         self.metrics.refusals.with_label_values(&[reason.label()]).inc();
         let load = self.load(&call.target_key);
         info!(self.logger, "call refused"; "id" => &*call.request_id,
-            "target" => %call.target_key.1,
+            "target" => %call.target_key.1, "account" => %call.account,
             "reason" => reason.label(), "retry_after_ms" => retry_after_ms,
             "running" => load.in_flight, "waiting" => load.queued, "limit" => load.slots,
             "rate_next_ms" => load.rate.map(|rate| rate.next_ms),
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -18,7 +18,7 @@
 use crate::base::clock::MicroTime;
 use crate::base::consts::MAX_DEADLINE_MS;
 use crate::base::digest::RequestDigest;
-use crate::base::ids::{CallId, ServiceName, TargetName};
+use crate::base::ids::{AccountName, CallId, ServiceName, TargetName};
 use crate::base::wire::CallHead;
 use crate::call::guard::GuardDuty;
 use crate::call::guard::crash_detection::RunOutcome;
@@ -77,6 +77,8 @@
     /// The caller's request id; empty if the caller gave none.
     pub(crate) request_id: String,
     pub(crate) target_key: (ServiceName, TargetName),
+    /// Client account that the call competes for; empty if there is none.
+    pub(crate) account: AccountName,
     /// Whether only targets call the route of this call, as far as known.
     pub(crate) nested_route: bool,
     arrived_at: MicroTime,
@@ -129,6 +131,7 @@
             digest: head.digest,
             request_id: request_id.unwrap_or_default().to_owned(),
             target_key: (head.service.clone(), head.target.clone()),
+            account: head.account.clone(),
             nested_route: head.nested,
             arrived_at: now,
             deadline: sent_at + MicroTime::from_millis(remaining),
--- a/src/decide/account_usage.rs
+++ b/src/decide/account_usage.rs
@@ -185,15 +185,17 @@
     pub(crate) fn dump(&self, now: MicroTime) -> Value {
         let multiple =
             |record: &AccountRecord| self.share_multiple(record, |slots| slots.mean_at(now));
-        let mut records: Vec<_> = self.records.iter().collect();
-        records.sort_by(|left, right| multiple(right.1).total_cmp(&multiple(left.1)));
-        let describe = |(account, record): &(&AccountName, &AccountRecord)| {
+        let records = self.records.iter();
+        let mut records: Vec<(&AccountName, &AccountRecord, f64)> =
+            records.map(|(account, record)| (account, record, multiple(record))).collect();
+        records.sort_by(|left, right| right.2.total_cmp(&left.2));
+        let describe = |(account, record, multiple): &(&AccountName, &AccountRecord, f64)| {
             json!({
                 "account": account,
                 "share": record.share,
                 "slots": record.slots.mean_at(now),
                 "held": record.slots.held,
-                "share_multiple": multiple(record),
+                "share_multiple": multiple,
                 "quota_permille": record.quota_permille,
             })
         };
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -169,7 +169,7 @@
     for index in 0..3 {
         let targets = fleet.state(index)["guard"]["targets"].clone();
         let accounts = targets.as_array().expect("targets").iter();
-        let accounts = accounts.flat_map(|target| target["accounts"]["highest"].as_array());
+        let accounts = accounts.filter_map(|target| target["accounts"]["highest"].as_array());
         seen.extend(accounts.flatten().map(|account| account["account"].clone()));
     }
     assert!(!seen.is_empty() && seen.iter().all(|account| *account == "riga"), "{seen:?}");
