Quota use known to one entry is not erased by entries that don't know it

A call with account_usage 0 (unknown) reset what calls of other entries had told. A known value now counts for 5 s.

--- a/src/decide/account_usage.rs
+++ b/src/decide/account_usage.rs
@@ -21,6 +21,10 @@
 /// earlier use is negligible.
 const IDLE_RETENTION: MicroTime = MicroTime::from_millis(20_000);
 
+/// Time for which a known use of a quota counts: some replies of the quota's holder, which come
+/// several times a second while an account makes requests.
+const QUOTA_USE_RETENTION: MicroTime = MicroTime::from_millis(5_000);
+
 /// Number of the least recently used accounts among which the one with the least use is
 /// evicted, so that a flood of other accounts doesn't hide one that is far over its share.
 const EVICTION_CANDIDATES: usize = 16;
@@ -75,8 +79,9 @@
 struct AccountRecord {
     slots: SlotUse,
     share: u16,
-    /// Use of its quota over the fleet, in thousandths; zero if unknown.
+    /// Last known use of its quota over the fleet, in thousandths.
     quota_permille: u16,
+    quota_updated_at: MicroTime,
     last_used_at: MicroTime,
 }
 
@@ -116,15 +121,21 @@
             self.evict(now);
         }
         let slots = SlotUse { updated_at: now, ..SlotUse::default() };
-        let record = AccountRecord { slots, share, quota_permille: 0, last_used_at: now };
+        let (quota_permille, quota_updated_at) = (0, now);
+        let record =
+            AccountRecord { slots, share, quota_permille, quota_updated_at, last_used_at: now };
         self.records.put(account.clone(), record);
         self.total_share += u64::from(share);
     }
 
-    /// Records the use of an account's quota over the fleet, in thousandths; zero if unknown.
-    pub fn record_quota_use(&mut self, account: &AccountName, permille: u16) {
-        if let Some(record) = self.records.peek_mut(account) {
+    /// Records the use of an account's quota over the fleet, in thousandths; zero if unknown,
+    /// which leaves what another entry knows in place.
+    pub fn record_quota_use(&mut self, now: MicroTime, account: &AccountName, permille: u16) {
+        if let Some(record) = self.records.peek_mut(account)
+            && permille > 0
+        {
             record.quota_permille = permille;
+            record.quota_updated_at = now;
         }
     }
 
@@ -159,7 +170,8 @@
     pub fn level(&self, now: MicroTime, account: &AccountName) -> i32 {
         let (lowest, highest) = LEVELS;
         let Some(record) = self.records.peek(account) else { return lowest };
-        let quota_use = f64::from(record.quota_permille) / 1_000.0;
+        let is_current = now.since(record.quota_updated_at) < QUOTA_USE_RETENTION;
+        let quota_use = if is_current { f64::from(record.quota_permille) / 1_000.0 } else { 0.0 };
         let multiple = self.share_multiple(record, |slots| slots.at(now)).max(quota_use);
         // The logarithm of zero is negative infinity, which is clamped.
         (multiple.log(LEVEL_FACTOR).round() as i32).clamp(lowest, highest)
--- a/src/decide/admission/mod.rs
+++ b/src/decide/admission/mod.rs
@@ -185,7 +185,7 @@
     /// Records an account's use of its quota over the fleet, in thousandths; zero if unknown.
     pub fn note_account(&mut self, now: MicroTime, account: &AccountName, share: u16, usage: u16) {
         self.accounts.record_arrival(now, account, share);
-        self.accounts.record_quota_use(account, usage);
+        self.accounts.record_quota_use(now, account, usage);
     }
 
     /// Returns the use of the target by client accounts.
--- a/tests/busy_accounts.rs
+++ b/tests/busy_accounts.rs
@@ -194,7 +194,8 @@
 }
 
 /// A target that knows little of an account still puts it behind others when it has used up its
-/// quota elsewhere; calls without an account are never behind.
+/// quota elsewhere, also when other entries don't know that. Calls without an account are never
+/// behind.
 #[test]
 fn use_of_the_quota_elsewhere_counts() {
     let mut usage = AccountUsage::open();
@@ -202,9 +203,12 @@
     let now = MicroTime(0);
     for (account, permille) in [(&busy, 1_000), (&quiet, 200)] {
         usage.record_arrival(now, account, 1);
-        usage.record_quota_use(account, permille);
+        usage.record_quota_use(now, account, permille);
     }
+    usage.record_quota_use(now, &busy, 0);
     assert!(usage.level(now, &quiet) < usage.level(now, &busy));
+    let later = now + MicroTime::from_millis(6_000);
+    assert_eq!(usage.level(later, &quiet), usage.level(later, &busy), "old knowledge counts");
     let none = AccountName::from("");
     usage.record_arrival(now, &none, 1);
     usage.record_start(now, &none);
