--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -154,6 +154,7 @@
             "rate_limit": self.queue.rate_limit(),
             "nested": self.queue.nested_load(),
             "ready": self.lease.is_ready(now),
+            "accounts": self.queue.accounts().dump(now),
             "running": self.queue.running(),
             "waiting": self.queue.waiting(),
             "claiming": self.claiming,
--- a/src/decide/admission/refusal.rs
+++ b/src/decide/admission/refusal.rs
@@ -32,7 +32,10 @@
         {
             return Some(RefusalReason::TooLate);
         }
-        let queued = if call.nested { ahead_count } else { self.waiting.len() };
+        // Calls of accounts that use more of their share don't keep this one from waiting.
+        let competing =
+            self.waiting.iter().filter(|other| !self.goes_before_by_account(call, other));
+        let queued = if call.nested { ahead_count } else { competing.count() };
         let is_full = queued >= self.limit() / SHORT_QUEUE_DIVISOR;
         // A short wait for the rate is no sign of a queue that drains slowly.
         (!call.last_target && is_full && rate_wait == MicroTime(0)).then_some(RefusalReason::Full)
