--- a/tests/announced_bodies.rs
+++ b/tests/announced_bodies.rs
@@ -186,3 +186,34 @@
     let requested = "railspan_announced_bodies_total{reply=\"requested\"} 1";
     assert_eq!(metrics.matches(requested).count(), announced, "{metrics}");
 }
+
+/// The busy target of the own data centre would refuse a call that does not queue there, and its
+/// bytes would go to the other data centre.
+#[test]
+fn uploads_that_are_dear_to_cross_wait_for_the_busy_target_nearby() {
+    let mut fleet = HostedFleet::spawn(2, Duration::from_millis(400));
+    fleet.daemons[0].kill().expect("kill");
+    fleet.daemons[0] = fleet.start_daemon_with_crossing_cost(0);
+    fleet.targets[0].send_heartbeats_to(fleet.control(0));
+    fleet.wait_for_targets(0, 2);
+    // A target that has just joined is expected to be slow.
+    std::thread::sleep(Duration::from_millis(2_500));
+    let caller = fleet.daemons[0].endpoints().caller;
+    let upload = |id: String| {
+        let headers = [("Host", VIRTUAL_HOST), ("X-Request-Id", &id), ("X-Deadline-Ms", "3000")];
+        let path = format!("{UNSAFE_PREFIX}{id}");
+        hosted_call(caller, "POST", &path, &headers, &vec![7; 100_000]).expect("answer").status
+    };
+    assert_eq!(upload("first".to_owned()), 200);
+    std::thread::scope(|scope| {
+        let upload = &upload;
+        let start = |number: usize| scope.spawn(move || upload(format!("upload{number}")));
+        // The target has four slots.
+        let mut calls: Vec<_> = (0..4).map(start).collect();
+        eventually("all slots are taken", || fleet.targets[0].runs().len() == 5);
+        calls.extend((4..7).map(start));
+        let statuses: Vec<u16> = calls.into_iter().map(|call| call.join().expect("call")).collect();
+        assert_eq!(statuses, [200; 7]);
+    });
+    assert_eq!(fleet.targets[1].runs().len(), 0, "an upload crossed");
+}
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -84,6 +84,15 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
+    /// Starts a daemon for which 1000 bytes between data centres cost as much as a call is worth.
+    pub fn start_daemon_with_crossing_cost(&self, index: usize) -> DaemonProcess {
+        let mut spec = self.daemon_spec(index);
+        if let Some(deployment) = &mut spec.deployment {
+            deployment["crossing_cost"] = json!(1_000);
+        }
+        DaemonProcess::spawn(&spec).expect("daemon")
+    }
+
     /// Starts a daemon that advertises other guard and peer addresses than it binds.
     pub fn start_daemon_advertising(
         &self,
