--- a/tests/local_queueing.rs
+++ b/tests/local_queueing.rs
@@ -121,6 +121,7 @@
                 queue_deadline: now + OBJECTIVE.since(MicroTime(WORK_US)),
                 work_us: WORK_US as u32,
                 last_target: elsewhere.is_some() || untried == 0 || attempt == MAX_ATTEMPTS,
+                nested: false,
             };
             if !self.step(now, index, AdmissionEvent::Arrive(call), id) {
                 return;
