A quota goes to an account's urgent requests first; unused grants are returned

Cause: a quota was spent first come, first served, so an account far above it had its urgent requests refused like all others, and a grant whose request reached no target was lost.

Change: a holder counts by priority what it is asked for and caps what the less urgent may use while requests compete for its part (decide/quota/levels, demand). Credits and the memory of an exhausted quota are kept by priority. An entry returns grants of requests that reached no target and of expired credits; the holder takes the sum of a grant's returns, so duplicates have no effect. Retry times are by priority, and spread over the holders that each promise one. QuotaRequest gains arrived and incarnation; QuotaReturn.count is the sum so far.

Tests: the fleet of tests/quota.rs moved to tests/common/quota_fleet.rs; its entries now start at different holders, as the entry duty's do, and a restart renews the incarnation. Its assertions are unchanged. New: tests/quota_priorities.rs (7).

--- a/src/base/datagram.rs
+++ b/src/base/datagram.rs
@@ -41,6 +41,11 @@
     pub settled: bool,
     /// Priority of the request that waits at the entry.
     pub priority: CallPriority,
+    /// Number of requests of this priority that the entry admitted since its last request for
+    /// them, and the one that waits; zero if another holder was asked for these before.
+    pub arrived: u16,
+    /// Incarnation of the entry's daemon, which together with `number` identifies the grant.
+    pub incarnation: DaemonIncarnation,
 }
 
 /// Reply to a [`QuotaRequest`].
@@ -58,7 +63,8 @@
     pub usage_permille: u16,
 }
 
-/// Return of grants whose requests were refused before they reached a target.
+/// Return of requests of a grant that were not used, or were refused before they reached a
+/// target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaReturn {
     /// Incarnation of the entry's daemon, which together with `number` identifies the grant.
@@ -67,7 +73,7 @@
     pub number: u64,
     /// Account whose quota the grant is from.
     pub account: AccountName,
-    /// Number of requests returned.
+    /// Number of requests of the grant that have been returned so far, including these.
     pub count: u16,
 }
 
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -21,6 +21,10 @@
     pub(crate) retries: IntCounterVec,
     /// Calls refused by this guard, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Requests of accounts refused by this entry for their quota, by reason.
+    pub(crate) quota_refusals: IntCounterVec,
+    /// Granted requests that this entry returned to the holders of quotas.
+    pub(crate) quota_returns: IntCounter,
     /// Calls that this guard dispatched to its target.
     pub(crate) dispatched: IntCounter,
     /// Load probes sent.
@@ -88,6 +92,12 @@
             latency,
             retries: family("railspan_retries_total", "Attempts after the first", "cause")?,
             refusals: family("railspan_refusals_total", "Refusals by this guard", "reason")?,
+            quota_refusals: family(
+                "railspan_quota_refusals_total",
+                "Requests refused for a quota",
+                "reason",
+            )?,
+            quota_returns: counter("railspan_quota_returned_total", "Granted requests returned")?,
             dispatched: counter("railspan_dispatched_total", "Calls dispatched to targets")?,
             probe_messages: counter("railspan_probe_messages_total", "Measuring messages")?,
             probe_bytes: counter("railspan_probe_bytes_total", "Measuring bytes")?,
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -194,6 +194,11 @@
         if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = &answer {
             duty.merge_suspect(call, *suspect);
         }
+        if let AnswerHead::Refused { reason: RefusalReason::Declined, .. } = &answer
+            && let Some(grant) = &call.grant
+        {
+            grant.mark_reached_target();
+        }
         return end_attempt(outstanding, head.call, &answer, reader);
     }
     // The connection broke, as it does some time after its host has failed.
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -1,5 +1,6 @@
 //! Reading and checking of a caller's request: its service, call options and account.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use crate::base::ids::{AccountName, ServiceName};
 use crate::base::wire::KeyClaim;
 use crate::call::entry::EntryDuty;
+use crate::call::entry::quota::UsedGrant;
 use crate::call::headers;
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
@@ -59,6 +61,8 @@
     pub(crate) caller_busy: bool,
     /// Claim of the idempotency key, for a call that must not run twice.
     pub(crate) claim: Option<KeyClaim>,
+    /// Grant from the account's quota that the call uses.
+    pub(crate) grant: Option<Rc<UsedGrant>>,
 }
 
 impl CallerCall {
@@ -128,9 +132,10 @@
     let limit = config.limits.body_bytes.unwrap_or(DEFAULT_MAX_BODY);
     let service = route.choose_service(&mut duty.rng.borrow_mut()).clone();
     let body = read_body(body, &parts.headers, limit as usize).await?;
-    if let Some(account) = account {
-        duty.admit(account, options.priority, request_id).await?;
-    }
+    let grant = match account {
+        Some(account) => duty.admit(account, options.priority, request_id).await?,
+        None => None,
+    };
     let account_name = account.map_or(NO_ACCOUNT, |account| account.name.as_str());
     let host = host.unwrap_or_default().to_ascii_lowercase();
     Ok(CallerCall {
@@ -156,6 +161,7 @@
         nested,
         caller_busy,
         claim: None,
+        grant,
     })
 }
 
@@ -178,7 +184,7 @@
         .ok_or_else(|| reject(StatusCode::BAD_REQUEST, "bad_deadline"))?;
     let deadline = arrived_at + MicroTime::from_millis(u64::from(deadline_ms));
     let body = read_body(body, &parts.headers, MAX_REQUEST_BODY).await?;
-    duty.admit(account, options.priority, "").await?;
+    let grant = duty.admit(account, options.priority, "").await?;
     let (account_name, service_name) = (account.name.as_str(), service.name.as_str());
     let mut call = CallerCall {
         request_id: Arc::from(""),
@@ -197,6 +203,7 @@
         nested: false,
         caller_busy: false,
         claim: None,
+        grant,
     };
     if !call.options.repeatable {
         let key = idempotency_key(&parts.headers);
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -109,6 +109,7 @@
 #[derive(Debug)]
 pub(crate) struct EntryParts {
     pub(crate) rng_seed: u64,
+    pub(crate) incarnation: DaemonIncarnation,
     pub(crate) header_names: &'static HeaderNames,
     pub(crate) data_centre: CentreName,
     pub(crate) crossing_cost: f64,
@@ -148,7 +149,7 @@
         retry_budgets: RefCell::default(),
         retry_share: Cell::new(parts.retry_share),
         max_fleet_size: Cell::new(1),
-        quotas: EntryQuotas::default(),
+        quotas: EntryQuotas::open(parts.quota_terms, parts.incarnation),
         holder_offset: parts.rng_seed as usize,
         suspects: RefCell::default(),
         header_names: parts.header_names,
@@ -169,7 +170,6 @@
         stopping: watch::Sender::new(false),
         logger,
     });
-    duty.quotas.set_terms(parts.quota_terms);
     spawn_local(Rc::clone(&duty).accept(listener));
     spawn_local(crate::call::entry::load_probe::receive_replies(Rc::clone(&duty)));
     loop {
@@ -316,6 +316,7 @@
             "retry_budgets": *self.retry_budgets.borrow(),
             "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
+            "quotas": self.quotas.dump(),
             "caller_connections": *self.caller_connections.borrow(),
             "guard_connections": self.pool.len(),
             "now": self.clock.now(),
--- a/src/call/entry/quota.rs
+++ b/src/call/entry/quota.rs
@@ -3,21 +3,25 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Response, StatusCode};
+use serde_json::{Value, json};
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::EntryDuty;
 use crate::base::clock::MicroTime;
-use crate::base::datagram::{GuardDatagram, QuotaReply, QuotaRequest};
-use crate::base::ids::{AccountName, HostName};
+use crate::base::datagram::{GuardDatagram, QuotaReply, QuotaRequest, QuotaReturn};
+use crate::base::ids::{AccountName, DaemonIncarnation, HostName};
 use crate::base::wire::{self, CallPriority};
-use crate::call::responses::{self, ResponseBody};
+use crate::call::headers;
+use crate::call::responses::{self, CallOutcome, ResponseBody};
 use crate::decide::quota::{
-    AccountQuota, GRANT_LIFETIME, QuotaCredit, QuotaDecision, QuotaTerms, choose_holders,
+    AccountQuota, GRANT_LIFETIME, GrantRef, QuotaCredit, QuotaDecision, QuotaTerms, ReturnedCounts,
+    choose_holders,
 };
 use crate::rules::account::AccountParameters;
 
@@ -31,9 +35,11 @@
 const UNREACHABLE_RETRY_MS: u32 = 300;
 
 /// Quota state of an entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EntryQuotas {
     terms: Cell<QuotaTerms>,
+    /// Incarnation of this daemon, by which holders distinguish its grants from earlier ones.
+    incarnation: DaemonIncarnation,
     /// Granted requests that are not used yet, by account.
     credits: RefCell<HashMap<AccountName, QuotaCredit>>,
     /// Channels for the replies to grant requests in progress, by the number of the request.
@@ -41,12 +47,34 @@
     next_number: Cell<u64>,
     /// Holders that did not reply, with the time of the last timeout.
     unresponsive: RefCell<HashMap<HostName, MicroTime>>,
+    /// Requests returned of each grant.
+    returned: RefCell<ReturnedCounts>,
+}
+
+/// Grant that a request used, which is returned if the request reaches no target.
+#[derive(Debug)]
+pub(crate) struct UsedGrant {
+    account: AccountName,
+    grant: GrantRef,
+    /// Whether a target received the request.
+    reached_target: Cell<bool>,
+}
+
+impl UsedGrant {
+    fn open(account: &AccountName, grant: GrantRef) -> Rc<Self> {
+        Rc::new(Self { account: account.clone(), grant, reached_target: Cell::new(false) })
+    }
+
+    /// Records that a target received the request, so that the grant stays used.
+    pub(crate) fn mark_reached_target(&self) {
+        self.reached_target.set(true);
+    }
 }
 
 /// Result of asking the holders of a quota.
 #[derive(Clone, Copy, Debug)]
 enum QuotaResult {
-    Granted,
+    Granted(GrantRef),
     /// No holder has quota left; one will after this many milliseconds.
     Exhausted(u32),
     /// No daemon that holds the quota replied.
@@ -54,6 +82,29 @@
 }
 
 impl EntryQuotas {
+    pub(super) fn open(terms: QuotaTerms, incarnation: DaemonIncarnation) -> Self {
+        Self {
+            terms: Cell::new(terms),
+            incarnation,
+            credits: RefCell::default(),
+            pending: RefCell::default(),
+            next_number: Cell::default(),
+            unresponsive: RefCell::default(),
+            returned: RefCell::default(),
+        }
+    }
+
+    /// Returns the latest use of an account's quota that a holder stated, in thousandths; zero if
+    /// unknown.
+    pub(super) fn usage_permille(&self, account: &AccountName) -> u16 {
+        self.credits.borrow().get(account).map_or(0, QuotaCredit::usage_permille)
+    }
+
+    /// Returns the state on which admissions are based, as JSON.
+    pub(super) fn dump(&self) -> Value {
+        json!(*self.credits.borrow())
+    }
+
     pub(super) fn set_terms(&self, terms: QuotaTerms) {
         self.terms.set(terms);
     }
@@ -76,7 +127,8 @@
 }
 
 impl EntryDuty {
-    /// Counts a request against the quota of its account.
+    /// Counts a request against the quota of its account; returns the grant that it used, if the
+    /// account has a quota.
     ///
     /// # Errors
     ///
@@ -87,27 +139,43 @@
         account: &AccountParameters,
         priority: CallPriority,
         request_id: &str,
-    ) -> Result<(), Response<ResponseBody>> {
-        let Some(quota) = account.quota else { return Ok(()) };
-        let requested =
-            match self.with_credit(&account.name, |credit| credit.decide(self.clock.now())) {
-                QuotaDecision::Admit => return Ok(()),
-                QuotaDecision::Refuse(wait_ms) => {
-                    return Err(self.over_quota(account, request_id, wait_ms));
-                }
-                QuotaDecision::AskHolder(requested) => requested,
-            };
-        match self.request_grant(&account.name, quota, requested, priority).await {
-            QuotaResult::Granted => Ok(()),
+    ) -> Result<Option<Rc<UsedGrant>>, Response<ResponseBody>> {
+        let Some(quota) = account.quota else { return Ok(None) };
+        let name = &account.name;
+        let (decision, expired) = self.with_credit(name, |credit| {
+            (credit.decide(self.clock.now(), priority), credit.take_expired())
+        });
+        for (grant, count) in expired {
+            self.return_grant(name, grant, count);
+        }
+        let (want, arrived) = match decision {
+            QuotaDecision::Admit(grant) => return Ok(Some(UsedGrant::open(name, grant))),
+            QuotaDecision::Refuse(wait_ms) => {
+                return Err(self.over_quota(account, priority, request_id, wait_ms));
+            }
+            QuotaDecision::AskHolder { want, arrived } => (want, arrived),
+        };
+        let request = QuotaRequest {
+            number: 0,
+            account: name.clone(),
+            want,
+            settled: self.clock.now() >= self.quotas.terms.get().window + GRANT_LIFETIME,
+            priority,
+            arrived,
+            incarnation: self.quotas.incarnation,
+        };
+        match self.request_grant(quota, request).await {
+            QuotaResult::Granted(grant) => Ok(Some(UsedGrant::open(name, grant))),
             QuotaResult::Exhausted(wait_ms) => {
-                self.with_credit(&account.name, |credit| {
-                    credit.mark_exhausted(self.clock.now(), wait_ms);
+                self.with_credit(name, |credit| {
+                    credit.mark_exhausted(self.clock.now(), priority, wait_ms);
                 });
-                Err(self.over_quota(account, request_id, wait_ms))
+                Err(self.over_quota(account, priority, request_id, wait_ms))
             }
             QuotaResult::Unreachable => {
                 info!(self.logger, "quota holders unreachable"; "id" => request_id,
-                    "account" => %account.name);
+                    "account" => %name);
+                self.metrics.quota_refusals.with_label_values(&["unreached"]).inc();
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 Err(responses::not_run(status, "quota_unreached", UNREACHABLE_RETRY_MS))
             }
@@ -117,14 +185,43 @@
     fn over_quota(
         &self,
         account: &AccountParameters,
+        priority: CallPriority,
         request_id: &str,
         wait_ms: u32,
     ) -> Response<ResponseBody> {
         info!(self.logger, "over quota"; "id" => request_id, "account" => %account.name,
-            "wait_ms" => wait_ms);
+            "urgent" => priority.urgent, "worth" => priority.worth, "wait_ms" => wait_ms);
+        let reason = if priority.urgent { "urgent_over_quota" } else { "over_quota" };
+        self.metrics.quota_refusals.with_label_values(&[reason]).inc();
         responses::not_run(StatusCode::TOO_MANY_REQUESTS, "over_quota", wait_ms)
     }
 
+    /// Returns the grant of a request that no target received, as its response shows.
+    pub(super) fn return_if_not_run(&self, used: &UsedGrant, response: &Response<ResponseBody>) {
+        let outcome = headers::get_str(response.headers(), headers::OUTCOME);
+        let not_run = outcome == Some(CallOutcome::NotRun.as_str());
+        let status = response.status();
+        let refused =
+            status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+        if not_run && refused && !used.reached_target.get() {
+            self.return_grant(&used.account, used.grant, 1);
+        }
+    }
+
+    /// Returns requests of a grant to its holder. If the datagram is lost, they count as used,
+    /// unless a later return of the same grant includes them.
+    fn return_grant(&self, account: &AccountName, grant: GrantRef, count: u16) {
+        let returned = QuotaReturn {
+            incarnation: self.quotas.incarnation,
+            number: grant.number,
+            account: account.clone(),
+            count: self.quotas.returned.borrow_mut().add(grant.number, count),
+        };
+        let Ok(bytes) = wire::encode(&GuardDatagram::QuotaReturn(returned)) else { return };
+        drop(self.probe_socket.try_send_to(&bytes, grant.holder));
+        self.metrics.quota_returns.inc_by(u64::from(count));
+    }
+
     /// Calls `act` with the credit of an account, which is created if necessary.
     fn with_credit<T>(&self, account: &AccountName, act: impl FnOnce(&mut QuotaCredit) -> T) -> T {
         let mut credits = self.quotas.credits.borrow_mut();
@@ -132,28 +229,32 @@
     }
 
     /// Asks the holders one after the other until one grants at least one request.
-    async fn request_grant(
-        &self,
-        account: &AccountName,
-        quota: AccountQuota,
-        requested: u16,
-        priority: CallPriority,
-    ) -> QuotaResult {
+    async fn request_grant(&self, quota: AccountQuota, mut request: QuotaRequest) -> QuotaResult {
         let mut result = QuotaResult::Unreachable;
-        for (host, address) in self.holders(account, quota) {
+        for (host, address) in self.holders(&request.account, quota) {
             let requested_at = self.clock.now();
-            let reply = self.request_grant_from(address, account, requested, priority).await;
+            request.number = self.quotas.next_number.get();
+            self.quotas.next_number.set(request.number + 1);
+            let reply = self.request_grant_from(address, &request).await;
             let Some(reply) = reply else {
                 self.quotas.unresponsive.borrow_mut().insert(host, self.clock.now());
                 continue;
             };
             self.quotas.unresponsive.borrow_mut().remove(&host);
+            if reply.wait_ms.is_some() {
+                let usage = reply.usage_permille;
+                self.with_credit(&request.account, |credit| credit.set_usage(usage));
+            }
             if reply.granted > 0 {
+                let grant = GrantRef { holder: address, number: request.number };
                 // One granted request is the current one, the rest are for later ones.
-                self.with_credit(account, |credit| {
-                    credit.add_grant(requested_at, reply.granted - 1);
+                self.with_credit(&request.account, |credit| {
+                    credit.add_grant(requested_at, request.priority, reply.granted - 1, grant);
                 });
-                return QuotaResult::Granted;
+                return QuotaResult::Granted(grant);
+            }
+            if reply.wait_ms.is_some() {
+                request.arrived = 0;
             }
             result = match (result, reply.wait_ms) {
                 (QuotaResult::Exhausted(shortest_ms), Some(wait_ms)) => {
@@ -190,21 +291,14 @@
         holders
     }
 
-    /// Requests a grant of `requested` requests from a holder; returns `None` if it doesn't reply
-    /// in time.
+    /// Requests a grant from a holder; returns `None` if it doesn't reply in time.
     async fn request_grant_from(
         &self,
         address: SocketAddr,
-        account: &AccountName,
-        requested: u16,
-        priority: CallPriority,
+        request: &QuotaRequest,
     ) -> Option<QuotaReply> {
-        let number = self.quotas.next_number.get();
-        self.quotas.next_number.set(number + 1);
-        let settled = self.clock.now() >= self.quotas.terms.get().window + GRANT_LIFETIME;
-        let request =
-            QuotaRequest { number, account: account.clone(), want: requested, settled, priority };
-        let bytes = wire::encode(&GuardDatagram::Quota(request)).ok()?;
+        let number = request.number;
+        let bytes = wire::encode(&GuardDatagram::Quota(request.clone())).ok()?;
         let (sender, receiver) = oneshot::channel();
         self.quotas.pending.borrow_mut().insert(number, sender);
         // A datagram that can't be sent is handled by the timeout, like a lost one.
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -89,7 +89,14 @@
             answered: Cell::new(false),
         };
         let mut response = match intake::receive(&self, request, &request_id).await {
-            Ok(call) => self.route(call).await,
+            Ok(call) => {
+                let grant = call.grant.clone();
+                let response = self.route(call).await;
+                if let Some(grant) = grant {
+                    self.return_if_not_run(&grant, &response);
+                }
+                response
+            }
             Err(response) => response,
         };
         let outcome = response.headers().get(headers::OUTCOME);
--- a/src/call/guard/datagrams.rs
+++ b/src/call/guard/datagrams.rs
@@ -22,9 +22,12 @@
                     self.probe_load(request).map(GuardReply::Probe)
                 }
                 Ok(GuardDatagram::Quota(request)) => {
-                    Some(GuardReply::Quota(self.quotas.handle_request(self.clock.now(), &request)))
+                    Some(GuardReply::Quota(self.grant_quota(&request)))
+                }
+                Ok(GuardDatagram::QuotaReturn(returned)) => {
+                    self.quotas.take_back(self.clock.now(), &returned);
+                    None
                 }
-                Ok(GuardDatagram::QuotaReturn(_unused)) => None,
                 Err(_malformed) => None,
             };
             if let Some(Ok(bytes)) = reply.map(|reply| wire::encode(&reply)) {
--- a/src/call/guard/quota.rs
+++ b/src/call/guard/quota.rs
@@ -8,10 +8,10 @@
 
 use super::GuardDuty;
 use crate::base::clock::MicroTime;
-use crate::base::datagram::{QuotaReply, QuotaRequest};
+use crate::base::datagram::{QuotaReply, QuotaRequest, QuotaReturn};
 use crate::base::ids::HostName;
 use crate::base::member::FleetView;
-use crate::decide::quota::{HolderChange, QuotaHolder, QuotaTerms};
+use crate::decide::quota::{CapsChange, HolderChange, QuotaHolder, QuotaTerms};
 
 /// Parts of account quotas that a guard holds, and the inputs that determine them.
 #[derive(Debug, Default)]
@@ -24,16 +24,9 @@
 }
 
 impl GuardQuotas {
-    /// Handles an entry's request for a grant from an account's quota; returns the reply.
-    pub(super) fn handle_request(&self, now: MicroTime, request: &QuotaRequest) -> QuotaReply {
-        let QuotaRequest { account, want, settled, .. } = request;
-        let grant = self.holder.borrow_mut().grant(now, account, *want, *settled);
-        QuotaReply {
-            number: request.number,
-            granted: grant.map_or(0, |grant| grant.granted),
-            wait_ms: grant.map(|grant| grant.wait_ms),
-            usage_permille: 0,
-        }
+    /// Makes requests that an entry returned available again.
+    pub(super) fn take_back(&self, now: MicroTime, returned: &QuotaReturn) {
+        self.holder.borrow_mut().take_back(now, returned);
     }
 
     pub(super) fn dump(&self) -> Value {
@@ -42,6 +35,29 @@
 }
 
 impl GuardDuty {
+    /// Handles an entry's request for a grant from an account's quota; returns the reply.
+    pub(super) fn grant_quota(&self, request: &QuotaRequest) -> QuotaReply {
+        let mut holder = self.quotas.holder.borrow_mut();
+        let grant = holder.grant(self.clock.now(), request);
+        let account = &request.account;
+        match holder.take_caps_change(account) {
+            Some(CapsChange::Began(priority)) => {
+                info!(self.logger, "less urgent requests capped"; "account" => %account,
+                    "urgent" => priority.urgent, "worth" => priority.worth);
+            }
+            Some(CapsChange::Ceased) => {
+                info!(self.logger, "less urgent requests not capped"; "account" => %account);
+            }
+            None => {}
+        }
+        QuotaReply {
+            number: request.number,
+            granted: grant.map_or(0, |grant| grant.granted),
+            wait_ms: grant.map(|grant| grant.wait_ms),
+            usage_permille: grant.map_or(0, |grant| grant.usage_permille),
+        }
+    }
+
     pub(super) fn set_fleet_view(&self, view: Arc<FleetView>) {
         *self.quotas.view.borrow_mut() = view;
         self.update_held_quotas();
--- a/src/decide/quota/credit.rs
+++ b/src/decide/quota/credit.rs
@@ -1,10 +1,12 @@
 //! Requests that were granted to an entry from an account's quota in advance.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
 use serde::Serialize;
 
 use crate::base::clock::MicroTime;
+use crate::base::wire::CallPriority;
 
 /// Time for which an entry may use a grant.
 ///
@@ -24,22 +26,45 @@
 /// Half-life of an entry's estimate of an account's request rate, in seconds.
 const RATE_HALF_LIFE_S: f64 = 0.5;
 
+/// Grant that a request used: the address of its holder and the number of the entry's request
+/// for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct GrantRef {
+    /// Address of the holder's guard.
+    pub holder: SocketAddr,
+    /// Sequence number of the entry's request for the grant.
+    pub number: u64,
+}
+
 /// Decision of an entry about a request of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuotaDecision {
-    /// Admit the request.
-    Admit,
-    /// Request a grant of this number of requests, the current one included.
-    AskHolder(u16),
+    /// Admit the request, which uses this grant.
+    Admit(GrantRef),
+    /// Request a grant.
+    AskHolder {
+        /// Number of requests, the current one included.
+        want: u16,
+        /// Number of requests that were admitted since the last request for a grant, and the
+        /// current one.
+        arrived: u16,
+    },
     /// Refuse the request; the caller may retry after this number of milliseconds.
     Refuse(u32),
 }
 
-/// Requests that were granted to an entry from an account's quota and are not used yet.
+/// A grant at the entry.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct HeldGrant {
+    expires: MicroTime,
+    left: u16,
+    grant: GrantRef,
+}
+
+/// Granted requests of one priority, oldest first, and what is known of its requests.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct QuotaCredit {
-    /// Expiry time of each grant and the requests left of it, oldest first.
-    grants: VecDeque<(MicroTime, u16)>,
+struct PriorityCredit {
+    grants: VecDeque<HeldGrant>,
     /// Time until which no grant is requested, since no holder had anything left to grant.
     #[serde(rename = "dry_until")]
     exhausted_until: MicroTime,
@@ -51,47 +76,118 @@
     /// Time of the latest request.
     #[serde(rename = "arrived")]
     last_arrival: MicroTime,
+    /// Number of requests that were admitted since the last request for a grant.
+    uncounted: u16,
+}
+
+/// Requests that were granted to an entry from an account's quota and are not used yet.
+///
+/// Invariant: a request uses a grant of its own priority or of a less urgent one.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct QuotaCredit {
+    /// Granted requests by urgency (`urgent`, `worth`), the least urgent first.
+    #[serde(serialize_with = "serialize_credits")]
+    credits: BTreeMap<CallPriority, PriorityCredit>,
+    /// Requests of grants that expired unused, until they are returned.
+    #[serde(skip)]
+    expired: Vec<(GrantRef, u16)>,
+    /// Use of the account's quota by the latest reply of a holder, in thousandths.
+    usage_permille: u16,
+}
+
+impl PriorityCredit {
+    /// Uses one granted request, if there is one; moves expired grants to `expired`.
+    fn try_use(&mut self, now: MicroTime, expired: &mut Vec<(GrantRef, u16)>) -> Option<GrantRef> {
+        while let Some(held) = self.grants.front_mut() {
+            if held.expires > now && held.left > 0 {
+                held.left -= 1;
+                return Some(held.grant);
+            }
+            if held.left > 0 {
+                expired.push((held.grant, held.left));
+            }
+            self.grants.pop_front();
+        }
+        None
+    }
 }
 
 impl QuotaCredit {
     /// Decides about a request that arrived.
-    pub fn decide(&mut self, now: MicroTime) -> QuotaDecision {
-        let elapsed = now.since(self.last_arrival).duration().as_secs_f64();
-        self.last_arrival = self.last_arrival.max(now);
+    pub fn decide(&mut self, now: MicroTime, priority: CallPriority) -> QuotaDecision {
+        let credit = self.credits.entry(priority).or_default();
+        let elapsed = now.since(credit.last_arrival).duration().as_secs_f64();
+        credit.last_arrival = credit.last_arrival.max(now);
         let weight = std::f64::consts::LN_2 / RATE_HALF_LIFE_S;
-        self.rate = self.rate * (-elapsed / RATE_HALF_LIFE_S).exp2() + weight;
-        if self.try_use(now) {
-            return QuotaDecision::Admit;
+        credit.rate = credit.rate * (-elapsed / RATE_HALF_LIFE_S).exp2() + weight;
+        let expected = credit.rate * PREFETCH_TIME.duration().as_secs_f64();
+        let exhausted = (now < credit.exhausted_until).then_some(credit.exhausted_wait_ms);
+        let used = self.try_use(now, priority);
+        let credit = self.credits.entry(priority).or_default();
+        if let Some(grant) = used {
+            credit.uncounted = credit.uncounted.saturating_add(1);
+            return QuotaDecision::Admit(grant);
         }
-        if now < self.exhausted_until {
-            return QuotaDecision::Refuse(self.exhausted_wait_ms);
+        if let Some(wait_ms) = exhausted {
+            return QuotaDecision::Refuse(wait_ms);
         }
-        let expected = self.rate * PREFETCH_TIME.duration().as_secs_f64();
-        QuotaDecision::AskHolder((1 + expected as u16).min(MAX_REQUESTED))
+        let arrived = std::mem::take(&mut credit.uncounted).saturating_add(1);
+        QuotaDecision::AskHolder { want: (1 + expected as u16).min(MAX_REQUESTED), arrived }
     }
 
     /// Adds the requests that a holder granted; the entry sent its request at `requested_at`.
-    pub fn add_grant(&mut self, requested_at: MicroTime, granted: u16) {
+    pub fn add_grant(
+        &mut self,
+        requested_at: MicroTime,
+        priority: CallPriority,
+        granted: u16,
+        grant: GrantRef,
+    ) {
         if granted > 0 {
-            self.grants.push_back((requested_at + GRANT_LIFETIME, granted));
+            let held = HeldGrant { expires: requested_at + GRANT_LIFETIME, left: granted, grant };
+            self.credits.entry(priority).or_default().grants.push_back(held);
         }
     }
 
-    /// Uses one granted request; returns whether there was one.
-    pub fn try_use(&mut self, now: MicroTime) -> bool {
-        while let Some((expires, left)) = self.grants.front_mut() {
-            if *expires > now && *left > 0 {
-                *left -= 1;
-                return true;
-            }
-            self.grants.pop_front();
+    /// Uses a granted request of the priority itself, or of the least urgent one that has any.
+    fn try_use(&mut self, now: MicroTime, priority: CallPriority) -> Option<GrantRef> {
+        let own = self.credits.get_mut(&priority);
+        if let Some(grant) = own.and_then(|credit| credit.try_use(now, &mut self.expired)) {
+            return Some(grant);
         }
-        false
+        let mut others = self.credits.range_mut(..priority);
+        others.find_map(|(_, credit)| credit.try_use(now, &mut self.expired))
+    }
+
+    /// Returns the requests of grants that expired unused, once.
+    pub fn take_expired(&mut self) -> Vec<(GrantRef, u16)> {
+        std::mem::take(&mut self.expired)
+    }
+
+    /// Records that no holder has anything left to grant for a priority; callers may retry after
+    /// `wait_ms`.
+    pub fn mark_exhausted(&mut self, now: MicroTime, priority: CallPriority, wait_ms: u32) {
+        let credit = self.credits.entry(priority).or_default();
+        credit.exhausted_until = now + EXHAUSTED_DURATION;
+        credit.exhausted_wait_ms = wait_ms;
     }
 
-    /// Records that no holder has anything left to grant; callers may retry after `wait_ms`.
-    pub fn mark_exhausted(&mut self, now: MicroTime, wait_ms: u32) {
-        self.exhausted_until = now + EXHAUSTED_DURATION;
-        self.exhausted_wait_ms = wait_ms;
+    /// Records the use of the account's quota that a holder stated, in thousandths.
+    pub fn set_usage(&mut self, usage_permille: u16) {
+        self.usage_permille = usage_permille;
     }
+
+    /// Returns the latest use of the account's quota that a holder stated, in thousandths.
+    #[must_use]
+    pub const fn usage_permille(&self) -> u16 {
+        self.usage_permille
+    }
+}
+
+/// Writes the credits as a list, since keys of JSON objects are strings.
+fn serialize_credits<S: serde::Serializer>(
+    credits: &BTreeMap<CallPriority, PriorityCredit>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_seq(credits)
 }
--- a/src/decide/quota/holder.rs
+++ b/src/decide/quota/holder.rs
@@ -4,8 +4,9 @@
 
 use serde::Serialize;
 
-use super::{AccountQuota, QuotaGrant, QuotaTerms, QuotaWindow, choose_holders};
+use super::{AccountQuota, CapsChange, QuotaGrant, QuotaTerms, QuotaWindow, choose_holders};
 use crate::base::clock::MicroTime;
+use crate::base::datagram::{QuotaRequest, QuotaReturn};
 use crate::base::ids::{AccountName, HostName};
 
 /// Half-life of the recorded size of the fleet, in seconds.
@@ -96,17 +97,21 @@
         changes
     }
 
-    /// Grants up to `requested` requests of an account; returns `None` if its quota is not held
-    /// here.
-    ///
-    /// `settled` is true if the requesting entry has run for at least a window.
-    pub fn grant(
-        &mut self,
-        now: MicroTime,
-        account: &AccountName,
-        requested: u16,
-        settled: bool,
-    ) -> Option<QuotaGrant> {
-        Some(self.windows.get_mut(account)?.grant(now, requested, settled))
+    /// Grants up to the wanted number of requests of an account; returns `None` if its quota is
+    /// not held here.
+    pub fn grant(&mut self, now: MicroTime, request: &QuotaRequest) -> Option<QuotaGrant> {
+        Some(self.windows.get_mut(&request.account)?.grant(now, request))
+    }
+
+    /// Makes returned requests available again, once.
+    pub fn take_back(&mut self, now: MicroTime, returned: &QuotaReturn) {
+        if let Some(window) = self.windows.get_mut(&returned.account) {
+            window.take_back(now, (returned.incarnation, returned.number), returned.count);
+        }
+    }
+
+    /// Returns a change of whether the less urgent requests of an account are limited, once.
+    pub fn take_caps_change(&mut self, account: &AccountName) -> Option<CapsChange> {
+        self.windows.get_mut(account)?.take_caps_change()
     }
 }
--- a/src/decide/quota/mod.rs
+++ b/src/decide/quota/mod.rs
@@ -3,12 +3,17 @@
 //! A few daemons hold the quota of an account, each a fixed part of it (`holder`,
 //! `window`), and grant requests to entries in advance (`credit`). This keeps an account
 //! that is far above its quota, at one entry or at all of them, within it while hosts
-//! crash, are partitioned and restart. The part of a failed holder is not given to
+//! crash, are partitioned and restart. Less urgent requests of an account get what its more
+//! urgent ones leave of the quota (`levels`, `demand`), and grants whose requests did not reach
+//! a target are returned (`returns`). The part of a failed holder is not given to
 //! another one before the fleet considers that holder dead, so that neither a partition
 //! nor a restart grants a part twice.
 
 mod credit;
+mod demand;
 mod holder;
+mod levels;
+mod returns;
 mod window;
 
 use serde::{Deserialize, Serialize};
@@ -16,9 +21,13 @@
 use crate::base::clock::MicroTime;
 use crate::base::ids::{AccountName, HostName};
 
-pub use credit::{GRANT_LIFETIME, QuotaCredit, QuotaDecision};
+pub use credit::{GRANT_LIFETIME, GrantRef, QuotaCredit, QuotaDecision};
 pub use holder::{HolderChange, QuotaHolder};
-pub use window::{QuotaGrant, QuotaWindow};
+pub use returns::{GrantKey, ReturnedCounts};
+pub use window::{CapsChange, QuotaGrant, QuotaWindow};
+
+/// Number of buckets into which a window is divided.
+const BUCKETS: u64 = 50;
 
 /// Maximum number of daemons that hold the quota of one account: the loss of one leaves
 /// three quarters of the quota until it is replaced.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,8 +86,9 @@
 pub use decide::limit::ConcurrencyLimit;
 pub use decide::probe_budget::ProbeBudget;
 pub use decide::quota::{
-    AccountQuota, GRANT_LIFETIME, HolderChange, QuotaCredit, QuotaDecision, QuotaGrant,
-    QuotaHolder, QuotaTerms, QuotaWindow, choose_holders,
+    AccountQuota, CapsChange, GRANT_LIFETIME, GrantKey, GrantRef, HolderChange, QuotaCredit,
+    QuotaDecision, QuotaGrant, QuotaHolder, QuotaTerms, QuotaWindow, ReturnedCounts,
+    choose_holders,
 };
 pub use decide::rate_limit::{RateLimit, RateSource};
 pub use decide::registry::{ServiceTargets, TargetRegistry};
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -134,6 +134,7 @@
 
     let parts = EntryParts {
         rng_seed: seed,
+        incarnation,
         header_names,
         data_centre: settings.data_centre.clone(),
         crossing_cost: deployment
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,173 +1,20 @@
 //! Quota of a client account over all daemons together: no part of it is granted twice, and nearly
 //! all of it is usable at any entries.
 
+#[path = "common/quota_fleet.rs"]
+mod quota_fleet;
 #[path = "common/seeded.rs"]
 mod seeded;
 
 use std::collections::BTreeSet;
 
 use proptest::prelude::*;
+use quota_fleet::{ROUTINE, SimulatedFleet, TERMS, quota, quota_request};
 use railspan::{
-    AccountName, AccountQuota, HostName, MicroTime, QuotaCredit, QuotaDecision, QuotaHolder,
-    QuotaTerms, QuotaWindow, choose_holders,
+    AccountName, HostName, MicroTime, QuotaRequest, QuotaTerms, QuotaWindow, choose_holders,
 };
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use seeded::seeded;
 
-/// Window over which the quota is checked.
-const WINDOW: MicroTime = MicroTime::from_millis(5_000);
-const TERMS: QuotaTerms = QuotaTerms { window: WINDOW, over: 0.1, slack: 20.0 };
-/// Time step of the simulation.
-const STEP: MicroTime = MicroTime::from_millis(1);
-/// Time until the fleet considers an unreachable daemon dead.
-const FAILURE_DETECTION_TIME: MicroTime = MicroTime::from_millis(4_000);
-
-/// One daemon: the credit of its entry, and the part of the quota that it holds.
-struct SimulatedDaemon {
-    host: HostName,
-    credit: QuotaCredit,
-    holder: QuotaHolder,
-    started: MicroTime,
-    /// Start of its partition from all other daemons; `None` if it is connected.
-    partitioned_since: Option<MicroTime>,
-}
-
-/// The daemons of a fleet and one account with a quota, in virtual time.
-struct SimulatedFleet {
-    quota: AccountQuota,
-    account: AccountName,
-    daemons: Vec<SimulatedDaemon>,
-    now: MicroTime,
-    rng: Pcg64Mcg,
-    /// Times of the admitted requests.
-    admitted: Vec<MicroTime>,
-    /// Number of refused requests.
-    refused: usize,
-}
-
-impl SimulatedFleet {
-    fn open(daemons: usize, quota: AccountQuota, seed: u64) -> Self {
-        let daemon = |index| SimulatedDaemon {
-            host: HostName::from(format!("h{index}").as_str()),
-            credit: QuotaCredit::default(),
-            holder: QuotaHolder::default(),
-            started: MicroTime(0),
-            partitioned_since: None,
-        };
-        Self {
-            quota,
-            account: AccountName::from("a"),
-            daemons: (0..daemons).map(daemon).collect(),
-            now: MicroTime::from_millis(1_000),
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            admitted: Vec::new(),
-            refused: 0,
-        }
-    }
-
-    /// Returns the daemons that `viewer` believes to be alive: both sides detect a partition after
-    /// [`FAILURE_DETECTION_TIME`].
-    fn alive_for(&self, viewer: usize) -> Vec<usize> {
-        let detected = |daemon: &SimulatedDaemon| {
-            daemon
-                .partitioned_since
-                .is_some_and(|since| self.now.since(since) >= FAILURE_DETECTION_TIME)
-        };
-        let is_isolated = detected(&self.daemons[viewer]);
-        let is_alive =
-            |&other: &usize| other == viewer || !(is_isolated || detected(&self.daemons[other]));
-        (0..self.daemons.len()).filter(is_alive).collect()
-    }
-
-    /// Returns the holders of the quota in the view of one daemon.
-    fn holders_for(&self, viewer: usize) -> Vec<usize> {
-        let alive = self.alive_for(viewer);
-        let hosts = alive.iter().map(|&other| &self.daemons[other].host);
-        let holders = choose_holders(&self.account, hosts, self.quota.holders(TERMS));
-        let position = |host: &HostName| self.daemons.iter().position(|known| known.host == *host);
-        holders.into_iter().filter_map(position).collect()
-    }
-
-    /// Passes each daemon its current view of the fleet, as gossip does.
-    fn update_holders(&mut self) {
-        for index in 0..self.daemons.len() {
-            let alive = self.alive_for(index);
-            let alive: Vec<HostName> =
-                alive.iter().map(|&alive| self.daemons[alive].host.clone()).collect();
-            let alive: Vec<&HostName> = alive.iter().collect();
-            let quotas = std::iter::once((&self.account, self.quota));
-            let daemon = &mut self.daemons[index];
-            daemon.holder.update(self.now, &daemon.host, &alive, quotas, TERMS);
-        }
-    }
-
-    /// Returns whether two daemons can reach each other.
-    fn connected(&self, left: usize, right: usize) -> bool {
-        let partitioned = |index: usize| self.daemons[index].partitioned_since.is_some();
-        left == right || !(partitioned(left) || partitioned(right))
-    }
-
-    /// Makes a request at an entry.
-    fn request(&mut self, entry: usize) {
-        let want = match self.daemons[entry].credit.decide(self.now) {
-            QuotaDecision::Admit => return self.admitted.push(self.now),
-            QuotaDecision::Refuse(_) => return self.refused += 1,
-            QuotaDecision::AskHolder(want) => want,
-        };
-        for holder in self.holders_for(entry) {
-            if !self.connected(entry, holder) {
-                continue;
-            }
-            let now = self.now;
-            let settled = now.since(self.daemons[entry].started) >= WINDOW;
-            let grant = self.daemons[holder].holder.grant(now, &self.account, want, settled);
-            let Some(grant) = grant else { continue };
-            // One reply in twenty is lost, together with its grant.
-            if grant.granted == 0 || self.rng.random_bool(0.05) {
-                continue;
-            }
-            self.daemons[entry].credit.add_grant(now, grant.granted - 1);
-            return self.admitted.push(now);
-        }
-        self.daemons[entry].credit.mark_exhausted(self.now, 10);
-        self.refused += 1;
-    }
-
-    /// Simulates a period in which `per_s` requests per second arrive at the given entries.
-    fn simulate(&mut self, millis: u64, per_s: f64, entries: &[usize]) {
-        for step in 0..millis {
-            self.now = self.now + STEP;
-            if step.is_multiple_of(100) {
-                self.update_holders();
-            }
-            let mut remaining = per_s / 1_000.0;
-            while remaining > 0.0 {
-                if self.rng.random_bool(remaining.min(1.0)) {
-                    let entry = entries[self.rng.random_range(0..entries.len())];
-                    self.request(entry);
-                }
-                remaining -= 1.0;
-            }
-        }
-    }
-
-    /// Returns the maximum number of requests admitted in any window, and the permitted number.
-    fn busiest_window(&self) -> (usize, f64) {
-        let requests_in_window = |first: usize| {
-            self.admitted[first..].partition_point(|at| at.since(self.admitted[first]) < WINDOW)
-        };
-        let max_admitted = (0..self.admitted.len()).map(requests_in_window).max().unwrap_or(0);
-        let per_s = self.quota.per_1000_s as f64 / 1_000.0;
-        let permitted = per_s * WINDOW.duration().as_secs_f64() + f64::from(self.quota.burst);
-        (max_admitted, permitted * (1.0 + TERMS.over) + TERMS.slack)
-    }
-}
-
-fn quota(per_s: u64, burst: u32) -> AccountQuota {
-    AccountQuota { per_1000_s: per_s * 1_000, burst }
-}
-
 proptest! {
     #![proptest_config(seeded(24))]
 
@@ -251,11 +98,7 @@
                 entries.iter().copied().filter(|index| *index != holder).collect();
             fleet.simulate(stopped_ms - 1_000, 60.0, &others);
             fleet.simulate(1_000, 800.0, &others);
-            let daemon = &mut fleet.daemons[holder];
-            daemon.partitioned_since = None;
-            daemon.holder = QuotaHolder::default();
-            daemon.credit = QuotaCredit::default();
-            daemon.started = fleet.now;
+            fleet.restart(holder);
             fleet.simulate(4_000, 800.0, &entries);
         }
     }
@@ -269,9 +112,9 @@
     let mut now = MicroTime::from_millis(10_000);
     let mut window = QuotaWindow::open(MicroTime(0), quota(40, 40), QuotaTerms::default());
     let mut refused = Vec::new();
-    for _ in 0..1_000 {
+    for number in 0..1_000 {
         now = now + MicroTime::from_millis(10);
-        let grant = window.grant(now, 1, true);
+        let grant = window.grant(now, &quota_request(number, ROUTINE, 1));
         if grant.granted == 0 {
             refused.push(now + MicroTime::from_millis(u64::from(grant.wait_ms)));
         }
@@ -279,7 +122,7 @@
     assert!(refused.len() > 500, "the load is five times the holder's part of the quota");
     assert!(refused.windows(2).all(|pair| pair[0] <= pair[1]), "retry times must not decrease");
     let last = *refused.last().expect("some were refused");
-    assert_eq!(window.grant(last, 1, true).granted, 1);
+    assert_eq!(window.grant(last, &quota_request(1_000, ROUTINE, 1)).granted, 1);
 }
 
 /// After a power loss of all hosts, requests are admitted at the rate of the quota from the start.
@@ -288,7 +131,8 @@
     let mut window = QuotaWindow::open(MicroTime(0), quota(100, 100), TERMS);
     let mut granted = 0;
     for step in 1..=100 {
-        let grant = window.grant(MicroTime::from_millis(step * 10), 10, false);
+        let request = QuotaRequest { settled: false, ..quota_request(step, ROUTINE, 10) };
+        let grant = window.grant(MicroTime::from_millis(step * 10), &request);
         granted += u32::from(grant.granted);
     }
     // A quarter of 100 per second, and at most a fifth of what the part permits in a window of 5 s.
