Entries ask quota holders in a random order; refused requests count at every holder asked

Change: each request starts at a random holder, and a refused request counts at every holder that it reached.

--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -72,8 +72,6 @@
     max_fleet_size: Cell<usize>,
     /// Quotas of client accounts: granted requests and pending requests for grants.
     quotas: EntryQuotas,
-    /// Number that selects which of an account's quota holders this entry asks first.
-    holder_offset: usize,
     /// Requests that are suspected of crashing targets.
     pub(crate) suspects: RefCell<CrashSuspects>,
     pub(crate) header_names: &'static HeaderNames,
@@ -150,7 +148,6 @@
         retry_share: Cell::new(parts.retry_share),
         max_fleet_size: Cell::new(1),
         quotas: EntryQuotas::open(parts.quota_terms, parts.incarnation),
-        holder_offset: parts.rng_seed as usize,
         suspects: RefCell::default(),
         header_names: parts.header_names,
         data_centre: parts.data_centre,
--- a/src/call/entry/quota.rs
+++ b/src/call/entry/quota.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
+use rand::RngExt;
 use serde_json::{Value, json};
 use slog::info;
 use tokio::sync::oneshot;
@@ -268,7 +269,8 @@
     }
 
     /// Returns the holders of an account's quota in the order in which this entry asks
-    /// them: entries start at different holders, and unresponsive holders come last.
+    /// them: each request starts at a random one, so that all holders see the same mix of
+    /// requests, and unresponsive holders come last.
     fn holders(&self, account: &AccountName, quota: AccountQuota) -> Vec<(HostName, SocketAddr)> {
         let view = self.view.borrow();
         let members: Vec<_> = view.serving().collect();
@@ -280,7 +282,7 @@
         };
         let mut holders: Vec<_> = hosts.iter().filter_map(address).collect();
         if !holders.is_empty() {
-            let first = self.holder_offset % holders.len();
+            let first = self.rng.borrow_mut().random_range(0..holders.len());
             holders.rotate_left(first);
         }
         let now = self.clock.now();
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -125,10 +125,9 @@
             f64::INFINITY
         };
         let granted = room.min(allowance).floor().min(f64::from(request.want)).max(0.0);
-        // Counting refused requests at the first holder alone keeps the estimates of the
-        // holders in balance: a part that less urgent requests filled is not taken for one
-        // that few urgent requests ask for.
-        let asked = if request.arrived > 0 { f64::from(request.arrived) } else { granted };
+        // Refused requests count at every holder asked: otherwise a part that less urgent
+        // requests have filled would be taken for one that few urgent requests ask for.
+        let asked = if request.arrived > 0 { request.arrived.into() } else { granted.max(1.0) };
         self.levels.record_demand(now, self.span, level, asked);
         if granted > 0.0 {
             let leaves = self.record(now, granted);
