--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -7,7 +7,7 @@
 
 use common::eventually;
 use common::hosted::{HostedFleet, SAFE_PREFIX, SERVICE, VIRTUAL_HOST, platform_config};
-use railspan_standins::{HostedResponse, hosted_call};
+use railspan_standins::{HostedBehaviour, HostedResponse, hosted_call};
 use serde_json::{Value, json};
 
 const KEY: &str = "n2ftimaj3nr26tta828m";
@@ -144,3 +144,37 @@
     assert!(passed <= allowed_by_rate + 60, "{passed} passed");
     assert_eq!(call_with_key(&fleet, 0, "/open/", Some(KEY), "not-counted").status, 200);
 }
+
+/// A request that reaches no target must not use the quota: here four times as many as the quota
+/// permits in a window. A request that a target received and declined uses it.
+#[test]
+fn a_request_that_reaches_no_target_does_not_use_the_quota() {
+    let fleet = spawn_with_accounts(1, 60);
+    let status = |id: String| call_with_key(&fleet, 0, SAFE_PREFIX, Some(KEY), &id).status;
+    for (index, target) in fleet.targets.iter().enumerate() {
+        assert_eq!(target.drain(fleet.control(index)).expect("drain"), 200);
+    }
+    // What counts as used at the start of the holders has to leave their windows.
+    std::thread::sleep(Duration::from_secs(6));
+    eventually("no target is left", || status("drained".to_owned()) == 503);
+    for number in 0..260 {
+        assert_eq!(status(format!("not-run-{number}")), 503);
+    }
+}
+
+/// The work of a target that declines a request is part of what the quota pays for.
+#[test]
+fn a_request_that_a_target_declines_uses_the_quota() {
+    let fleet = spawn_with_accounts(1, 60);
+    for target in &fleet.targets {
+        target.set_behaviour(HostedBehaviour::Decline);
+    }
+    let statuses: Vec<u16> = (0..200)
+        .map(|number| {
+            let id = format!("declined-{number}");
+            call_with_key(&fleet, 0, SAFE_PREFIX, Some(KEY), &id).status
+        })
+        .collect();
+    assert!(statuses.iter().all(|status| matches!(status, 429 | 503)), "{statuses:?}");
+    assert!(statuses.contains(&429), "the quota was never used up");
+}
