--- a/src/decide/quota/demand.rs
+++ b/src/decide/quota/demand.rs
@@ -10,6 +10,15 @@
 /// Time whose requests decide whether the count of a whole window is out of date.
 pub(super) const DEMAND_HORIZON: MicroTime = MicroTime::from_millis(1_000);
 
+/// Standard deviations by which the last second has to be above the window's count to raise it.
+///
+/// An estimate that follows a surge late costs urgent requests, while one that is a little too
+/// high leaves a little less to the others.
+const RISE_DEVIATIONS: f64 = 0.5;
+
+/// Standard deviations by which the last second has to be below the window's count to lower it.
+const FALL_DEVIATIONS: f64 = 1.0;
+
 /// Requests of one priority that a holder was asked for within the last window.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub(super) struct RequestDemand {
@@ -50,8 +59,10 @@
     pub(super) fn expected(&self, now: MicroTime, span: MicroTime) -> f64 {
         let (recent, scale) = self.recent(now, span);
         let deviation = recent.sqrt();
-        let least = (recent - 0.5 * deviation).max(0.0) * scale;
-        self.total.clamp(least, (recent + deviation + 1.0) * scale)
+        let least = (recent - RISE_DEVIATIONS * deviation).max(0.0) * scale;
+        // One more, so that a single request in a window is not forgotten after a second.
+        let most = (recent + FALL_DEVIATIONS * deviation + 1.0) * scale;
+        self.total.clamp(least, most)
     }
 
     /// Returns the requests of the last second, and the factor from there to a window.
--- a/src/decide/quota/levels.rs
+++ b/src/decide/quota/levels.rs
@@ -11,10 +11,18 @@
 /// Maximum number of priorities that are told apart; a configuration has a few.
 const MAX_LEVELS: usize = 8;
 
-/// Fraction of the part that is kept free at most for requests of more urgent priorities beyond
-/// the expected number: a greater one is left unused in every window of an overload.
+/// Standard deviations of the expected number of more urgent requests that are kept free beyond
+/// it, so that urgent requests are rarely refused by chance.
+const RESERVE_DEVIATIONS: f64 = 2.0;
+
+/// Maximum fraction of the part that is kept free beyond the expected number: it stays unused
+/// in every window of an overload in which it is not asked for.
 const MAX_RESERVE: f64 = 0.1;
 
+/// Standard deviations by which the requests of the last second have to exceed the part, so that
+/// an account within its quota is not limited by chance.
+const EXCESS_DEVIATIONS: f64 = 2.0;
+
 /// Requests of one priority at one holder.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 struct PriorityLevel {
@@ -126,6 +134,11 @@
         }
     }
 
+    /// Returns the number of requests granted in the window.
+    pub(super) fn granted(&self) -> f64 {
+        self.levels.iter().map(|level| level.granted).sum()
+    }
+
     /// Returns the priority of a level.
     pub(super) fn priority(&self, index: usize) -> CallPriority {
         self.levels[index].priority
@@ -137,7 +150,7 @@
         let recent = self.levels.iter().map(|level| level.demand.recent(now, span));
         let (recent, scale) =
             recent.fold((0.0, 1.0), |(sum, _), (recent, scale)| (sum + recent, scale));
-        (recent - 2.0 * recent.sqrt()) * scale > limit
+        (recent - EXCESS_DEVIATIONS * recent.sqrt()) * scale > limit
     }
 
     /// Returns the limits that apply to a level: for each more urgent one, what is left of
@@ -153,7 +166,7 @@
         let levels = self.levels[..index].iter().enumerate();
         levels.map(move |(above, level)| {
             expected += level.demand.expected(now, span);
-            let reserve = (2.0 * f64::sqrt(expected)).min(limit * MAX_RESERVE);
+            let reserve = (RESERVE_DEVIATIONS * f64::sqrt(expected)).min(limit * MAX_RESERVE);
             let granted = self.levels[above + 1..].iter().map(|level| level.granted).sum();
             UrgencyCap { first: above + 1, limit: limit - expected - reserve, granted }
         })
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -188,8 +188,9 @@
         self.levels.promise(level, room, MicroTime(interval as u64), now + MAX_WAIT)
     }
 
+    /// Returns the granted part, without the use that is assumed before the window was opened.
     fn usage_permille(&self) -> u16 {
-        (self.granted / self.limit.max(1.0) * 1_000.0) as u16
+        (self.levels.granted() / self.limit.max(1.0) * 1_000.0) as u16
     }
 
     /// Counts the use assumed before the window was opened as made at that moment.
--- a/tests/quota_priorities.rs
+++ b/tests/quota_priorities.rs
@@ -244,3 +244,21 @@
     assert_eq!(ask(&mut window, last, ROUTINE).granted, 1);
     assert!(window.take_caps_change().is_some());
 }
+
+/// Requests of every possible priority must not grow a holder's state without bound, nor exceed
+/// the quota.
+#[test]
+fn a_holder_distinguishes_a_bounded_number_of_priorities() {
+    let mut window = QuotaWindow::open(MicroTime(0), quota(40, 40), QuotaTerms::default());
+    let now = MicroTime::from_millis(3_000);
+    let mut granted = 0;
+    for number in 0..512 {
+        let priority = CallPriority { urgent: number % 2 == 0, worth: (number / 2) as u8 };
+        let grant = window.grant(now, &quota_request(number, priority, 1));
+        granted += grant.granted;
+        assert_eq!(grant.usage_permille, granted * 50, "a request is a twentieth of the part");
+    }
+    assert_eq!(granted, 20);
+    let state = serde_json::to_value(&window).expect("json");
+    assert!(state["levels"].as_array().is_some_and(|levels| levels.len() <= 8), "{state}");
+}
