--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -23,6 +23,10 @@
     pub(crate) refusals: IntCounterVec,
     /// Calls at this guard whose body was announced, by whether it was requested.
     pub(crate) announced_bodies: IntCounterVec,
+    /// Requests of accounts refused by this entry for their quota, by reason.
+    pub(crate) quota_refusals: IntCounterVec,
+    /// Granted requests that this entry returned to the holders of quotas.
+    pub(crate) quota_returns: IntCounter,
     /// Calls that this guard dispatched to its target.
     pub(crate) dispatched: IntCounter,
     /// Load probes sent.
@@ -102,6 +106,12 @@
                 "Bodies announced to this guard",
                 "reply",
             )?,
+            quota_refusals: family(
+                "railspan_quota_refusals_total",
+                "Requests refused for a quota",
+                "reason",
+            )?,
+            quota_returns: counter("railspan_quota_returned_total", "Granted requests returned")?,
             dispatched: counter("railspan_dispatched_total", "Calls dispatched to targets")?,
             probe_messages: counter("railspan_probe_messages_total", "Measuring messages")?,
             probe_bytes: counter("railspan_probe_bytes_total", "Measuring bytes")?,
--- a/src/call/entry/accounts.rs
+++ b/src/call/entry/accounts.rs
@@ -22,9 +22,8 @@
 
 impl EntryDuty {
     /// Returns the use of an account's quota over the fleet, in thousandths; zero if unknown.
-    #[expect(clippy::unused_self, reason = "the quota state of the entry will supply the value")]
-    pub(super) const fn account_usage(&self, _account: &AccountName) -> u16 {
-        0
+    pub(super) fn account_usage(&self, account: &AccountName) -> u16 {
+        self.quotas.usage_permille(account)
     }
 
     /// Counts a request of an account; `response` is `None` if its caller disconnected.
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -240,6 +240,11 @@
     if let AnswerHead::Refused { suspect, .. } | AnswerHead::Lost { suspect, .. } = answer {
         duty.merge_suspect(call, *suspect);
     }
+    if let AnswerHead::Refused { reason: RefusalReason::Declined, .. } = answer
+        && let Some(grant) = &call.grant
+    {
+        grant.mark_reached_target();
+    }
 }
 
 /// Returns how long a call may still wait for a slot.
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -77,8 +77,6 @@
     quotas: EntryQuotas,
     /// What client accounts requested here lately.
     account_demand: RefCell<AccountDemand>,
-    /// Number that selects which of an account's quota holders this entry asks first.
-    holder_offset: usize,
     /// Requests that are suspected of crashing targets.
     pub(crate) suspects: RefCell<CrashSuspects>,
     pub(crate) header_names: &'static HeaderNames,
@@ -114,6 +112,7 @@
 #[derive(Debug)]
 pub(crate) struct EntryParts {
     pub(crate) rng_seed: u64,
+    pub(crate) incarnation: DaemonIncarnation,
     pub(crate) header_names: &'static HeaderNames,
     pub(crate) data_centre: CentreName,
     pub(crate) crossing_cost: f64,
@@ -153,9 +152,8 @@
         retry_budgets: RefCell::default(),
         retry_share: Cell::new(parts.retry_share),
         max_fleet_size: Cell::new(1),
-        quotas: EntryQuotas::default(),
+        quotas: EntryQuotas::open(parts.quota_terms, parts.incarnation),
         account_demand: RefCell::default(),
-        holder_offset: parts.rng_seed as usize,
         suspects: RefCell::default(),
         header_names: parts.header_names,
         data_centre: parts.data_centre,
@@ -175,7 +173,6 @@
         stopping: watch::Sender::new(false),
         logger,
     });
-    duty.quotas.set_terms(parts.quota_terms);
     spawn_local(Rc::clone(&duty).accept(listener));
     spawn_local(crate::call::entry::load_probe::receive_replies(Rc::clone(&duty)));
     loop {
@@ -323,6 +320,7 @@
             "retry_budgets": *self.retry_budgets.borrow(),
             "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
+            "quotas": self.quotas.dump(),
             "caller_connections": *self.caller_connections.borrow(),
             "guard_connections": self.pool.len(),
             "now": self.clock.now(),
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -94,10 +94,14 @@
         let mut response = match received {
             Ok(call) => {
                 let nested = self.watch_nested_end(&call);
+                let grant = call.grant.clone();
                 let response = self.route(call).await;
                 if let Some(nested) = nested {
                     nested.finish(response.status());
                 }
+                if let Some(grant) = grant {
+                    self.return_if_not_run(&grant, &response);
+                }
                 response
             }
             Err(response) => response,
