Strict revocation: refuse tokens once the store's revision is unconfirmed

Cause: a daemon that is cut off from the store and from all others kept serving tokens that a revision had revoked.

Change: with strict_revocation=true among the terms, a daemon keeps the newest time at which the store provably held no newer revision than the one in force, and refuses requests with a token (503 unconfirmed) once that is older than revoke less a margin. Followers of the store confirm by their reads, all others ask them about once a second.

--- a/src/base/datagram.rs
+++ b/src/base/datagram.rs
@@ -71,6 +71,23 @@
     pub count: u16,
 }
 
+/// Request of an entry for the newest confirmation that another daemon has from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmationRequest {
+    /// Sequence number, repeated in the reply.
+    pub number: u64,
+}
+
+/// Reply to a [`ConfirmationRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfirmationReply {
+    /// Sequence number of the request.
+    pub number: u64,
+    /// Revision than which the store held no newer one, and the age of that knowledge in
+    /// microseconds; `None` if the daemon has none.
+    pub confirmed: Option<(u64, u64)>,
+}
+
 /// Datagram from an entry to a guard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GuardDatagram {
@@ -80,6 +97,8 @@
     Quota(QuotaRequest),
     /// Returns unused grants; it has no reply.
     QuotaReturn(QuotaReturn),
+    /// Requests the newest confirmation from the store.
+    Confirmation(ConfirmationRequest),
 }
 
 /// Reply of a guard to a [`GuardDatagram`].
@@ -89,4 +108,6 @@
     Probe(ProbeReply),
     /// Reply to [`GuardDatagram::Quota`].
     Quota(QuotaReply),
+    /// Reply to [`GuardDatagram::Confirmation`].
+    Confirmation(ConfirmationReply),
 }
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -54,6 +54,10 @@
     pub(crate) blamed_calls: IntCounter,
     /// Blamed requests, which are currently not sent to any target.
     pub(crate) blamed_requests: IntGauge,
+    /// Requests refused because revocations of tokens were not confirmed lately.
+    pub(crate) unconfirmed_refusals: IntCounter,
+    /// Age of the newest confirmation, in milliseconds; zero if revocations have no bound.
+    pub(crate) confirmation_age: IntGauge,
     /// Log lines dropped because the log was not read fast enough.
     pub(crate) log_dropped: IntCounter,
     /// Messages dropped because the ring buffer of a duty was full, by duty.
@@ -83,6 +87,11 @@
         let limited_targets =
             IntGauge::new("railspan_rate_limited_targets", "Targets that state a rate of calls")?;
         registry.register(Box::new(limited_targets.clone()))?;
+        let confirmation_age = IntGauge::new(
+            "railspan_confirmation_age_ms",
+            "Age of the confirmation that no token was revoked",
+        )?;
+        registry.register(Box::new(confirmation_age.clone()))?;
         Ok(Self {
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
@@ -120,6 +129,11 @@
                 "Calls of requests that end targets",
             )?,
             blamed_requests,
+            unconfirmed_refusals: counter(
+                "railspan_unconfirmed_refusals_total",
+                "Requests with a token refused without a confirmation",
+            )?,
+            confirmation_age,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             ring_drops: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -194,6 +194,8 @@
     EndsTargets,
     /// Calls that the call's run makes could not be served.
     Downstream,
+    /// The call's token was revoked, or may have been without the entry's knowledge.
+    Unconfirmed,
 }
 
 impl RefusalReason {
@@ -216,6 +218,7 @@
             Self::Malformed => "malformed",
             Self::EndsTargets => "ends_targets",
             Self::Downstream => "downstream",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -139,6 +139,10 @@
         guard_time = duty.guard_time(&call.service, target);
     }
     load_watch::watch_target(duty, &call.service, target, location);
+    if !duty.may_send(call) {
+        let reason = RefusalReason::Unconfirmed;
+        return AttemptEnd::Refused { reason, retry_after_ms: ENTRY_REFUSAL_RETRY_MS };
+    }
     let remaining = call.deadline.since(duty.clock.now()).duration();
     let head = make_head(duty, call, target, location, guard_time, remaining, last_target);
     let sent = timeout_at(deadline, send(sender, &head, &call.body)).await;
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -20,7 +20,7 @@
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
 use crate::decide::selection::SelectionPolicy;
-use crate::rules::account::AccountParameters;
+use crate::rules::account::{AccountParameters, TokenHash};
 use crate::rules::config::FleetConfig;
 use crate::rules::options::CallOptions;
 use crate::rules::route::RouteRule;
@@ -57,6 +57,8 @@
     pub(crate) nested: bool,
     /// Whether that target was running a call when this one arrived.
     pub(crate) caller_busy: bool,
+    /// Hash of the request's token, if it is checked again before each attempt.
+    pub(crate) token: Option<TokenHash>,
     /// Claim of the idempotency key, for a call that must not run twice.
     pub(crate) claim: Option<KeyClaim>,
 }
@@ -107,6 +109,10 @@
     let stated_deadline = headers::get_str(&parts.headers, names.deadline_ms);
     let account = authenticate_routed(config, route, &parts.headers)
         .map_err(|UnknownToken| responses::not_run(StatusCode::UNAUTHORIZED, "no_account", 0))?;
+    if let Some(refusal) = account.and_then(|_account| duty.refuse_unconfirmed()) {
+        return Err(refusal);
+    }
+    let token = account.and_then(|_account| duty.token_to_recheck(&parts.headers));
     let rank = account.and_then(|account| account.rank);
     let caller_busy = duty.own_target.is_busy();
     // Callers other than targets have a token on every route that is not public.
@@ -155,6 +161,7 @@
         deadline,
         nested,
         caller_busy,
+        token,
         claim: None,
     })
 }
@@ -196,6 +203,7 @@
         deadline,
         nested: false,
         caller_busy: false,
+        token: None,
         claim: None,
     };
     if !call.options.repeatable {
@@ -232,7 +240,7 @@
     parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
 }
 
-fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
+pub(super) fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(AUTHORIZATION)?.as_bytes();
     value.strip_prefix(b"Bearer ")
 }
--- a/src/call/entry/load_probe.rs
+++ b/src/call/entry/load_probe.rs
@@ -43,7 +43,7 @@
     }
 }
 
-/// Processes the replies of guards to load probes and quota requests, until the runtime
+/// Processes the replies of guards to load probes and to requests for grants and confirmations, until the runtime
 /// ends.
 pub(crate) async fn receive_replies(duty: Rc<EntryDuty>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -54,6 +54,7 @@
                 duty.update_load(&reply.service, &reply.target, reply.load);
             }
             Ok(GuardReply::Quota(reply)) => duty.quotas.deliver(reply),
+            Ok(GuardReply::Confirmation(reply)) => duty.handle_confirmation(reply),
             Err(_malformed) => {}
         }
     }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry duty: accepts calls from callers and sends each to a target's guard.
 
 mod attempt;
+mod confirmation;
 mod hedge;
 mod intake;
 mod load_probe;
@@ -42,6 +43,8 @@
 use crate::decide::quota::QuotaTerms;
 use crate::decide::registry::TargetRegistry;
 use crate::decide::retry::{RetryBudget, RetryShare};
+use crate::decide::revocation::ConfirmationAsker;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
@@ -89,6 +92,10 @@
     pub(crate) own_service: Option<ServiceName>,
     /// What the target on this host runs now.
     pub(crate) own_target: OwnTarget,
+    /// What this daemon knows of the store's newest revision.
+    confirmation: SharedConfirmation,
+    /// Requests to other daemons for what they know of it.
+    asker: RefCell<ConfirmationAsker>,
     /// Routes that only targets call, as far as known.
     nested_routes: RefCell<NestedRoutes>,
     peers: RingSender<PeersEvent>,
@@ -114,6 +121,7 @@
     pub(crate) crossing_cost: f64,
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) own_target: OwnTarget,
+    pub(crate) confirmation: SharedConfirmation,
     pub(crate) retry_share: RetryShare,
     pub(crate) quota_terms: QuotaTerms,
     pub(crate) readiness: DaemonReadiness,
@@ -158,6 +166,8 @@
         watch_count: Cell::new(0),
         own_service: parts.own_service,
         own_target: parts.own_target,
+        confirmation: parts.confirmation,
+        asker: RefCell::new(ConfirmationAsker::open(rand::random())),
         nested_routes: RefCell::default(),
         readiness: parts.readiness,
         peers: parts.peers,
@@ -171,6 +181,7 @@
     });
     duty.quotas.set_terms(parts.quota_terms);
     spawn_local(Rc::clone(&duty).accept(listener));
+    spawn_local(Rc::clone(&duty).keep_confirmed());
     spawn_local(crate::call::entry::load_probe::receive_replies(Rc::clone(&duty)));
     loop {
         duty.handle(inbox.next().await);
@@ -191,7 +202,9 @@
             }
             EntryEvent::Config(active) => {
                 self.quotas.retain(&active.config.accounts);
+                let revision = active.head.revision;
                 *self.active.borrow_mut() = Some(active);
+                self.confirmation.lock().set_in_force(revision);
                 self.update_readiness();
             }
             EntryEvent::Joined { least_revision } => {
@@ -311,6 +324,7 @@
             "least_revision": *self.least_revision.borrow(),
             "evacuated": *self.evacuated.borrow(),
             "blamed": self.suspects.borrow().blamed(),
+            "revocation": self.dump_confirmation(),
             "services": self.registry.borrow().services,
             "statements": self.registry.borrow().statements,
             "retry_budgets": *self.retry_budgets.borrow(),
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -54,6 +54,9 @@
             if let Some(response) = self.reject_blamed(&call, attempts.failure_decision()) {
                 return failure.unwrap_or(response);
             }
+            if let Some(response) = self.reject_revoked(&call, attempts.failure_decision()) {
+                return failure.unwrap_or(response);
+            }
             let last_round = attempts.is_last_attempt() || self.only_limited_left(&call, &tried);
             if last_round {
                 // A target that was full may still have the shortest queue of all.
--- a/src/call/guard/datagrams.rs
+++ b/src/call/guard/datagrams.rs
@@ -1,4 +1,5 @@
-//! Datagrams from entries: load probes of a target, and requests for grants from a quota.
+//! Datagrams from entries: load probes of a target, and requests for grants from a quota and for
+//! confirmations from the store.
 
 use std::rc::Rc;
 
@@ -6,7 +7,9 @@
 
 use super::GuardDuty;
 use crate::base::consts::MAX_DATAGRAM;
-use crate::base::datagram::{GuardDatagram, GuardReply, ProbeReply, ProbeRequest};
+use crate::base::datagram::{
+    ConfirmationReply, ConfirmationRequest, GuardDatagram, GuardReply, ProbeReply, ProbeRequest,
+};
 use crate::base::wire;
 
 impl GuardDuty {
@@ -25,6 +28,9 @@
                     Some(GuardReply::Quota(self.quotas.handle_request(self.clock.now(), &request)))
                 }
                 Ok(GuardDatagram::QuotaReturn(_unused)) => None,
+                Ok(GuardDatagram::Confirmation(request)) => {
+                    Some(GuardReply::Confirmation(self.state_confirmation(request)))
+                }
                 Err(_malformed) => None,
             };
             if let Some(Ok(bytes)) = reply.map(|reply| wire::encode(&reply)) {
@@ -33,6 +39,14 @@
         }
     }
 
+    /// Returns the newest confirmation from the store that this daemon has.
+    fn state_confirmation(&self, request: ConfirmationRequest) -> ConfirmationReply {
+        let state = self.confirmation.lock();
+        let evidence = state.evidence(self.confirmation.now());
+        let confirmed = evidence.map(|(revision, age)| (revision, age.0));
+        ConfirmationReply { number: request.number, confirmed }
+    }
+
     /// Returns the load of a target, or `None` if the probe is for another incarnation
     /// of this daemon or an unknown target.
     fn probe_load(&self, request: ProbeRequest) -> Option<ProbeReply> {
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -46,6 +46,7 @@
 use crate::decide::crash_suspects::CrashSuspects;
 use crate::decide::quota::QuotaTerms;
 use crate::decide::target_incarnation::TargetIncarnation;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::ring::{RingInbox, RingSender};
@@ -77,6 +78,8 @@
     pub(crate) own_service: Option<ServiceName>,
     /// Shared with the entry of this daemon.
     pub(crate) own_target: OwnTarget,
+    /// Shared with the other duties of this daemon.
+    pub(crate) confirmation: SharedConfirmation,
     /// Address of the host's target, if the settings name one.
     pub(crate) target_address: Option<SocketAddr>,
     /// Time for which a target's heartbeat stays valid.
@@ -119,6 +122,8 @@
     own_service: Option<ServiceName>,
     /// What the host's own target runs, for the entry of this daemon.
     own_target: OwnTarget,
+    /// What this daemon knows of the store's newest revision.
+    confirmation: SharedConfirmation,
     /// Configuration in force; `None` until the first one arrives.
     pub(crate) config: RefCell<Option<Arc<FleetConfig>>>,
     pub(crate) target_lease: Cell<Duration>,
@@ -165,6 +170,7 @@
         header_names: parts.header_names,
         own_service: parts.own_service,
         own_target: parts.own_target,
+        confirmation: parts.confirmation,
         config: RefCell::default(),
         target_lease: Cell::new(parts.target_lease),
         cold_terms: Cell::new(parts.cold_terms),
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) mod registry;
 pub(crate) mod report_pacer;
 pub(crate) mod retry;
+pub(crate) mod revocation;
 pub(crate) mod running_requests;
 pub(crate) mod selection;
 pub(crate) mod start_wait;
--- a/src/durable/mod.rs
+++ b/src/durable/mod.rs
@@ -23,6 +23,7 @@
 use crate::base::member::MemberRecord;
 use crate::base::metrics::DaemonMetrics;
 use crate::decide::commit_backoff::CommitBackoff;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::rules::revision::RevisionState;
@@ -69,6 +70,8 @@
     following: watch::Sender<bool>,
     /// Version of the own member row, if the store has one that is up to date.
     own_row_version: Cell<Option<u64>>,
+    /// What this daemon knows of the store's newest revision.
+    confirmation: SharedConfirmation,
     fleet_size: RefCell<usize>,
     rng: RefCell<Pcg64Mcg>,
     metrics: Arc<DaemonMetrics>,
@@ -87,6 +90,8 @@
     /// Whether the whole fleet starts for the first time, so that many daemons read the rows
     /// at once.
     pub(crate) first_start: bool,
+    /// Shared with the other duties of this daemon.
+    pub(crate) confirmation: SharedConfirmation,
 }
 
 /// Runs the duty until its runtime ends.
@@ -97,7 +102,7 @@
     metrics: Arc<DaemonMetrics>,
     logger: Logger,
 ) {
-    let PlatformParts { client, own, rng_seed, source, first_start } = parts;
+    let PlatformParts { client, own, rng_seed, source, first_start, confirmation } = parts;
     let duty = Rc::new(PlatformDuty {
         client,
         revisions: RefCell::default(),
@@ -109,6 +114,7 @@
         poll_wake: Notify::new(),
         following: watch::Sender::new(false),
         own_row_version: Cell::new(None),
+        confirmation,
         fleet_size: RefCell::new(1),
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(rng_seed)),
         metrics,
--- a/src/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -8,11 +8,35 @@
 use slog::{info, warn};
 
 use super::{PlatformDuty, RETRY_PAUSE_BOUNDS};
+use crate::base::clock::MicroTime;
 use crate::base::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S};
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent};
 use crate::rules::revision::{ActiveRevision, RevisionHead};
 use crate::store::publish::{body_name, read_head};
-use crate::store::table::{ConfigUpdate, OperatorConfig, PlatformError};
+use crate::store::table::{ConfigPosition, ConfigUpdate, OperatorConfig, PlatformError};
+
+/// Maximum wait of a feed request if revocations have a bound: it confirms only the time at which
+/// it started, so a long wait would leave no time to pass the confirmation on.
+const STRICT_FEED_WAIT: Duration = Duration::from_millis(500);
+
+/// What a series of reads, each continuing where the last one ended, shows about the store.
+#[derive(Debug, Default)]
+struct ReadChain {
+    /// Newest valid revision that was read; `None` if the store may hold a newer one, because
+    /// the series began with an invalid configuration or a part of the history is missing.
+    newest_revision: Option<u64>,
+}
+
+impl ReadChain {
+    /// Adds a read of the changes after a position, or of the whole state if that is zero.
+    fn record(&mut self, after: u64, update: &ConfigUpdate) {
+        let continues = after != 0 && update.complete;
+        let earlier = self.newest_revision.filter(|_revision| continues);
+        let read = update.config.as_ref().filter(|_config| update.complete);
+        let read = read.map(|config| config.revision);
+        self.newest_revision = read.max(earlier);
+    }
+}
 
 impl PlatformDuty {
     /// Watches the operator's configuration while this daemon follows the store.
@@ -27,10 +51,16 @@
             tokio::select! {
                 () = follows => self.follow_operator_config().await,
                 () = self.poll_wake.notified() => {
-                    let update = self.client.next_config(0).await;
+                    let started_at = self.confirmation.now();
+                    let update = self.client.next_config(ConfigPosition::default()).await;
                     self.count("read", &update);
                     match update {
-                        Ok(update) => _ = self.apply_update(update),
+                        Ok(update) => {
+                            let mut chain = ReadChain::default();
+                            chain.record(0, &update);
+                            self.apply_update(update);
+                            self.confirm(&chain, started_at);
+                        }
                         // Gossip repeats the hint as long as a peer has a newer revision.
                         Err(error) => {
                             warn!(self.logger, "can't read configuration"; "error" => %error);
@@ -46,8 +76,11 @@
     pub(super) async fn follow_operator_config(&self) {
         let mut cursor = 0;
         let mut failures = 0;
+        let mut chain = ReadChain::default();
         while *self.following.borrow() {
-            let update = self.client.next_config(cursor).await;
+            let max_wait = self.confirmation.lock().is_strict().then_some(STRICT_FEED_WAIT);
+            let started_at = self.confirmation.now();
+            let update = self.client.next_config(ConfigPosition { after: cursor, max_wait }).await;
             self.count("watch", &update);
             match update {
                 Ok(update) => {
@@ -57,8 +90,10 @@
                     }
                     failures = 0;
                     let cursor_unchanged = update.cursor == cursor;
+                    chain.record(cursor, &update);
                     cursor = update.cursor;
                     let has_changes = self.apply_update(update);
+                    self.confirm(&chain, started_at);
                     if cursor_unchanged && !has_changes {
                         // The platform replied at once instead of waiting for a change: pause, so
                         // that it isn't requested in a tight loop.
@@ -81,6 +116,16 @@
         }
     }
 
+    /// Records what a read of the store that started at `started_at` proves.
+    ///
+    /// A feed that waited for changes proves what the store held when it was requested; nothing
+    /// is known about the time until its reply arrived.
+    fn confirm(&self, chain: &ReadChain, started_at: MicroTime) {
+        if let Some(revision) = chain.newest_revision {
+            self.confirmation.confirm(revision, started_at);
+        }
+    }
+
     /// Applies an update; returns whether it has a new configuration or evacuation changes.
     fn apply_update(&self, update: ConfigUpdate) -> bool {
         let has_changes = update.config.is_some() || update.evacuations.is_some();
--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -5,6 +5,7 @@
 //! modules of another one. Ring buffers are bounded: a full one returns the message to the
 //! sender.
 
+pub(crate) mod confirmation;
 pub(crate) mod events;
 pub(crate) mod own_target;
 pub(crate) mod readiness;
--- a/src/fleet/store_followers.rs
+++ b/src/fleet/store_followers.rs
@@ -87,13 +87,7 @@
     members: impl Iterator<Item = &'a MemberRecord>,
     own_host: &HostName,
 ) -> bool {
-    let alive: Vec<&MemberRecord> = members.filter(|member| is_alive(member)).collect();
-    let mut candidates = alive.clone();
-    candidates.retain(|member| !member.store_lost);
-    if candidates.is_empty() {
-        // No daemon reaches the store: the first ones in the order retry it.
-        candidates = alive;
-    }
+    let candidates = follower_candidates(members);
     let Some(own_member) = candidates.iter().find(|member| member.host == *own_host) else {
         return false;
     };
@@ -103,6 +97,28 @@
     preceding < MAX_STORE_FOLLOWERS
 }
 
+/// Returns the daemons that follow the store.
+pub(crate) fn select_followers<'a>(
+    members: impl Iterator<Item = &'a MemberRecord>,
+) -> Vec<&'a MemberRecord> {
+    let mut candidates = follower_candidates(members);
+    candidates.sort_by_cached_key(|member| selection_hash(&member.host));
+    candidates.truncate(MAX_STORE_FOLLOWERS);
+    candidates
+}
+
+/// Returns the daemons from which the followers are selected: those that are alive and reach the
+/// store.
+fn follower_candidates<'a>(
+    members: impl Iterator<Item = &'a MemberRecord>,
+) -> Vec<&'a MemberRecord> {
+    let alive: Vec<&MemberRecord> = members.filter(|member| is_alive(member)).collect();
+    let mut candidates = alive.clone();
+    candidates.retain(|member| !member.store_lost);
+    // If no daemon reaches the store, the first ones in the order retry it.
+    if candidates.is_empty() { alive } else { candidates }
+}
+
 fn is_alive(member: &MemberRecord) -> bool {
     member.state == MemberState::Alive
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,8 @@
 pub use base::clock::MicroTime;
 pub use base::consts::*;
 pub use base::datagram::{
-    GuardDatagram, GuardReply, ProbeReply, ProbeRequest, QuotaReply, QuotaRequest, QuotaReturn,
+    ConfirmationReply, ConfirmationRequest, GuardDatagram, GuardReply, ProbeReply, ProbeRequest,
+    QuotaReply, QuotaRequest, QuotaReturn,
 };
 pub use base::digest::RequestDigest;
 pub use base::evacuation::{EvacuationState, EvacuationUpdate};
@@ -95,6 +96,9 @@
 pub use decide::retry::{
     AttemptResult, CallAttempts, RetryBudget, RetryDecision, RetryShare, hedge_after,
 };
+pub use decide::revocation::{
+    ConfirmationAsker, ConfirmationRound, RevocationState, StoreConfirmation,
+};
 pub use decide::running_requests::{RunningRequests, TrackedRequest};
 pub use decide::selection::{
     CallEstimate, DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetLocation, TargetRecord,
@@ -111,7 +115,7 @@
 pub use process::daemon::{DaemonParts, RunningDaemon, spawn};
 pub use process::listen::{DaemonAddresses, StartError};
 pub use process::settings::{BudgetSettings, DaemonSettings, DeploymentSettings, is_settings};
-pub use rules::account::{AccountIndex, AccountParameters, KindParameters};
+pub use rules::account::{AccountIndex, AccountParameters, KindParameters, TokenHash};
 pub use rules::config::{FleetConfig, RequestKind, ServiceTemplate};
 pub use rules::options::{CallOptions, HedgeRule, KindOptions};
 pub use rules::revision::{ActiveRevision, AdoptError, RevisionHead, RevisionState};
@@ -120,6 +124,6 @@
 };
 pub use store::publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use store::table::{
-    CommitReply, ConfigUpdate, OperatorConfig, PlatformClient, PlatformError, PutObjectOperation,
-    StoreFuture, StoreOperation, StoreOperations, TableRow, TableWrite,
+    CommitReply, ConfigPosition, ConfigUpdate, OperatorConfig, PlatformClient, PlatformError,
+    PutObjectOperation, StoreFuture, StoreOperation, StoreOperations, TableRow, TableWrite,
 };
--- a/src/process/adapter.rs
+++ b/src/process/adapter.rs
@@ -4,6 +4,7 @@
 
 use http::{Method, StatusCode};
 
+use crate::base::clock::MicroTime;
 use crate::base::consts::TARGET_LEASE;
 use crate::call::headers::HeaderNames;
 use crate::decide::cold_start::ColdTerms;
@@ -53,6 +54,12 @@
     pub retry_slack: f64,
     /// Time for which a target's heartbeat stays valid without another one.
     pub target_lease: Duration,
+    /// Whether a revoked token must be refused within [`Self::revoke`] everywhere, also by
+    /// daemons that are cut off.
+    pub strict_revocation: bool,
+    /// Time after the acknowledgement of a revision from which the tokens that it revoked are
+    /// refused.
+    pub revoke: Duration,
     /// Time from a stop signal until the process is killed.
     pub grace: Duration,
     /// Calls that cold targets may be given beyond their rate.
@@ -70,6 +77,13 @@
     pub errors: Vec<String>,
 }
 
+impl DeploymentTerms {
+    /// Returns the bound on the use of revoked tokens, if the deployment sets one.
+    pub(crate) fn revocation_bound(&self) -> Option<MicroTime> {
+        self.strict_revocation.then(|| self.revoke.into())
+    }
+}
+
 impl Default for DeploymentTerms {
     /// Returns the terms for a platform that sets none.
     fn default() -> Self {
@@ -77,6 +91,8 @@
             retry_ratio: 0.1,
             retry_slack: 10.0,
             target_lease: TARGET_LEASE,
+            strict_revocation: false,
+            revoke: Duration::from_secs(5),
             grace: Duration::from_secs(6),
             cold: ColdTerms::default(),
             quota: QuotaTerms::default(),
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -19,6 +19,7 @@
 use crate::call::headers::DEFAULT_HEADER_NAMES;
 use crate::decide::probe_budget::ProbeBudget;
 use crate::durable::{self, ConfigSource, PlatformParts, PlatformRings};
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
@@ -130,6 +131,7 @@
     let rings = open_rings();
     let readiness = DaemonReadiness::default();
     let own_target = OwnTarget::default();
+    let confirmation = SharedConfirmation::open(terms.and_then(|terms| terms.revocation_bound()));
     let mut duties: Vec<(&str, DutyFactory)> = Vec::new();
 
     let parts = EntryParts {
@@ -140,6 +142,7 @@
             .map_or(0.0, |deployment| f64::from(deployment.crossing_cost) / 1_000.0),
         own_service: deployment.map(|deployment| deployment.service.clone()),
         own_target: own_target.clone(),
+        confirmation: confirmation.clone(),
         retry_share: reload::retry_share(terms),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         readiness: readiness.clone(),
@@ -162,6 +165,7 @@
         header_names,
         own_service: deployment.map(|deployment| deployment.service.clone()),
         own_target,
+        confirmation: confirmation.clone(),
         target_address: deployment.and_then(|deployment| deployment.target_address),
         target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
         cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
@@ -188,7 +192,9 @@
 
     let source = if platform.is_some() { ConfigSource::Operator } else { ConfigSource::Published };
     let first_start = settings.first_start;
-    let parts = PlatformParts { client, own, rng_seed: seed.wrapping_add(2), source, first_start };
+    let (rng_seed, confirmed) = (seed.wrapping_add(2), confirmation.clone());
+    let parts =
+        PlatformParts { client, own, rng_seed, source, first_start, confirmation: confirmed };
     let (inbox, counters, log) = (rings.platform, Arc::clone(&metrics), logger.clone());
     let out = rings.from_platform;
     duties.push(("platform", duty_factory(move || durable::run(parts, inbox, out, counters, log))));
@@ -212,7 +218,7 @@
             return;
         }
         info!(logger, "started"; "incarnation" => incarnation.0, "terms" => ?terms);
-        let reloader = SettingsReloader { reload, adapter, current_terms: terms };
+        let reloader = SettingsReloader { reload, adapter, confirmation, current_terms: terms };
         let DaemonSignals { terminate, interrupt, hangup } = &mut signals;
         tokio::select! {
             () = stop::wait_for_stop(terminate, interrupt, stop_requested) => {}
--- a/src/process/reload.rs
+++ b/src/process/reload.rs
@@ -7,6 +7,7 @@
 
 use crate::base::findings::FindingList;
 use crate::decide::retry::RetryShare;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{EntryEvent, GuardEvent};
 use crate::process::adapter::{DeploymentAdapter, DeploymentTerms};
 use crate::process::admin::AdminRings;
@@ -46,6 +47,8 @@
 pub(crate) struct SettingsReloader {
     pub(crate) reload: Box<dyn Fn() -> Result<DaemonSettings, FindingList> + Send>,
     pub(crate) adapter: &'static DeploymentAdapter,
+    /// Shared with the duties.
+    pub(crate) confirmation: SharedConfirmation,
     /// Terms that the duties use now.
     pub(crate) current_terms: Option<DeploymentTerms>,
 }
@@ -82,6 +85,7 @@
         if let Some(terms) = terms.filter(|_terms| changed) {
             let DeploymentTerms { target_lease: lease, cold, quota, .. } = terms;
             let retries = retry_share(Some(terms));
+            reloader.confirmation.lock().set_bound(terms.revocation_bound());
             let entry_sent = rings.entry.push(EntryEvent::Settings { retries, quota }).is_ok();
             let guard_sent = rings.guard.push(GuardEvent::Settings { lease, cold, quota }).is_ok();
             if entry_sent && guard_sent {
--- a/src/rules/account.rs
+++ b/src/rules/account.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// BLAKE3 hash of a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenHash([u8; blake3::OUT_LEN]);
+
+impl TokenHash {
+    /// Hashes a token.
+    pub(crate) fn of(token: &[u8]) -> Self {
+        Self(*blake3::hash(token).as_bytes())
+    }
+}
+
 /// Index of the accounts by the hashes of their tokens.
 ///
 /// The time that a look-up takes may reveal something about the hash of the presented token. A
@@ -75,10 +86,10 @@
 impl Eq for AccountIndex {}
 
 impl AccountIndex {
-    /// Returns the position in `accounts` of the owner of a token.
-    pub(crate) fn of_token(&self, accounts: &[AccountParameters], token: &[u8]) -> Option<usize> {
+    /// Returns the position in `accounts` of the owner of a token with the given hash.
+    pub(crate) fn of_hash(&self, accounts: &[AccountParameters], hash: TokenHash) -> Option<usize> {
         let owners = self.0.get_or_init(|| Self::build(accounts));
-        owners.get(blake3::hash(token).as_bytes()).copied()
+        owners.get(&hash.0).copied()
     }
 
     fn build(accounts: &[AccountParameters]) -> HashMap<[u8; blake3::OUT_LEN], usize> {
--- a/src/rules/config.rs
+++ b/src/rules/config.rs
@@ -10,7 +10,7 @@
 use crate::base::ids::ServiceName;
 use crate::base::wire::CallPriority;
 use crate::decide::selection::{self, SelectionPolicy};
-use crate::rules::account::{AccountIndex, AccountParameters};
+use crate::rules::account::{AccountIndex, AccountParameters, TokenHash};
 use crate::rules::config_checks::{CONFIG_FIELDS, ConfigNames, parse_leniently};
 use crate::rules::file_schema::CheckedFile;
 use crate::rules::options::{CallOptions, HedgeRule, KindOptions};
@@ -125,7 +125,12 @@
     /// Returns the account that owns a bearer token.
     #[must_use]
     pub fn account(&self, token: &[u8]) -> Option<&AccountParameters> {
-        self.account_index.of_token(&self.accounts, token).map(|index| &self.accounts[index])
+        self.account_of_hash(TokenHash::of(token))
+    }
+
+    /// Returns the account that owns the bearer token with the given hash.
+    pub(crate) fn account_of_hash(&self, hash: TokenHash) -> Option<&AccountParameters> {
+        self.account_index.of_hash(&self.accounts, hash).map(|index| &self.accounts[index])
     }
 
     /// Returns the options of a call, from its account's parameters and its service's
--- a/src/store/table.rs
+++ b/src/store/table.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -85,11 +86,23 @@
     pub config: FleetConfig,
 }
 
+/// Position from which to read the operator's configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigPosition {
+    /// Version of the store after which to wait for a change; zero to read the current state at
+    /// once.
+    pub after: u64,
+    /// Maximum wait for a change; `None` for that of the adapter.
+    pub max_wait: Option<Duration>,
+}
+
 /// Changes to the operator's configuration, as read from the platform.
 #[derive(Clone, Debug)]
 pub struct ConfigUpdate {
     /// Position after which to wait for the next change; zero to read the whole state again.
     pub cursor: u64,
+    /// Whether the newest configuration up to that position is part of the update, if it changed.
+    pub complete: bool,
     /// The newest configuration, if it changed.
     pub config: Option<OperatorConfig>,
     /// Why a changed configuration is invalid; the one in force stays.
@@ -99,10 +112,10 @@
 }
 
 impl ConfigUpdate {
-    /// Returns an update without any change, with the position to continue from.
+    /// Returns an update without any content, with the position to continue from.
     #[must_use]
     pub const fn empty(cursor: u64) -> Self {
-        Self { cursor, config: None, config_error: None, evacuations: None }
+        Self { cursor, complete: false, config: None, config_error: None, evacuations: None }
     }
 }
 
@@ -128,7 +141,7 @@
     /// Writes a whole object.
     pub put_object: PutObjectOperation,
     /// Waits for a change of the operator's configuration after a position.
-    pub next_config: StoreOperation<u64, ConfigUpdate>,
+    pub next_config: StoreOperation<ConfigPosition, ConfigUpdate>,
 }
 
 impl fmt::Debug for StoreOperations {
@@ -195,13 +208,13 @@
         (self.operations.put_object)(name.to_owned(), body).await
     }
 
-    /// Waits some seconds at most for a change of the operator's configuration after the
-    /// position `after`; reads the current configuration at once if `after` is zero.
+    /// Waits some seconds at most for a change of the operator's configuration after a
+    /// position; reads the current configuration at once if the position is zero.
     ///
     /// # Errors
     ///
     /// Returns an error if the platform can't be reached or its reply can't be decoded.
-    pub async fn next_config(&self, after: u64) -> Result<ConfigUpdate, PlatformError> {
-        (self.operations.next_config)(after).await
+    pub async fn next_config(&self, from: ConfigPosition) -> Result<ConfigUpdate, PlatformError> {
+        (self.operations.next_config)(from).await
     }
 }
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -104,6 +104,12 @@
         target["load"]["slowness"].as_u64()
     }
 
+    /// Starts a daemon that reaches the store at another address, such as that of a link to it.
+    pub fn start_daemon_with_store(&self, index: usize, store: SocketAddr) -> DaemonProcess {
+        let spec = DaemonSpec { platform: store, ..self.daemon_spec(index) };
+        DaemonProcess::spawn(&spec).expect("daemon")
+    }
+
     fn daemon_spec(&self, index: usize) -> DaemonSpec {
         DaemonSpec {
             advertised: None,
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -7,8 +7,9 @@
 
 use common::eventually;
 use common::hosted::{HostedFleet, SAFE_PREFIX, SERVICE, VIRTUAL_HOST, platform_config};
-use railspan_standins::{HostedResponse, hosted_call};
+use railspan_standins::{FaultyLink, HostedResponse, LinkDirection, hosted_call};
 use serde_json::{Value, json};
+use tokio::runtime::Runtime;
 
 const KEY: &str = "n2ftimaj3nr26tta828m";
 const OTHER_KEY: &str = "82thhkmgjqnirth5mgjy";
@@ -18,6 +19,13 @@
 const TERMS: &str =
     "heartbeat=500ms,retry_budget_ratio=0.2,budget_slack=58,grace=6s,quota_window=5s";
 
+/// Deployment terms with a bound on the use of removed keys.
+const STRICT_TERMS: &str = "heartbeat=500ms,retry_budget_ratio=0.2,budget_slack=58,grace=6s,\
+                            strict_revocation=true,revoke=5000ms";
+
+/// Time longer than that bound.
+const PAST_BOUND: Duration = Duration::from_secs(7);
+
 /// Builds a configuration with client accounts, and with a public route besides the others.
 fn config_with_accounts(version: u64, keys: &[&str], per_s: u64, burst: u64) -> String {
     let mut config: Value = serde_json::from_str(&platform_config(version, SERVICE)).expect("json");
@@ -64,6 +72,30 @@
     runs.next()?.headers.get(name).cloned()
 }
 
+/// Starts a fleet whose last daemon reaches the store through the returned link, and waits until
+/// that daemon serves requests with a key.
+fn spawn_with_store_link(hosts: usize, terms: &str) -> (HostedFleet, FaultyLink, Runtime) {
+    let runtime = Runtime::new().expect("runtime");
+    let link = FaultyLink::bind(runtime.handle(), false).expect("link");
+    let mut fleet = HostedFleet::spawn_with_terms(hosts, Duration::from_millis(2), terms);
+    link.set_upstream(fleet.platform.address());
+    let last = hosts - 1;
+    fleet.daemons[last].kill().expect("kill");
+    fleet.daemons[last] = fleet.start_daemon_with_store(last, link.address());
+    fleet.targets[last].send_heartbeats_to(fleet.control(last));
+    fleet.platform.write_config(&config_with_accounts(8, &[KEY, FORMER_KEY], 0, 0));
+    eventually("requests with a key are served", || {
+        call_with_key(&fleet, last, SAFE_PREFIX, Some(FORMER_KEY), "warm").status == 200
+    });
+    (fleet, link, runtime)
+}
+
+/// Stops all transfers through a link; open connections stay open.
+fn cut(link: &FaultyLink) {
+    link.cut(LinkDirection::Inbound, true);
+    link.cut(LinkDirection::Outbound, true);
+}
+
 /// Starts a fleet and waits until a configuration with accounts is in force everywhere.
 fn spawn_with_accounts(per_s: u64, burst: u64) -> HostedFleet {
     let fleet = HostedFleet::spawn_with_terms(3, Duration::from_millis(2), TERMS);
@@ -109,6 +141,55 @@
     }
 }
 
+/// A daemon that reaches neither the store nor another daemon must not serve a key for good that
+/// may have been removed without its knowledge.
+#[test]
+fn a_daemon_that_is_cut_off_refuses_keys_after_the_bound() {
+    let (fleet, link, _runtime) = spawn_with_store_link(1, STRICT_TERMS);
+    cut(&link);
+    fleet.platform.write_config(&config_with_accounts(9, &[KEY], 0, 0));
+    let mut refusal = None;
+    eventually("the removed key is refused", || {
+        let answer = call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "probe");
+        refusal = (answer.status != 200).then_some(answer);
+        refusal.is_some()
+    });
+    let refusal = refusal.expect("refusal");
+    assert_eq!(refusal.status, 503);
+    assert!(refusal.headers.contains_key("retry-after"), "no retry-after header");
+    assert!(String::from_utf8_lossy(&refusal.body).contains("unconfirmed"), "{refusal:?}");
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "late").status, 503);
+    assert_eq!(fleet.run_count("late"), 0);
+    // Requests that no revision can revoke are served as before.
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, None, "without").status, 200);
+    assert_eq!(call_with_key(&fleet, 0, "/open/", Some(FORMER_KEY), "public").status, 200);
+    link.heal();
+    eventually("the kept key is served", || {
+        call_with_key(&fleet, 0, SAFE_PREFIX, Some(KEY), "healed").status == 200
+    });
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "gone").status, 401);
+}
+
+/// Without the term, daemons that are cut off must go on serving.
+#[test]
+fn a_daemon_that_is_cut_off_keeps_serving_where_revocations_have_no_bound() {
+    let (fleet, link, _runtime) = spawn_with_store_link(1, TERMS);
+    cut(&link);
+    std::thread::sleep(PAST_BOUND);
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(KEY), "after").status, 200);
+}
+
+/// A daemon that lost the store alone must learn from the others that no key was removed.
+#[test]
+fn a_daemon_without_the_store_serves_keys_as_the_others_confirm_them() {
+    let (fleet, link, _runtime) = spawn_with_store_link(3, STRICT_TERMS);
+    cut(&link);
+    fleet.platform.write_config(&config_with_accounts(9, &[KEY], 0, 0));
+    std::thread::sleep(PAST_BOUND);
+    assert_eq!(call_with_key(&fleet, 2, SAFE_PREFIX, Some(KEY), "kept").status, 200);
+    assert_eq!(call_with_key(&fleet, 2, SAFE_PREFIX, Some(FORMER_KEY), "gone").status, 401);
+}
+
 #[test]
 fn a_configuration_with_one_key_for_two_accounts_is_refused_and_no_key_is_shown() {
     let fleet = spawn_with_accounts(0, 0);
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -29,6 +29,17 @@
     assert!((parsed.terms.retry_slack - 216.0).abs() < 1e-9);
 }
 
+/// The bound on revoked tokens must hold only where the deployment asks for it.
+#[test]
+fn revocations_have_a_bound_only_if_the_terms_say_so() {
+    let strict = |text: &str| (railspan::adapter().parse_terms)(text).terms.strict_revocation;
+    assert!(strict("revoke=4000ms,strict_revocation=true"));
+    assert!(!strict("revoke=4000ms,strict_revocation=false"));
+    assert!(!strict("revoke=4000ms"));
+    let parsed = (railspan::adapter().parse_terms)("strict_revocation=true,revoke=4000ms");
+    assert_eq!(parsed.terms.revoke, Duration::from_secs(4));
+}
+
 #[test]
 fn an_invalid_term_is_reported_and_the_others_are_used() {
     let parsed = (railspan::adapter().parse_terms)("heartbeat=1s,0.2,grace=soon,budget_slack=9");
