--- a/src/fleet/store_followers.rs
+++ b/src/fleet/store_followers.rs
@@ -98,7 +98,8 @@
 }
 
 /// Returns the daemons that follow the store.
-pub(crate) fn select_followers<'a>(
+#[must_use]
+pub fn select_followers<'a>(
     members: impl Iterator<Item = &'a MemberRecord>,
 ) -> Vec<&'a MemberRecord> {
     let mut candidates = follower_candidates(members);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -107,7 +107,9 @@
 pub use decide::target_incarnation::{HeartbeatVerdict, TargetIncarnation};
 pub use duty::target_report::{TargetAnnouncement, TargetReport};
 pub use fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
-pub use fleet::store_followers::{FollowerRole, MAX_STORE_FOLLOWERS, follows_store};
+pub use fleet::store_followers::{
+    FollowerRole, MAX_STORE_FOLLOWERS, follows_store, select_followers,
+};
 pub use platform::{ConfigurationError, adapter, open_store};
 pub use process::adapter::{
     ControlError, ControlRequest, DeploymentAdapter, DeploymentTerms, ParsedTerms,
