Prove revisions only by gapless reads; hosts without confirmation in status

Cause: a read that began with an invalid configuration, a lost history or a store whose version went back could be taken for proof of a revision.

Change: decide/revocation/read_chain follows the series of reads. With a bound on revocations, a store whose version went back is read anew. railspan status names hosts that refuse tokens.

tests/fleet_report.rs sets the new field of HostStatus to false; its expected reports are unchanged.

--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -112,6 +112,9 @@
     pub ready: bool,
     /// Whether the daemon's last attempt to reach the platform's store failed.
     pub store_lost: bool,
+    /// Whether the daemon refuses requests with a token, because it can't confirm that none was
+    /// revoked.
+    pub unconfirmed: bool,
     /// Whether the daemon considers its data centre evacuated.
     pub evacuated: bool,
     /// Requests that are blamed for crashing targets, which the daemon sends to no target.
@@ -199,6 +202,7 @@
         revision: None,
         ready: false,
         store_lost: member.store_lost,
+        unconfirmed: false,
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
@@ -209,6 +213,7 @@
 fn apply_answer(host: &mut HostStatus, answer: &Value) {
     host.revision = answer["in_force"].as_u64();
     host.ready = answer["ready"] == Value::Bool(true);
+    host.unconfirmed = answer["unconfirmed"] == Value::Bool(true);
     let evacuated = answer["evacuated"].as_array();
     host.evacuated =
         evacuated.is_some_and(|all| all.iter().any(|name| name == host.data_centre.as_str()));
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -68,6 +68,9 @@
         if self.store_lost && self.condition <= HostCondition::NoAnswer {
             differences.push("store lost".to_owned());
         }
+        if self.unconfirmed {
+            differences.push("refuses tokens, revocations unconfirmed".to_owned());
+        }
         differences
     }
 }
--- a/src/decide/revocation/mod.rs
+++ b/src/decide/revocation/mod.rs
@@ -5,12 +5,14 @@
 //! without the daemon's knowledge, so requests with a token are refused.
 
 mod asker;
+mod read_chain;
 
 use serde::Serialize;
 
 use crate::base::clock::MicroTime;
 
 pub use asker::{ConfirmationAsker, ConfirmationRound};
+pub use read_chain::{ReadChain, StoreRead};
 
 /// Fraction of the bound that is kept as a margin, as a divisor, and the maximum margin.
 ///
--- a/src/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -10,6 +10,7 @@
 use super::{PlatformDuty, RETRY_PAUSE_BOUNDS};
 use crate::base::clock::MicroTime;
 use crate::base::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S};
+use crate::decide::revocation::{ReadChain, StoreRead};
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent};
 use crate::rules::revision::{ActiveRevision, RevisionHead};
 use crate::store::publish::{body_name, read_head};
@@ -19,25 +20,6 @@
 /// it started, so a long wait would leave no time to pass the confirmation on.
 const STRICT_FEED_WAIT: Duration = Duration::from_millis(500);
 
-/// What a series of reads, each continuing where the last one ended, shows about the store.
-#[derive(Debug, Default)]
-struct ReadChain {
-    /// Newest valid revision that was read; `None` if the store may hold a newer one, because
-    /// the series began with an invalid configuration or a part of the history is missing.
-    newest_revision: Option<u64>,
-}
-
-impl ReadChain {
-    /// Adds a read of the changes after a position, or of the whole state if that is zero.
-    fn record(&mut self, after: u64, update: &ConfigUpdate) {
-        let continues = after != 0 && update.complete;
-        let earlier = self.newest_revision.filter(|_revision| continues);
-        let read = update.config.as_ref().filter(|_config| update.complete);
-        let read = read.map(|config| config.revision);
-        self.newest_revision = read.max(earlier);
-    }
-}
-
 impl PlatformDuty {
     /// Watches the operator's configuration while this daemon follows the store.
     ///
@@ -57,7 +39,7 @@
                     match update {
                         Ok(update) => {
                             let mut chain = ReadChain::default();
-                            chain.record(0, &update);
+                            chain.record(store_read(0, &update));
                             self.apply_update(update);
                             self.confirm(&chain, started_at);
                         }
@@ -90,8 +72,10 @@
                     }
                     failures = 0;
                     let cursor_unchanged = update.cursor == cursor;
-                    chain.record(cursor, &update);
-                    cursor = update.cursor;
+                    chain.record(store_read(cursor, &update));
+                    let went_back = update.cursor < cursor;
+                    // A store that was restored may have changes that a feed doesn't show.
+                    cursor = if went_back && max_wait.is_some() { 0 } else { update.cursor };
                     let has_changes = self.apply_update(update);
                     self.confirm(&chain, started_at);
                     if cursor_unchanged && !has_changes {
@@ -121,7 +105,7 @@
     /// A feed that waited for changes proves what the store held when it was requested; nothing
     /// is known about the time until its reply arrived.
     fn confirm(&self, chain: &ReadChain, started_at: MicroTime) {
-        if let Some(revision) = chain.newest_revision {
+        if let Some(revision) = chain.newest_revision() {
             self.confirmation.confirm(revision, started_at);
         }
     }
@@ -245,3 +229,10 @@
         }
     }
 }
+
+/// Returns what a read of the changes after a position, or of the whole state if that is zero,
+/// has shown.
+fn store_read(after: u64, update: &ConfigUpdate) -> StoreRead {
+    let revision = update.config.as_ref().map(|config| config.revision);
+    StoreRead { after, cursor: update.cursor, complete: update.complete, revision }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,7 +97,7 @@
     AttemptResult, CallAttempts, RetryBudget, RetryDecision, RetryShare, hedge_after,
 };
 pub use decide::revocation::{
-    ConfirmationAsker, ConfirmationRound, RevocationState, StoreConfirmation,
+    ConfirmationAsker, ConfirmationRound, ReadChain, RevocationState, StoreConfirmation, StoreRead,
 };
 pub use decide::running_requests::{RunningRequests, TrackedRequest};
 pub use decide::selection::{
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -123,6 +123,7 @@
             "ready": entry["ready"],
             "in_force": entry["revision"],
             "evacuated": entry["evacuated"],
+            "unconfirmed": entry["revocation"]["serves_tokens"] == json!(false),
             "blamed": entry["blamed"],
             "statements": statements.unwrap_or_default(),
             "head": *self.revision_head.borrow(),
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -21,6 +21,7 @@
         revision: Some(12),
         ready: true,
         store_lost: false,
+        unconfirmed: false,
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
@@ -47,6 +48,16 @@
     assert!(text.contains("ba-norte-1 is evacuated, as 1 of 2 hosts there say"), "{text}");
 }
 
+/// A host that refuses all tokens must not look like one that serves them.
+#[test]
+fn a_host_that_cannot_confirm_revocations_is_named() {
+    let mut hosts: Vec<HostStatus> = (0..3).map(healthy_host).collect();
+    hosts[1].unconfirmed = true;
+    let text = railspan::render_status(&hosts, false);
+    let line = text.lines().find(|line| line.starts_with("host-001")).expect("line");
+    assert!(line.contains("refuses tokens, revocations unconfirmed"), "{text}");
+}
+
 #[test]
 fn a_blamed_request_is_named_once() {
     let mut hosts: Vec<HostStatus> = (0..10).map(healthy_host).collect();
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -170,6 +170,20 @@
     assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "gone").status, 401);
 }
 
+/// A daemon that resumes after a suspension must not serve a key by what it knew before, not even
+/// for the first request.
+#[test]
+fn a_suspended_daemon_serves_no_removed_key_when_it_resumes() {
+    let (fleet, link, _runtime) = spawn_with_store_link(1, STRICT_TERMS);
+    cut(&link);
+    fleet.daemons[0].freeze().expect("freeze");
+    fleet.platform.write_config(&config_with_accounts(9, &[KEY], 0, 0));
+    std::thread::sleep(PAST_BOUND);
+    fleet.daemons[0].thaw().expect("thaw");
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "resumed").status, 503);
+    assert_eq!(fleet.run_count("resumed"), 0);
+}
+
 /// Without the term, daemons that are cut off must go on serving.
 #[test]
 fn a_daemon_that_is_cut_off_keeps_serving_where_revocations_have_no_bound() {
--- a/tests/revocation.rs
+++ b/tests/revocation.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use railspan::{
     ConfirmationAsker, ConfirmationRound, DaemonIncarnation, HostName, MemberRecord, MemberState,
-    MicroTime, RevocationState, StoreConfirmation, select_followers,
+    MicroTime, ReadChain, RevocationState, StoreConfirmation, StoreRead, select_followers,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -322,6 +322,31 @@
     assert_eq!(StoreConfirmation::from_peer(MicroTime::from_millis(100), 3, age), None);
 }
 
+/// A feed must not prove a revision if the series of reads has a gap, or began with a
+/// configuration that could not be used: a valid one may have been missed before it.
+#[test]
+fn reads_prove_a_revision_only_without_a_gap() {
+    let read = |after, cursor, revision| StoreRead { after, cursor, complete: true, revision };
+    let mut chain = ReadChain::default();
+    chain.record(read(0, 5, None));
+    chain.record(read(5, 8, None));
+    assert_eq!(chain.newest_revision(), None, "began with an invalid configuration");
+    chain.record(read(8, 9, Some(3)));
+    chain.record(read(9, 12, None));
+    assert_eq!(chain.newest_revision(), Some(3));
+    for gap in [
+        read(12, 0, None),
+        read(12, 7, None),
+        read(0, 13, None),
+        StoreRead { complete: false, ..read(12, 13, Some(4)) },
+    ] {
+        let mut broken = chain;
+        broken.record(gap);
+        broken.record(read(13, 14, None));
+        assert_eq!(broken.newest_revision(), None, "{gap:?}");
+    }
+}
+
 /// Without a bound, tokens are served whatever is known of the store.
 #[test]
 fn nothing_is_refused_without_a_bound() {
