--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -95,6 +95,16 @@
     Left,
 }
 
+/// Whether a daemon serves requests with a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TokenCondition {
+    /// Requests with a valid token are served.
+    Served,
+    /// They are refused, because the daemon can't confirm that no token was revoked.
+    Unconfirmed,
+}
+
 /// Status of one host, as shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct HostStatus {
@@ -112,9 +122,8 @@
     pub ready: bool,
     /// Whether the daemon's last attempt to reach the platform's store failed.
     pub store_lost: bool,
-    /// Whether the daemon refuses requests with a token, because it can't confirm that none was
-    /// revoked.
-    pub unconfirmed: bool,
+    /// Whether the daemon serves requests with a token, as far as known.
+    pub tokens: TokenCondition,
     /// Whether the daemon considers its data centre evacuated.
     pub evacuated: bool,
     /// Requests that are blamed for crashing targets, which the daemon sends to no target.
@@ -202,7 +211,7 @@
         revision: None,
         ready: false,
         store_lost: member.store_lost,
-        unconfirmed: false,
+        tokens: TokenCondition::Served,
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
@@ -213,7 +222,9 @@
 fn apply_answer(host: &mut HostStatus, answer: &Value) {
     host.revision = answer["in_force"].as_u64();
     host.ready = answer["ready"] == Value::Bool(true);
-    host.unconfirmed = answer["unconfirmed"] == Value::Bool(true);
+    if answer["unconfirmed"] == Value::Bool(true) {
+        host.tokens = TokenCondition::Unconfirmed;
+    }
     let evacuated = answer["evacuated"].as_array();
     host.evacuated =
         evacuated.is_some_and(|all| all.iter().any(|name| name == host.data_centre.as_str()));
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::base::digest::RequestDigest;
-use crate::command::operator::{self, HostCondition, HostStatus, required_address};
+use crate::command::operator::{self, HostCondition, HostStatus, TokenCondition, required_address};
 use crate::command::output::{self, CommandOutput};
 
 /// Maximum number of differing hosts that are listed without `--all`: as many as fit on a
@@ -68,7 +68,7 @@
         if self.store_lost && self.condition <= HostCondition::NoAnswer {
             differences.push("store lost".to_owned());
         }
-        if self.unconfirmed {
+        if self.tokens == TokenCondition::Unconfirmed {
             differences.push("refuses tokens, revocations unconfirmed".to_owned());
         }
         differences
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,7 @@
 pub use call::headers::*;
 pub use call::responses::CallOutcome;
 pub use command::cli::run_command;
-pub use command::operator::{HostCondition, HostStatus, TargetStatus};
+pub use command::operator::{HostCondition, HostStatus, TargetStatus, TokenCondition};
 pub use command::request_trace::{RequestTrace, TraceLine};
 pub use command::status::render_status;
 pub use command::targets::render_targets;
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -2,7 +2,8 @@
 //! and name every host that needs attention.
 
 use railspan::{
-    HostCondition, HostStatus, MemberState, TargetStatus, render_status, render_targets,
+    HostCondition, HostStatus, MemberState, TargetStatus, TokenCondition, render_status,
+    render_targets,
 };
 use test_case::test_case;
 
@@ -21,7 +22,7 @@
         revision: Some(12),
         ready: true,
         store_lost: false,
-        unconfirmed: false,
+        tokens: TokenCondition::Served,
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
@@ -52,7 +53,7 @@
 #[test]
 fn a_host_that_cannot_confirm_revocations_is_named() {
     let mut hosts: Vec<HostStatus> = (0..3).map(healthy_host).collect();
-    hosts[1].unconfirmed = true;
+    hosts[1].tokens = TokenCondition::Unconfirmed;
     let text = railspan::render_status(&hosts, false);
     let line = text.lines().find(|line| line.starts_with("host-001")).expect("line");
     assert!(line.contains("refuses tokens, revocations unconfirmed"), "{text}");
--- a/tests/revocation.rs
+++ b/tests/revocation.rs
@@ -10,7 +10,7 @@
     ConfirmationAsker, ConfirmationRound, DaemonIncarnation, HostName, MemberRecord, MemberState,
     MicroTime, ReadChain, RevocationState, StoreConfirmation, StoreRead, select_followers,
 };
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use seeded::seeded;
 
@@ -177,7 +177,9 @@
                     let proof = confirmed.and_then(|(revision, age)| {
                         StoreConfirmation::from_peer(requested_at, revision, age)
                     });
-                    proof.into_iter().for_each(|proof| host.state.confirm(proof));
+                    if let Some(proof) = proof {
+                        host.state.confirm(proof);
+                    }
                 }
             }
         }
