--- a/src/call/entry/confirmation.rs
+++ b/src/call/entry/confirmation.rs
@@ -104,7 +104,7 @@
         loop {
             let state = self.confirmation.lock().clone();
             let now = self.confirmation.now();
-            // Without any confirmation, none was received since the start.
+            // Without a confirmation, the time since the start is the least age.
             let age = state.age(now);
             let serves = state.serves_tokens(now);
             if state.is_strict() {
--- a/tests/hosted_accounts.rs
+++ b/tests/hosted_accounts.rs
@@ -160,6 +160,8 @@
     assert!(String::from_utf8_lossy(&refusal.body).contains("unconfirmed"), "{refusal:?}");
     assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(FORMER_KEY), "late").status, 503);
     assert_eq!(fleet.run_count("late"), 0);
+    // The daemon can't know that a newer revision has not added a key.
+    assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, Some(OTHER_KEY), "unknown").status, 503);
     // Requests that no revision can revoke are served as before.
     assert_eq!(call_with_key(&fleet, 0, SAFE_PREFIX, None, "without").status, 200);
     assert_eq!(call_with_key(&fleet, 0, "/open/", Some(FORMER_KEY), "public").status, 200);
@@ -204,6 +206,18 @@
     assert_eq!(call_with_key(&fleet, 2, SAFE_PREFIX, Some(FORMER_KEY), "gone").status, 401);
 }
 
+/// Without the term, no daemon may ask another for a confirmation; with it, one must.
+#[test]
+fn daemons_ask_for_confirmations_only_with_the_term() {
+    for (terms, asks) in [(TERMS, false), (STRICT_TERMS, true)] {
+        let (fleet, link, _runtime) = spawn_with_store_link(2, terms);
+        cut(&link);
+        std::thread::sleep(Duration::from_secs(4));
+        let requests = fleet.state(1)["entry"]["revocation"]["requests"].clone();
+        assert_eq!(requests["last"].is_object(), asks, "{terms}: {requests}");
+    }
+}
+
 #[test]
 fn a_configuration_with_one_key_for_two_accounts_is_refused_and_no_key_is_shown() {
     let fleet = spawn_with_accounts(0, 0);
