--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -64,6 +64,10 @@
     pub(crate) blamed_requests: IntGauge,
     /// Calls refused because calls that their run makes could not be served.
     pub(crate) downstream_refusals: IntCounter,
+    /// Requests refused because revocations of tokens were not confirmed lately.
+    pub(crate) unconfirmed_refusals: IntCounter,
+    /// Age of the newest confirmation, in milliseconds; zero if revocations have no bound.
+    pub(crate) confirmation_age: IntGauge,
     /// Log lines dropped because the log was not read fast enough.
     pub(crate) log_dropped: IntCounter,
     /// Messages dropped because the ring buffer of a duty was full, by duty.
@@ -96,6 +100,11 @@
         let reserved_slots =
             IntGauge::new("railspan_reserved_slots", "Slots reserved for nested calls")?;
         registry.register(Box::new(reserved_slots.clone()))?;
+        let confirmation_age = IntGauge::new(
+            "railspan_confirmation_age_ms",
+            "Age of the confirmation that no token was revoked",
+        )?;
+        registry.register(Box::new(confirmation_age.clone()))?;
         Ok(Self {
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
@@ -149,6 +158,11 @@
                 "railspan_downstream_refusals_total",
                 "Calls whose own calls could not be served",
             )?,
+            unconfirmed_refusals: counter(
+                "railspan_unconfirmed_refusals_total",
+                "Requests with a token refused without a confirmation",
+            )?,
+            confirmation_age,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             ring_drops: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -96,6 +96,17 @@
     pub takeover: Option<u64>,
 }
 
+/// What the entry knows of where a call was made.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallOrigin {
+    /// Service of the target on the entry's host, if there is one.
+    pub service: Option<ServiceName>,
+    /// Whether that target was running a call when this call arrived at the entry.
+    pub busy: bool,
+    /// Whether the entry knows that this target made the call.
+    pub nested: bool,
+}
+
 /// Head of a call that an entry sends to a guard, followed by the request body.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallHead {
@@ -137,12 +148,8 @@
     pub last: bool,
     /// Name of the route or kind of the call.
     pub route: String,
-    /// Service of the target on the entry's host, if there is one.
-    pub caller_service: Option<ServiceName>,
-    /// Whether that target was running a call when this call arrived at the entry.
-    pub caller_busy: bool,
-    /// Whether the entry knows that the target on its host made the call.
-    pub nested: bool,
+    /// Where the call was made.
+    pub origin: CallOrigin,
     /// Use of the account's quota over the fleet, in thousandths; zero if unknown.
     pub account_usage: u16,
     /// Whether the body is sent only once the guard asks for it.
@@ -194,6 +201,8 @@
     EndsTargets,
     /// Calls that the call's run makes could not be served.
     Downstream,
+    /// The call's token was revoked, or may have been without the entry's knowledge.
+    Unconfirmed,
 }
 
 impl RefusalReason {
@@ -216,6 +225,7 @@
             Self::Malformed => "malformed",
             Self::EndsTargets => "ends_targets",
             Self::Downstream => "downstream",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -15,7 +15,7 @@
 use crate::base::h2io::HeadReader;
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
-use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
+use crate::base::wire::{AnswerHead, CallHead, CallOrigin, RefusalReason};
 use crate::call::entry::EntryDuty;
 use crate::call::entry::exchange::{self, AnswerFailure, NotSent, SentCall};
 use crate::call::entry::intake::CallerCall;
@@ -133,6 +133,9 @@
         guard_time = duty.guard_time(&call.service, target);
     }
     load_watch::watch_target(duty, &call.service, target, location);
+    if !duty.may_send(call) {
+        return AttemptEnd::not_run(RefusalReason::Unconfirmed);
+    }
     let now = duty.clock.now();
     if !has_time_left(call, now) {
         return AttemptEnd::not_run(RefusalReason::TooLate);
@@ -292,9 +295,11 @@
         repeatable: call.options.repeatable,
         last: last_target,
         route: call.options.kind.clone(),
-        caller_service: duty.own_service.clone(),
-        caller_busy: call.caller_busy,
-        nested: call.nested,
+        origin: CallOrigin {
+            service: duty.own_service.clone(),
+            busy: call.caller_busy,
+            nested: call.nested,
+        },
         account_usage: duty.account_usage(&call.account),
         body_follows: exchange::body_follows(&call.body),
         stated_rate: duty.rate_stated_earlier(&call.service, target, location.incarnation),
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -24,7 +24,7 @@
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
 use crate::decide::selection::SelectionPolicy;
-use crate::rules::account::AccountParameters;
+use crate::rules::account::{AccountParameters, TokenHash};
 use crate::rules::config::FleetConfig;
 use crate::rules::options::CallOptions;
 use crate::rules::route::{RouteRule, rank_of};
@@ -61,6 +61,8 @@
     pub(crate) nested: bool,
     /// Whether that target was running a call when this one arrived.
     pub(crate) caller_busy: bool,
+    /// Hash of the request's token, if it is checked again before each attempt.
+    pub(crate) token: Option<TokenHash>,
     /// Claim of the idempotency key, for a call that must not run twice.
     pub(crate) claim: Option<KeyClaim>,
     /// Grant from the account's quota that the call uses.
@@ -113,8 +115,15 @@
     let route = config.route(host.unwrap_or_default(), parts.uri.path());
     let route = route.ok_or_else(|| responses::not_run(StatusCode::NOT_FOUND, "no_route", 0))?;
     let stated_deadline = headers::get_str(&parts.headers, names.deadline_ms);
-    let account = authenticate_routed(config, route, &parts.headers)
-        .map_err(|UnknownToken| responses::not_run(StatusCode::UNAUTHORIZED, "no_account", 0))?;
+    let account = authenticate_routed(config, route, &parts.headers).map_err(|UnknownToken| {
+        // A newer revision may have added the token.
+        let refusal = duty.refuse_unconfirmed();
+        refusal.unwrap_or_else(|| responses::not_run(StatusCode::UNAUTHORIZED, "no_account", 0))
+    })?;
+    if let Some(refusal) = account.and_then(|_account| duty.refuse_unconfirmed()) {
+        return Err(refusal);
+    }
+    let token = account.and_then(|_account| duty.token_to_recheck(&parts.headers));
     let rank = account.and_then(|account| account.rank);
     let caller_busy = duty.own_target.is_busy();
     // Callers other than targets have a token on every route that is not public.
@@ -174,6 +183,7 @@
         deadline,
         nested,
         caller_busy,
+        token,
         claim: None,
         grant,
     })
@@ -218,6 +228,7 @@
         deadline,
         nested: false,
         caller_busy: false,
+        token: None,
         claim: None,
         grant,
     };
@@ -266,7 +277,7 @@
     parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str)
 }
 
-fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
+pub(super) fn bearer_token(headers: &HeaderMap) -> Option<&[u8]> {
     let value = headers.get(AUTHORIZATION)?.as_bytes();
     value.strip_prefix(b"Bearer ")
 }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod attempt;
+mod confirmation;
 mod exchange;
 mod hedge;
 mod intake;
@@ -45,6 +46,8 @@
 use crate::decide::quota::QuotaTerms;
 use crate::decide::registry::TargetRegistry;
 use crate::decide::retry::{RetryBudget, RetryShare};
+use crate::decide::revocation::ConfirmationAsker;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
@@ -92,6 +95,10 @@
     pub(crate) own_service: Option<ServiceName>,
     /// What the target on this host runs now.
     pub(crate) own_target: OwnTarget,
+    /// What this daemon knows of the store's newest revision.
+    confirmation: SharedConfirmation,
+    /// Requests to other daemons for what they know of it.
+    asker: RefCell<ConfirmationAsker>,
     /// Routes that only targets call, as far as known.
     nested_routes: RefCell<NestedRoutes>,
     peers: RingSender<PeersEvent>,
@@ -118,6 +125,7 @@
     pub(crate) crossing_cost: f64,
     pub(crate) own_service: Option<ServiceName>,
     pub(crate) own_target: OwnTarget,
+    pub(crate) confirmation: SharedConfirmation,
     pub(crate) retry_share: RetryShare,
     pub(crate) quota_terms: QuotaTerms,
     pub(crate) readiness: DaemonReadiness,
@@ -162,6 +170,8 @@
         watch_count: Cell::new(0),
         own_service: parts.own_service,
         own_target: parts.own_target,
+        confirmation: parts.confirmation,
+        asker: RefCell::new(ConfirmationAsker::open(rand::random())),
         nested_routes: RefCell::default(),
         readiness: parts.readiness,
         peers: parts.peers,
@@ -174,6 +184,7 @@
         logger,
     });
     spawn_local(Rc::clone(&duty).accept(listener));
+    spawn_local(Rc::clone(&duty).keep_confirmed());
     spawn_local(crate::call::entry::load_probe::receive_replies(Rc::clone(&duty)));
     loop {
         duty.handle(inbox.next().await);
@@ -194,7 +205,9 @@
             }
             EntryEvent::Config(active) => {
                 self.quotas.retain(&active.config.accounts);
+                let revision = active.head.revision;
                 *self.active.borrow_mut() = Some(active);
+                self.confirmation.lock().set_in_force(revision);
                 self.update_readiness();
             }
             EntryEvent::Joined { least_revision } => {
@@ -315,6 +328,7 @@
             "least_revision": *self.least_revision.borrow(),
             "evacuated": *self.evacuated.borrow(),
             "blamed": self.suspects.borrow().blamed(),
+            "revocation": self.dump_confirmation(),
             "services": self.registry.borrow().services,
             "statements": self.registry.borrow().statements,
             "retry_budgets": *self.retry_budgets.borrow(),
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -51,6 +51,7 @@
 use crate::decide::downstream::DownstreamThrottle;
 use crate::decide::quota::QuotaTerms;
 use crate::decide::target_incarnation::TargetIncarnation;
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::ring::{RingInbox, RingSender};
@@ -82,6 +83,8 @@
     pub(crate) own_service: Option<ServiceName>,
     /// Shared with the entry of this daemon.
     pub(crate) own_target: OwnTarget,
+    /// Shared with the other duties of this daemon.
+    pub(crate) confirmation: SharedConfirmation,
     /// Address of the host's target, if the settings name one.
     pub(crate) target_address: Option<SocketAddr>,
     /// Time for which a target's heartbeat stays valid.
@@ -126,6 +129,8 @@
     own_target: OwnTarget,
     /// Throttle of the calls to the host's own target, by the calls that its runs make.
     downstream: RefCell<DownstreamThrottle>,
+    /// What this daemon knows of the store's newest revision.
+    confirmation: SharedConfirmation,
     /// Configuration in force; `None` until the first one arrives.
     pub(crate) config: RefCell<Option<Arc<FleetConfig>>>,
     pub(crate) target_lease: Cell<Duration>,
@@ -175,6 +180,7 @@
         own_service: parts.own_service,
         own_target: parts.own_target,
         downstream: RefCell::default(),
+        confirmation: parts.confirmation,
         config: RefCell::default(),
         target_lease: Cell::new(parts.target_lease),
         cold_terms: Cell::new(parts.cold_terms),
--- a/src/call/guard/nested.rs
+++ b/src/call/guard/nested.rs
@@ -55,19 +55,19 @@
     pub(super) fn find_nested(&self, head: &CallHead) -> CallFinding {
         let config = self.config.borrow();
         if config.as_ref().is_some_and(|config| !config.accounts.is_empty()) {
-            return CallFinding { nested: head.nested, nested_route: false };
+            return CallFinding { nested: head.origin.nested, nested_route: false };
         }
         let call = RouteCall {
             route: &head.route,
-            caller_service: head.caller_service.as_ref(),
-            caller_busy: head.caller_busy,
-            nested: head.nested,
+            caller_service: head.origin.service.as_ref(),
+            caller_busy: head.origin.busy,
+            nested: head.origin.nested,
         };
         let finding = self.nested.classifier.borrow_mut().record(self.clock.now(), &call);
         if finding.changed {
             info!(self.logger, "route classification changed"; "route" => &*head.route,
-                "nested" => finding.nested, "caller" => head.caller_service.as_ref().map(ServiceName::as_str),
-                "caller_busy" => head.caller_busy, "reported" => head.nested);
+                "nested" => finding.nested, "caller" => head.origin.service.as_ref().map(ServiceName::as_str),
+                "caller_busy" => head.origin.busy, "reported" => head.origin.nested);
         }
         CallFinding { nested: finding.nested, nested_route: finding.nested }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,7 +47,8 @@
 pub use base::clock::MicroTime;
 pub use base::consts::*;
 pub use base::datagram::{
-    GuardDatagram, GuardReply, ProbeReply, ProbeRequest, QuotaReply, QuotaRequest, QuotaReturn,
+    ConfirmationReply, ConfirmationRequest, GuardDatagram, GuardReply, ProbeReply, ProbeRequest,
+    QuotaReply, QuotaRequest, QuotaReturn,
 };
 pub use base::digest::RequestDigest;
 pub use base::evacuation::{EvacuationState, EvacuationUpdate};
@@ -64,14 +65,14 @@
     BLAMED_AFTER_CRASHES, RUNS_ALONE_AFTER_CRASHES, SuspectRecord, SuspectUpdate,
 };
 pub use base::wire::{
-    AnswerHead, CallHead, CallPriority, KeyClaim, RefusalReason, RevokeHead, RevokeReply,
-    WatchHead, WireError, decode, encode,
+    AnswerHead, CallHead, CallOrigin, CallPriority, KeyClaim, RefusalReason, RevokeHead,
+    RevokeReply, WatchHead, WireError, decode, encode,
 };
 pub use call::headers::*;
 pub use call::responses::CallOutcome;
 pub use command::accounts::{AccountStatus, AccountsPage, DemandSum, FleetDemand, render_accounts};
 pub use command::cli::run_command;
-pub use command::operator::{HostCondition, HostStatus, TargetStatus};
+pub use command::operator::{HostCondition, HostStatus, TargetStatus, TokenCondition};
 pub use command::request_trace::{RequestTrace, TraceLine};
 pub use command::status::render_status;
 pub use command::targets::render_targets;
@@ -105,6 +106,9 @@
 pub use decide::retry::{
     AttemptResult, CallAttempts, RetryBudget, RetryDecision, RetryShare, hedge_after,
 };
+pub use decide::revocation::{
+    ConfirmationAsker, ConfirmationRound, ReadChain, RevocationState, StoreConfirmation, StoreRead,
+};
 pub use decide::running_requests::{RunningRequests, TrackedRequest};
 pub use decide::selection::{
     CallEstimate, DEFAULT_POLICY, SelectionInput, SelectionPolicy, TargetLocation, TargetRecord,
@@ -113,7 +117,9 @@
 pub use decide::target_incarnation::{HeartbeatVerdict, TargetIncarnation};
 pub use duty::target_report::{TargetAnnouncement, TargetReport};
 pub use fleet::membership::{MembershipAction, MembershipEvent, MembershipState};
-pub use fleet::store_followers::{FollowerRole, MAX_STORE_FOLLOWERS, follows_store};
+pub use fleet::store_followers::{
+    FollowerRole, MAX_STORE_FOLLOWERS, follows_store, select_followers,
+};
 pub use platform::{ConfigurationError, adapter, open_store};
 pub use process::adapter::{
     ControlError, ControlRequest, DeploymentAdapter, DeploymentTerms, ParsedTerms,
@@ -121,7 +127,7 @@
 pub use process::daemon::{DaemonParts, RunningDaemon, spawn};
 pub use process::listen::{DaemonAddresses, StartError};
 pub use process::settings::{BudgetSettings, DaemonSettings, DeploymentSettings, is_settings};
-pub use rules::account::{AccountIndex, AccountParameters, KindParameters};
+pub use rules::account::{AccountIndex, AccountParameters, KindParameters, TokenHash};
 pub use rules::config::{FleetConfig, RequestKind, ServiceTemplate};
 pub use rules::options::{CallOptions, HedgeRule, KindOptions};
 pub use rules::revision::{ActiveRevision, AdoptError, RevisionHead, RevisionState};
@@ -130,6 +136,6 @@
 };
 pub use store::publish::{HEAD_KEY, PublishError, body_name, publish, read_head};
 pub use store::table::{
-    CommitReply, ConfigUpdate, OperatorConfig, PlatformClient, PlatformError, PutObjectOperation,
-    StoreFuture, StoreOperation, StoreOperations, TableRow, TableWrite,
+    CommitReply, ConfigPosition, ConfigUpdate, OperatorConfig, PlatformClient, PlatformError,
+    PutObjectOperation, StoreFuture, StoreOperation, StoreOperations, TableRow, TableWrite,
 };
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -1,5 +1,6 @@
 //! Start and handle of a daemon: its duties, their threads, and the ring buffers between them.
 
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -16,16 +17,17 @@
 use crate::base::metrics::DaemonMetrics;
 use crate::call::entry::{self, EntryParts};
 use crate::call::guard::{self, GuardParts, GuardRings};
-use crate::call::headers::DEFAULT_HEADER_NAMES;
+use crate::call::headers::{DEFAULT_HEADER_NAMES, HeaderNames};
 use crate::decide::probe_budget::ProbeBudget;
 use crate::durable::{self, ConfigSource, PlatformParts, PlatformRings};
+use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::own_target::OwnTarget;
 use crate::duty::readiness::DaemonReadiness;
 use crate::duty::ring::{RingInbox, RingSender};
 use crate::duty::threads::{self, DutyFactory, duty_factory};
 use crate::fleet::peers::{self, PeersParts, PeersRings};
-use crate::process::adapter::DeploymentAdapter;
+use crate::process::adapter::{DeploymentAdapter, DeploymentTerms};
 use crate::process::admin::{AdminDuty, AdminRings};
 use crate::process::listen::{
     self, DaemonAddresses, DaemonListeners, MetricsSnafu, StartError, ThreadSnafu,
@@ -129,7 +131,11 @@
     let incarnation = own.incarnation;
     let rings = open_rings();
     let readiness = DaemonReadiness::default();
-    let own_target = OwnTarget::default();
+    let shared = SharedState {
+        incarnation,
+        own_target: OwnTarget::default(),
+        confirmation: SharedConfirmation::open(terms.and_then(|terms| terms.revocation_bound())),
+    };
     let mut duties: Vec<(&str, DutyFactory)> = Vec::new();
 
     let parts = EntryParts {
@@ -140,7 +146,8 @@
         crossing_cost: deployment
             .map_or(0.0, |deployment| f64::from(deployment.crossing_cost) / 1_000.0),
         own_service: deployment.map(|deployment| deployment.service.clone()),
-        own_target: own_target.clone(),
+        own_target: shared.own_target.clone(),
+        confirmation: shared.confirmation.clone(),
         retry_share: reload::retry_share(terms),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         readiness: readiness.clone(),
@@ -156,22 +163,7 @@
     let (inbox, counters, log) = (rings.entry, Arc::clone(&metrics), logger.clone());
     duties.push(("entry", duty_factory(move || entry::run(parts, inbox, counters, log))));
 
-    let parts = GuardParts {
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
-        incarnation,
-        header_names,
-        own_service: deployment.map(|deployment| deployment.service.clone()),
-        own_target,
-        target_address: deployment.and_then(|deployment| deployment.target_address),
-        target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
-        cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
-        quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
-        max_body: if terms.is_some() { MAX_DEPLOYMENT_BODY } else { MAX_REQUEST_BODY },
-        address: addresses.guard,
-        listener: guard.0,
-        socket: guard.1,
-    };
+    let parts = guard_parts(settings, terms, header_names, &shared, addresses.guard, guard);
     let (inbox, counters, log) = (rings.guard, Arc::clone(&metrics), logger.clone());
     let out = rings.from_guard;
     duties.push(("guard", duty_factory(move || guard::run(parts, inbox, out, counters, log))));
@@ -189,7 +181,8 @@
 
     let source = if platform.is_some() { ConfigSource::Operator } else { ConfigSource::Published };
     let first_start = settings.first_start;
-    let parts = PlatformParts { client, own, rng_seed: seed.wrapping_add(2), source, first_start };
+    let (rng_seed, confirmation) = (seed.wrapping_add(2), shared.confirmation.clone());
+    let parts = PlatformParts { client, own, rng_seed, source, first_start, confirmation };
     let (inbox, counters, log) = (rings.platform, Arc::clone(&metrics), logger.clone());
     let out = rings.from_platform;
     duties.push(("platform", duty_factory(move || durable::run(parts, inbox, out, counters, log))));
@@ -213,7 +206,8 @@
             return;
         }
         info!(logger, "started"; "incarnation" => incarnation.0, "terms" => ?terms);
-        let reloader = SettingsReloader { reload, adapter, current_terms: terms };
+        let confirmation = shared.confirmation;
+        let reloader = SettingsReloader { reload, adapter, confirmation, current_terms: terms };
         let DaemonSignals { terminate, interrupt, hangup } = &mut signals;
         tokio::select! {
             () = stop::wait_for_stop(terminate, interrupt, stop_requested) => {}
@@ -230,6 +224,41 @@
     Ok(RunningDaemon { addresses, stop: Some(stop), admin_thread, log_flusher })
 }
 
+/// Identity and state of a daemon that several of its duties share.
+struct SharedState {
+    incarnation: DaemonIncarnation,
+    own_target: OwnTarget,
+    confirmation: SharedConfirmation,
+}
+
+fn guard_parts(
+    settings: &DaemonSettings,
+    terms: Option<DeploymentTerms>,
+    header_names: &'static HeaderNames,
+    shared: &SharedState,
+    address: SocketAddr,
+    (listener, socket): (TcpListener, UdpSocket),
+) -> GuardParts {
+    let deployment = settings.deployment.as_ref();
+    GuardParts {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: shared.incarnation,
+        header_names,
+        own_service: deployment.map(|deployment| deployment.service.clone()),
+        own_target: shared.own_target.clone(),
+        confirmation: shared.confirmation.clone(),
+        target_address: deployment.and_then(|deployment| deployment.target_address),
+        target_lease: terms.map_or(TARGET_LEASE, |terms| terms.target_lease),
+        cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
+        quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
+        max_body: if terms.is_some() { MAX_DEPLOYMENT_BODY } else { MAX_REQUEST_BODY },
+        address,
+        listener,
+        socket,
+    }
+}
+
 fn initial_record(settings: &DaemonSettings, addresses: &DaemonAddresses) -> MemberRecord {
     MemberRecord {
         host: settings.host.clone(),
--- a/tests/common/guard_wire.rs
+++ b/tests/common/guard_wire.rs
@@ -6,7 +6,8 @@
 use h2::client::ResponseFuture;
 use h2::{RecvStream, SendStream};
 use railspan::{
-    CallHead, CallId, CallPriority, DaemonIncarnation, RequestDigest, SuspectRecord, decode, encode,
+    CallHead, CallId, CallOrigin, CallPriority, DaemonIncarnation, RequestDigest, SuspectRecord,
+    decode, encode,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -106,9 +107,7 @@
         repeatable: true,
         last: true,
         route: "test".to_owned(),
-        caller_service: None,
-        caller_busy: false,
-        nested: false,
+        origin: CallOrigin::default(),
         account_usage: 0,
         body_follows: false,
         stated_rate: None,
--- a/tests/late_copies.rs
+++ b/tests/late_copies.rs
@@ -9,8 +9,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use common::{FleetPlan, TestFleet};
 use railspan::{
-    AnswerHead, CallHead, CallId, CallPriority, CallStatus, DaemonIncarnation, RefusalReason,
-    RequestDigest, RevokeHead, RevokeReply, SuspectRecord, decode, encode,
+    AnswerHead, CallHead, CallId, CallOrigin, CallPriority, CallStatus, DaemonIncarnation,
+    RefusalReason, RequestDigest, RevokeHead, RevokeReply, SuspectRecord, decode, encode,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -64,9 +64,7 @@
         repeatable: true,
         last: true,
         route: "late".to_owned(),
-        caller_service: None,
-        caller_busy: false,
-        nested: false,
+        origin: CallOrigin::default(),
         account_usage: 0,
         body_follows: false,
         stated_rate: None,
