Requests of an account compete for its quota by the rank of their route

Change: the quota is asked for with the route's own priority; the order against other accounts still goes by the account's rank.

--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -153,7 +153,9 @@
     let service = route.choose_service(&mut duty.rng.borrow_mut()).clone();
     let body = read_body(body, &parts.headers, limit as usize).await?;
     let grant = match account {
-        Some(account) => duty.admit(account, options.priority, request_id).await?,
+        // The account's own rank is the same for all its requests and orders them against those
+        // of others; among themselves they compete for its quota by the rank of their route.
+        Some(account) => duty.admit(account, route.priority(None), request_id).await?,
         None => None,
     };
     let account_name = account.map_or(NO_ACCOUNT, |account| account.name.as_str());
--- a/src/rules/route.rs
+++ b/src/rules/route.rs
@@ -157,21 +157,24 @@
         &self.services[0].service
     }
 
+    /// Returns the priority of a call on this route; `rank` is that of the account, if it has its
+    /// own.
+    pub(crate) fn priority(&self, rank: Option<u8>) -> CallPriority {
+        let rank = rank.unwrap_or(self.rank);
+        CallPriority { urgent: rank < FIRST_ROUTINE_RANK, worth: TOP_WORTH.saturating_sub(rank) }
+    }
+
     /// Returns the options of a call on this route.
     ///
     /// `requested_ms` is the time to the deadline that the caller requested, and `rank` that
     /// of the account, if it has its own.
     pub(crate) fn call_options(&self, requested_ms: Option<u32>, rank: Option<u8>) -> CallOptions {
-        let rank = rank.unwrap_or(self.rank);
         let limit_ms = self.timeout_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(MAX_DEADLINE_MS);
         let deadline_ms = requested_ms.unwrap_or(limit_ms).min(limit_ms);
         let attempts = self.attempts.unwrap_or(MAX_ATTEMPTS);
         CallOptions {
             kind: self.name.clone(),
-            priority: CallPriority {
-                urgent: rank < FIRST_ROUTINE_RANK,
-                worth: TOP_WORTH.saturating_sub(rank),
-            },
+            priority: self.priority(rank),
             repeatable: self.repeatable,
             deadline_ms,
             objective_ms: self.objective_ms.unwrap_or(deadline_ms),
