Two bodies at a time cross the link of a guard, in small windows

Cause: uploads of 60 kB that were admitted together filled the guard's 10 Mbit/s link, so small calls of others waited 80 to 230 ms for their way to the guard while its queue was empty. Change: a guard requests at most two announced bodies at a time, checks the call again when its turn comes, and a stream of a call has a window of 32 KiB.

--- a/src/base/h2io.rs
+++ b/src/base/h2io.rs
@@ -21,6 +21,12 @@
 /// Flow-control window of one stream, in bytes.
 const STREAM_WINDOW: u32 = 1 << 20;
 
+/// Flow-control window of a stream on which a guard receives a call, in bytes.
+///
+/// Small calls share the receiver's link with large bodies: a larger window delays them by what
+/// it lets queue there, a smaller one limits the rate at which a body arrives from far away.
+const CALL_WINDOW: u32 = 32 << 10;
+
 /// Flow-control window of one connection, in bytes.
 const CONNECTION_WINDOW: u32 = 8 << 20;
 
@@ -54,6 +60,13 @@
     builder
 }
 
+/// Returns the settings of the server side of a connection that carries calls.
+pub(crate) fn call_server() -> h2::server::Builder {
+    let mut builder = server();
+    builder.initial_window_size(CALL_WINDOW);
+    builder
+}
+
 /// Returns the settings of the client side of a connection.
 pub(crate) fn client() -> h2::client::Builder {
     let mut builder = h2::client::Builder::new();
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use h2::Reason;
 use slog::info;
+use tokio::sync::SemaphorePermit;
 use tokio::time::timeout;
 
 use crate::base::consts::SENDER_TIMEOUT;
@@ -13,6 +14,12 @@
 use crate::call::guard::served_call::ServedCall;
 use crate::call::guard::{GuardDuty, UNAVAILABLE_RETRY_MS};
 
+/// Maximum number of announced bodies that a guard receives at once.
+///
+/// All bodies share the host's link with calls that have none. Two keep it busy; with more, a
+/// small call would wait behind all of them.
+pub(super) const MAX_BODY_TRANSFERS: usize = 2;
+
 impl GuardDuty {
     /// Receives the body of a call, which has no slot meanwhile and may still be refused.
     ///
@@ -32,14 +39,17 @@
             let reason = RefusalReason::Malformed;
             return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
         }
-        if head.body_follows {
-            let checked = self.check_before_body(call, head);
-            let reply = if checked.is_ok() { "requested" } else { "refused" };
+        let _transfer = if head.body_follows {
+            let permitted = self.wait_for_transfer(call, head, answer).await;
+            let reply = if permitted.is_ok() { "requested" } else { "refused" };
             self.metrics.announced_bodies.with_label_values(&[reply]).inc();
-            checked.map_err(Some)?;
+            let permit = permitted?;
             let request = AnswerHead::SendBody { call: head.call };
             answer.send_head(&request, false).await.map_err(|_broken| None)?;
-        }
+            Some(permit)
+        } else {
+            None
+        };
         let remaining = call.deadline.since(self.clock.now()).duration();
         let mut stopping = self.stopping.subscribe();
         let received = tokio::select! {
@@ -63,6 +73,34 @@
         Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)))
     }
 
+    /// Waits until a body that was announced may be requested.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to a call that would be refused now or has waited until its queue
+    /// deadline, or `None` if the entry no longer waits for an answer.
+    async fn wait_for_transfer(
+        &self,
+        call: &ServedCall,
+        head: &CallHead,
+        answer: &mut AnswerStream,
+    ) -> Result<SemaphorePermit<'_>, Option<AnswerHead>> {
+        self.check_before_body(call, head).map_err(Some)?;
+        if let Ok(permit) = self.body_transfers.try_acquire() {
+            return Ok(permit);
+        }
+        let max_wait = call.queue_deadline.since(self.clock.now()).duration();
+        let acquired = tokio::select! {
+            acquired = timeout(max_wait, self.body_transfers.acquire()) => acquired,
+            () = answer.wait_for_reset() => return Err(None),
+        };
+        let Ok(Ok(permit)) = acquired else {
+            return Err(Some(self.refusal(call, RefusalReason::TooLate, UNAVAILABLE_RETRY_MS)));
+        };
+        self.check_before_body(call, head).map_err(Some)?;
+        Ok(permit)
+    }
+
     /// Refuses a call whose body is announced if the call would be refused on arrival now.
     fn check_before_body(&self, call: &ServedCall, head: &CallHead) -> Result<(), AnswerHead> {
         self.check_presence(call, head)?;
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -29,7 +29,7 @@
 
 use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::spawn_local;
 
 use crate::base::clock::ProcessClock;
@@ -37,6 +37,7 @@
 use crate::base::load_report::LoadReport;
 use crate::base::metrics::DaemonMetrics;
 use crate::base::wire::{AnswerHead, RefusalReason};
+use crate::call::guard::body_transfer::MAX_BODY_TRANSFERS;
 use crate::call::guard::load_reports::GuardWatchers;
 use crate::call::guard::local_target::LocalTarget;
 use crate::call::guard::nested::GuardNested;
@@ -142,6 +143,8 @@
     /// Whether the host's data centre is evacuated and accepts no calls.
     pub(crate) evacuated: Cell<bool>,
     pub(crate) max_body: usize,
+    /// Permits to receive the bodies of announced calls.
+    body_transfers: Semaphore,
     pub(crate) metrics: Arc<DaemonMetrics>,
     pub(crate) rings: GuardRings,
     /// Entries that are notified of significant changes in the targets' load.
@@ -188,6 +191,7 @@
         nested: GuardNested::default(),
         evacuated: Cell::new(false),
         max_body: parts.max_body,
+        body_transfers: Semaphore::new(MAX_BODY_TRANSFERS),
         metrics,
         rings,
         logger,
--- a/src/call/guard/serving.rs
+++ b/src/call/guard/serving.rs
@@ -24,7 +24,7 @@
     }
 
     async fn serve_connection(self: Rc<Self>, socket: TcpStream) {
-        let handshake = timeout(SENDER_TIMEOUT, h2io::server().handshake(socket)).await;
+        let handshake = timeout(SENDER_TIMEOUT, h2io::call_server().handshake(socket)).await;
         let Ok(Ok(mut connection)) = handshake else { return };
         let mut stopping = self.stopping.subscribe();
         let mut shutdown_sent = false;
