Starts are refused only while most runs of their route fail; smaller copies of queues

The check of an announced call copied the records of all accounts. A queue's copy has the accounts that compete now. A host counts as busy after an abandoned run only if that run reached its own target.

--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -106,8 +106,8 @@
         self.check_presence(call, head)?;
         let waiting = Self::waiting_call(call, head);
         let refused = {
-            let targets = self.targets.borrow();
-            let target = targets.get(&call.target_key);
+            let mut targets = self.targets.borrow_mut();
+            let target = targets.get_mut(&call.target_key);
             target.and_then(|target| target.queue.check_arrival(self.clock.now(), &waiting))
         };
         let Some((reason, retry_after_ms)) = refused else { return Ok(()) };
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -87,8 +87,11 @@
         };
         let reply = match admitted {
             Ok((body, claim)) => {
-                let _own_run = self.begin_own_run(&head);
+                let own_run = self.begin_own_run(&head);
                 call.run(&head, body, claim, answer).await;
+                if let Some(run) = own_run {
+                    run.finish(call.failure());
+                }
                 return;
             }
             Err(Some(reply)) => reply,
--- a/src/call/guard/downstream.rs
+++ b/src/call/guard/downstream.rs
@@ -16,11 +16,21 @@
 pub(super) struct OwnRun {
     duty: Rc<GuardDuty>,
     route: String,
+    /// Whether the run failed; `None` if it was cancelled.
+    failed: Option<bool>,
+}
+
+impl OwnRun {
+    /// Ends the run; `failed` is `None` if its caller cancelled it.
+    pub(super) fn finish(mut self, failed: Option<bool>) {
+        self.failed = failed;
+    }
 }
 
 impl Drop for OwnRun {
     fn drop(&mut self) {
-        self.duty.downstream.borrow_mut().end_run(self.duty.clock.now(), &self.route);
+        let now = self.duty.clock.now();
+        self.duty.downstream.borrow_mut().end_run(now, &self.route, self.failed);
     }
 }
 
@@ -65,7 +75,7 @@
             return None;
         }
         self.downstream.borrow_mut().begin_run(self.clock.now(), &head.route);
-        Some(OwnRun { duty: Rc::clone(self), route: head.route.clone() })
+        Some(OwnRun { duty: Rc::clone(self), route: head.route.clone(), failed: None })
     }
 
     /// Logs considerable changes of the share of calls that are refused.
@@ -78,7 +88,7 @@
         }
     }
 
-    fn is_own_service(&self, service: &ServiceName) -> bool {
+    pub(crate) fn is_own_service(&self, service: &ServiceName) -> bool {
         self.own_service.as_ref() == Some(service)
     }
 }
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -169,6 +169,12 @@
         (ran.0 as f64 / slowness) as u32
     }
 
+    /// Returns whether the call failed at the target; `None` if it was not sent or its caller
+    /// cancelled it.
+    pub(crate) fn failure(&self) -> Option<bool> {
+        self.dispatched_at.get().map(|_sent| self.failed.get())
+    }
+
     /// Sends the call to the target, relays its answer, and records the outcome.
     pub(crate) async fn run(
         &self,
@@ -202,7 +208,7 @@
             } => None,
         };
         let unanswered = answered.is_none();
-        if unanswered && head.repeatable {
+        if unanswered && self.request_made.get() && duty.is_own_service(&self.target_key.0) {
             duty.record_abandoned_run();
         }
         let mut relay = AnswerRelay { call: self, head, unsent: Some(answer), stream: None };
--- a/src/decide/account_usage.rs
+++ b/src/decide/account_usage.rs
@@ -97,6 +97,12 @@
     total_share: u64,
 }
 
+impl Default for AccountUsage {
+    fn default() -> Self {
+        Self::open()
+    }
+}
+
 impl AccountUsage {
     /// Creates the state of a target without any use.
     #[must_use]
@@ -104,6 +110,22 @@
         Self { records: LruCache::unbounded(), total: SlotUse::default(), total_share: 0 }
     }
 
+    /// Returns a copy that tracks only some accounts, each with the same level as here.
+    #[must_use]
+    pub(crate) fn copy_of<'a>(&self, accounts: impl Iterator<Item = &'a AccountName>) -> Self {
+        let mut copy = Self {
+            records: LruCache::unbounded(),
+            total: self.total,
+            total_share: self.total_share,
+        };
+        for account in accounts {
+            if let Some(record) = self.records.peek(account) {
+                copy.records.put(account.clone(), *record);
+            }
+        }
+        copy
+    }
+
     /// Records that a call of an account arrived.
     pub fn record_arrival(&mut self, now: MicroTime, account: &AccountName, share: u16) {
         if account.as_str().is_empty() {
--- a/src/decide/admission/announced.rs
+++ b/src/decide/admission/announced.rs
@@ -9,15 +9,21 @@
     /// a call that arrived now, or `None` if the call would start or wait.
     ///
     /// The arrival is played on a copy, so that it takes every rule into account and leaves the
-    /// queue as it is: the call takes no slot and evicts no other while its body is sent.
-    #[must_use]
+    /// queue as it is: the call takes no slot and evicts no other while its body is sent. Of the
+    /// accounts only those that compete now are copied, since there may be thousands.
     pub fn check_arrival(
-        &self,
+        &mut self,
         now: MicroTime,
         call: &WaitingCall,
     ) -> Option<(RefusalReason, u32)> {
+        let accounts = std::mem::take(&mut self.accounts);
+        let mut copy = self.clone();
+        let running = self.running.values().map(|running| &running.account);
+        let competing = self.waiting.iter().map(|waiting| &waiting.account).chain(running);
+        copy.accounts = accounts.copy_of(competing.chain([&call.account]));
+        self.accounts = accounts;
         let mut actions = Vec::new();
-        self.clone().step(now, AdmissionEvent::Arrive(call.clone()), &mut actions);
+        copy.step(now, AdmissionEvent::Arrive(call.clone()), &mut actions);
         actions.into_iter().find_map(|action| match action {
             AdmissionAction::Refuse { call: refused, reason, retry_after_ms }
                 if refused == call.call =>
--- a/src/decide/downstream/mod.rs
+++ b/src/decide/downstream/mod.rs
@@ -1,8 +1,9 @@
 //! Decides which calls may start at a target whose runs make calls to other services.
 //!
-//! A run whose calls are not answered ends with a failure: its work is lost and its slot was
-//! held in vain. By adaptive throttling, a target starts only about as many runs as its calls
-//! to each service are answered for, and refuses the rest before they take a slot. The platform
+//! A run whose calls are not answered may end with a failure: its work is lost and its slot was
+//! held in vain. While most runs of a route fail, adaptive throttling starts only about as many
+//! of them as the calls to each service are answered for, and refuses the rest before they take a
+//! slot. Runs that get by without an answer, or fail now and then, are not held back. The platform
 //! doesn't tell which run made a call; a call is attributed to the routes that run when it ends,
 //! in proportion to their runs in progress and to the calls attributed to them so far.
 //!
@@ -70,7 +71,7 @@
 
 /// Throttle of the starts at one target.
 ///
-/// Invariants: a nested run is never refused; a route whose runs make no calls is never refused;
+/// Invariants: a nested run is never refused; a route most of whose runs succeed is never refused;
 /// of a route that is requested, at least one start is permitted in each 500 ms.
 #[derive(Clone, Debug, Default)]
 pub struct DownstreamThrottle {
@@ -98,7 +99,8 @@
             }
             return StartDecision::Permit;
         }
-        let shares = runs.needs(now).filter_map(|(name, calls)| {
+        let fails_mostly = runs.fails_mostly(now);
+        let shares = runs.needs(now).filter(|_| fails_mostly).filter_map(|(name, calls)| {
             let share = services.get(name)?.refused_share_of(now, priority);
             (share > 0.0).then(|| (name.clone(), calls, share))
         });
@@ -133,12 +135,10 @@
         }
     }
 
-    /// Records the end of a run.
-    pub fn end_run(&mut self, now: MicroTime, route: &str) {
+    /// Records the end of a run; `failed` is `None` if nobody waited for its result.
+    pub fn end_run(&mut self, now: MicroTime, route: &str, failed: Option<bool>) {
         if let Some(runs) = self.routes.get_mut(route) {
-            runs.advance(now);
-            // Zero if the run began while the maximum number of routes was known.
-            runs.running = runs.running.saturating_sub(1);
+            runs.end(now, failed);
         }
     }
 
--- a/src/decide/downstream/routes.rs
+++ b/src/decide/downstream/routes.rs
@@ -18,6 +18,13 @@
 /// Runs of a route that makes no calls get a small part of the calls that end beside them.
 const MIN_CALLS_PER_RUN: f64 = 0.1;
 
+/// Share of failed runs from which on the starts of a route are throttled. With fewer, the runs
+/// that would have been answered are worth more than the slots that the others hold.
+const FAILING_SHARE: f64 = 0.5;
+
+/// Minimum number of ended runs, with decay, for a judgement of that share.
+const MIN_ENDED: f64 = 2.0;
+
 /// Maximum number of services whose calls are attributed to one route.
 const MAX_SERVICES: usize = 16;
 
@@ -33,6 +40,10 @@
     run_time_at: MicroTime,
     /// Number of calls attributed to the route's runs, by service.
     calls: BTreeMap<ServiceName, DecayingSum>,
+    /// Number of runs that ended with an answer or a failure.
+    ended: DecayingSum,
+    /// Number of these that failed.
+    failed: DecayingSum,
     /// Time of the last start that was permitted.
     pub(super) permitted_at: Option<MicroTime>,
     /// Time of the last event.
@@ -55,6 +66,24 @@
         self.starts.add(now, 1.0);
     }
 
+    /// Counts the end of a run; `failed` is `None` if nobody waited for its result.
+    pub(super) fn end(&mut self, now: MicroTime, failed: Option<bool>) {
+        self.advance(now);
+        // Zero if the run began while the maximum number of routes was known.
+        self.running = self.running.saturating_sub(1);
+        let Some(failed) = failed else { return };
+        self.ended.add(now, 1.0);
+        if failed {
+            self.failed.add(now, 1.0);
+        }
+    }
+
+    /// Returns whether most runs failed lately.
+    pub(super) fn fails_mostly(&self, now: MicroTime) -> bool {
+        let ended = self.ended.at(now);
+        ended >= MIN_ENDED && self.failed.at(now) >= FAILING_SHARE * ended
+    }
+
     /// Returns the rate at which the runs in progress are expected to make calls to a service,
     /// in calls per microsecond.
     pub(super) fn call_rate(&self, now: MicroTime, service: &ServiceName) -> f64 {
