Read the whole store again after a gap in the feed

With strict revocation, a feed reply that was cut off, or a store that went back while the term was off, ended the series of reads without a proof. The feed went on after it, so no read proved a revision until the next one was published, and the fleet refused all tokens.

ReadChain now decides where the next read continues: with the term, a series with a gap starts again with the whole state, once. A pause comes before it, so that replies that are cut off don't make a tight loop.

--- a/src/decide/revocation/read_chain.rs
+++ b/src/decide/revocation/read_chain.rs
@@ -20,15 +20,33 @@
 /// one may be newer than that in force.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadChain {
+    /// Version of the store up to which it has been read.
+    cursor: u64,
+    /// Whether the series began with the whole state and has had no gap since.
+    is_gapless: bool,
     newest_revision: Option<u64>,
 }
 
 impl ReadChain {
     /// Adds a read.
     pub fn record(&mut self, read: StoreRead) {
-        let continues = read.after != 0 && read.complete && read.cursor >= read.after;
+        let is_whole = read.after == 0;
+        let continues = !is_whole && read.complete && read.cursor >= read.after;
         let earlier = self.newest_revision.filter(|_revision| continues);
         self.newest_revision = read.revision.filter(|_revision| read.complete).max(earlier);
+        self.is_gapless = if is_whole { read.complete } else { self.is_gapless && continues };
+        self.cursor = read.cursor;
+    }
+
+    /// Returns the version of the store after which the next read continues; zero for the whole
+    /// state.
+    ///
+    /// If revocations have a bound, a series with a gap starts again with the whole state: reads
+    /// of changes alone would show a revision only once the next one is published, and until then
+    /// prove none. The whole state is read once, even if its configuration is invalid.
+    #[must_use]
+    pub const fn next_position(&self, is_strict: bool) -> u64 {
+        if is_strict && !self.is_gapless { 0 } else { self.cursor }
     }
 
     /// Returns a revision than which the store held no newer one when the last read started;
--- a/src/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -56,11 +56,12 @@
     /// Reads the operator's configuration and its changes until this daemon no longer
     /// follows the store.
     pub(super) async fn follow_operator_config(&self) {
-        let mut cursor = 0;
         let mut failures = 0;
         let mut chain = ReadChain::default();
         while *self.following.borrow() {
-            let max_wait = self.confirmation.lock().is_strict().then_some(STRICT_FEED_WAIT);
+            let is_strict = self.confirmation.lock().is_strict();
+            let max_wait = is_strict.then_some(STRICT_FEED_WAIT);
+            let cursor = chain.next_position(is_strict);
             let started_at = self.confirmation.now();
             let update = self.client.next_config(ConfigPosition { after: cursor, max_wait }).await;
             self.count("watch", &update);
@@ -73,12 +74,10 @@
                     failures = 0;
                     let cursor_unchanged = update.cursor == cursor;
                     chain.record(store_read(cursor, &update));
-                    let went_back = update.cursor < cursor;
-                    // A store that was restored may have changes that a feed doesn't show.
-                    cursor = if went_back && max_wait.is_some() { 0 } else { update.cursor };
+                    let starts_again = is_strict && chain.next_position(is_strict) == 0;
                     let has_changes = self.apply_update(update);
                     self.confirm(&chain, started_at);
-                    if cursor_unchanged && !has_changes {
+                    if starts_again || (cursor_unchanged && !has_changes) {
                         // The platform replied at once instead of waiting for a change: pause, so
                         // that it isn't requested in a tight loop.
                         tokio::time::sleep(RETRY_PAUSE_BOUNDS.0).await;
@@ -92,7 +91,7 @@
                     }
                     failures += 1;
                     if matches!(error, PlatformError::InvalidData { .. }) {
-                        cursor = 0;
+                        chain = ReadChain::default();
                     }
                     tokio::time::sleep(self.retry_pause(failures)).await;
                 }
