Retry a repeatable call at once after its connection broke

The entry asked the guard whether the call had run before it tried another target, which delayed the retry by up to half a second if the guard was gone. The reply only matters if the call may not be repeated or no other target is tried afterwards.

--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -191,6 +191,10 @@
     // A guard that is still up knows whether the call was kept from its target. The connection
     // may be about to close, so a new one is opened.
     duty.pool.remove(location.guard, location.incarnation);
+    if call.options.repeatable && !last_target {
+        // Another target is tried, whether or not the call ran: the reply would only delay it.
+        return AttemptEnd::Lost;
+    }
     if revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun) {
         return AttemptEnd::not_run(RefusalReason::Revoked);
     }
