Reject a time to revoke below two seconds

Daemons ask for a confirmation every 1.2 s, so that a shorter time had one lost datagram refuse valid tokens. Such a term is now reported as invalid and the default applies.

--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -40,6 +40,16 @@
     assert_eq!(parsed.terms.revoke, Duration::from_secs(4));
 }
 
+/// With a shorter time, one lost datagram would have valid tokens refused.
+#[test]
+fn a_time_to_revoke_that_daemons_cannot_confirm_is_invalid() {
+    let parse = |text: &str| (railspan::adapter().parse_terms)(text);
+    assert_eq!(parse("revoke=2000ms").errors, Vec::<String>::new());
+    let parsed = parse("strict_revocation=true,revoke=1999ms");
+    assert_eq!(parsed.errors.len(), 1, "{:?}", parsed.errors);
+    assert_eq!(parsed.terms.revoke, railspan::DeploymentTerms::default().revoke);
+}
+
 #[test]
 fn an_invalid_term_is_reported_and_the_others_are_used() {
     let parsed = (railspan::adapter().parse_terms)("heartbeat=1s,0.2,grace=soon,budget_slack=9");
