Correct what the margin of strict revocation covers

The comments claimed that the margin covers the time until dispatch. A call whose token was valid when its attempt was sent may wait in a guard's queue until its deadline. Comments and documentation only.

--- a/src/decide/revocation/mod.rs
+++ b/src/decide/revocation/mod.rs
@@ -1,4 +1,5 @@
-//! Bound on the time for which a revoked token is served, also by a daemon that is cut off.
+//! Bound on the time for which requests with a revoked token are accepted and sent to targets, also
+//! by a daemon that is cut off.
 //!
 //! A daemon knows the newest time at which the store provably held no newer configuration than
 //! the one in force here. Once that time lies too far back, a token may have been revoked
@@ -16,8 +17,9 @@
 
 /// Fraction of the bound that is kept as a margin, as a divisor, and the maximum margin.
 ///
-/// It covers the difference between the speeds of two hosts' clocks and the time from the check
-/// of a request to its dispatch. Five seconds leave half a second.
+/// It covers the difference between the speeds of two hosts' clocks, which is far smaller. It does
+/// not cover the time for which a call waits at its guard after the attempt was sent. Five seconds
+/// leave half a second.
 const MARGIN_DIVISOR: u64 = 10;
 const MAX_MARGIN: MicroTime = MicroTime::from_millis(500);
 
@@ -49,13 +51,14 @@
 /// Decides whether requests with a token are served.
 ///
 /// Invariant: if a revision was acknowledged more than the bound ago and is not in force here,
-/// no request with a token is served. It holds whatever messages are lost, delayed or reordered,
-/// because a confirmation counts from the start of the request that led to it, and only once its
-/// revision is in force.
+/// no attempt of a request with a token is sent. It holds whatever messages are lost, delayed or
+/// reordered, because a confirmation counts from the start of the request that led to it, and only
+/// once its revision is in force. It says nothing about attempts that were sent before: a call whose
+/// token was valid then may still wait in the queue of a guard, and start, until its deadline.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct RevocationState {
-    /// Time after the acknowledgement of a revision from which no token that it revoked may be
-    /// served; `None` if the deployment does not require it.
+    /// Time after the acknowledgement of a revision from which no attempt with a token that it
+    /// revoked may be sent; `None` if the deployment does not require it.
     bound: Option<MicroTime>,
     /// Revision in force at the entry.
     in_force: Option<u64>,
