Remove only the connection that failed from the pool

A call whose connection broke removed whatever connection to the guard was pooled, also one that another call had opened in its place. Each connection now has a number, and a failed call or revocation removes its own connection only.

No test shows the replacement itself: it depends on the order of two calls.

--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use h2::client::SendRequest;
 use http::Response;
 use slog::info;
 use tokio::time::{Instant, timeout_at};
@@ -20,6 +18,7 @@
 use crate::call::entry::exchange::{self, AnswerFailure, NotSent, SentCall};
 use crate::call::entry::intake::CallerCall;
 use crate::call::entry::load_watch;
+use crate::call::entry::pool::GuardConnection;
 use crate::call::responses::{self, GuardBody, ResponseBody};
 use crate::decide::selection::TargetLocation;
 
@@ -118,7 +117,7 @@
     }
     let remaining = call.deadline.since(now).duration();
     let deadline = Instant::now() + remaining;
-    let Some(sender) = connect(duty, location, deadline).await else {
+    let Some(connection) = connect(duty, location, deadline).await else {
         outstanding.mark_unreachable(location);
         return AttemptEnd::unreachable();
     };
@@ -143,6 +142,7 @@
     let remaining = call.deadline.since(now).duration();
     let revoke_at = Instant::now() + remaining.saturating_sub(revoke_margin(call));
     let head = make_head(duty, call, target, location, guard_time, remaining, last_target);
+    let GuardConnection { sender, number } = connection;
     let pending = match timeout_at(revoke_at, exchange::send(sender, &head, &call.body)).await {
         Ok(Ok(SentCall::Complete(pending))) => pending,
         Ok(Ok(SentCall::Refused(answer, reader))) => {
@@ -156,7 +156,7 @@
         }
         Err(_elapsed) => {
             // The guard lacks the end of the call; the revocation shows whether it responds.
-            outstanding.failed = revoke(duty, call, location, head.call).await.is_none();
+            outstanding.failed = revoke(duty, call, location, head.call, number).await.is_none();
             return AttemptEnd::not_run(RefusalReason::Revoked);
         }
     };
@@ -164,7 +164,7 @@
     let answer = match timeout_at(revoke_at, &mut answer_future).await {
         Ok(answer) => answer,
         Err(_elapsed) => {
-            let status = revoke(duty, call, location, head.call).await;
+            let status = revoke(duty, call, location, head.call, number).await;
             if status == Some(CallStatus::NotRun) {
                 return AttemptEnd::not_run(RefusalReason::Revoked);
             }
@@ -190,12 +190,12 @@
     }
     // A guard that is still up knows whether the call was kept from its target. The connection
     // may be about to close, so a new one is opened.
-    duty.pool.remove(location.guard, location.incarnation);
+    duty.pool.remove(location.guard, location.incarnation, number);
     if call.options.repeatable && !last_target {
         // Another target is tried, whether or not the call ran: the reply would only delay it.
         return AttemptEnd::Lost;
     }
-    if revoke(duty, call, location, head.call).await == Some(CallStatus::NotRun) {
+    if revoke(duty, call, location, head.call, number).await == Some(CallStatus::NotRun) {
         return AttemptEnd::not_run(RefusalReason::Revoked);
     }
     AttemptEnd::Lost
@@ -213,19 +213,20 @@
 }
 
 /// Asks a guard to ensure that an attempt never runs; returns the attempt's status, or `None` if
-/// the guard does not reply in time.
+/// the guard does not reply in time. `connection` is the number of the attempt's connection.
 async fn revoke(
     duty: &EntryDuty,
     call: &CallerCall,
     location: &TargetLocation,
     attempt: CallId,
+    connection: u64,
 ) -> Option<CallStatus> {
     let (guard, incarnation) = (location.guard, location.incarnation);
     let status = exchange::revoke(duty, guard, incarnation, attempt, call.deadline).await;
     if status.is_none() {
         // Neither the call nor the revocation was answered; the connection may be dead while
         // the guard is not.
-        duty.pool.remove(guard, incarnation);
+        duty.pool.remove(guard, incarnation, connection);
         duty.report_unreachable(&location.host);
         info!(duty.logger, "guard not responding"; "id" => &*call.request_id,
             "at" => %location.host);
@@ -319,7 +320,7 @@
     duty: &EntryDuty,
     location: &TargetLocation,
     deadline: Instant,
-) -> Option<SendRequest<Bytes>> {
+) -> Option<GuardConnection> {
     let connecting = duty.pool.connect(location.guard, location.incarnation);
     timeout_at(deadline, connecting).await.ok()?
 }
--- a/src/call/entry/exchange.rs
+++ b/src/call/entry/exchange.rs
@@ -12,7 +12,7 @@
 use h2::Reason;
 use h2::client::{ResponseFuture, SendRequest};
 use http::Request;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::base::call_status::CallStatus;
 use crate::base::clock::MicroTime;
@@ -20,6 +20,7 @@
 use crate::base::ids::{CallId, DaemonIncarnation};
 use crate::base::wire::{AnswerHead, CallHead, RevokeHead, RevokeReply};
 use crate::call::entry::EntryDuty;
+use crate::call::entry::pool::GuardConnection;
 
 /// Maximum size of a body that is sent together with its head, in bytes.
 ///
@@ -145,7 +146,7 @@
 }
 
 /// Asks a guard to ensure that a call never runs; returns the call's status, or `None` if
-/// the guard does not reply in time.
+/// the guard does not reply in time. A connection on which it does not reply is not used again.
 pub(crate) async fn revoke(
     duty: &EntryDuty,
     guard: SocketAddr,
@@ -154,18 +155,20 @@
     deadline: MicroTime,
 ) -> Option<CallStatus> {
     let reply_timeout = deadline.since(duty.clock.now()).duration().min(REVOKE_TIMEOUT);
-    let status = request_revocation(duty, guard, incarnation, call);
-    timeout(reply_timeout, status).await.ok()?
+    let reply_by = Instant::now() + reply_timeout;
+    let connecting = duty.pool.connect(guard, incarnation);
+    let connection = timeout_at(reply_by, connecting).await.ok()??;
+    let number = connection.number;
+    let status = request_revocation(connection, RevokeHead { call, incarnation });
+    let status = timeout_at(reply_by, status).await.ok().flatten();
+    if status.is_none() {
+        duty.pool.remove(guard, incarnation, number);
+    }
+    status
 }
 
-async fn request_revocation(
-    duty: &EntryDuty,
-    guard: SocketAddr,
-    incarnation: DaemonIncarnation,
-    call: CallId,
-) -> Option<CallStatus> {
-    let head = RevokeHead { call, incarnation };
-    let mut reader = duty.pool.request(guard, incarnation, "/revoke", &head).await?;
+async fn request_revocation(connection: GuardConnection, head: RevokeHead) -> Option<CallStatus> {
+    let mut reader = connection.request("/revoke", &head).await?;
     let reply: RevokeReply = reader.head().await.ok()?;
     Some(reply.status)
 }
--- a/src/call/entry/pool.rs
+++ b/src/call/entry/pool.rs
@@ -1,6 +1,6 @@
 //! Connections from an entry to guards.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +31,29 @@
 const KEEPALIVE_LIMITS: KeepaliveLimits =
     KeepaliveLimits { user_timeout: Duration::from_millis(900), idle: Duration::from_secs(2) };
 
+/// Connection to a guard.
+#[derive(Clone, Debug)]
+pub(crate) struct GuardConnection {
+    pub(crate) sender: SendRequest<Bytes>,
+    /// Number of the connection in its pool.
+    pub(crate) number: u64,
+}
+
+impl GuardConnection {
+    /// Sends a request other than a call; returns the reader of its response, or `None` if the
+    /// connection breaks.
+    pub(crate) async fn request<T: Serialize>(
+        mut self,
+        path: &str,
+        head: &T,
+    ) -> Option<HeadReader> {
+        let request = Request::post(format!("http://guard{path}")).body(()).ok()?;
+        let (response, mut stream) = self.sender.send_request(request, false).ok()?;
+        h2io::send_all(&mut stream, h2io::encode_frame(head).ok()?, true).await.ok()?;
+        Some(HeadReader::open(response.await.ok()?.into_body()))
+    }
+}
+
 /// One HTTP/2 connection for each incarnation of each guard.
 #[derive(Debug, Default)]
 pub(crate) struct GuardPool {
@@ -38,7 +61,9 @@
     remote_guards: RefCell<HashSet<SocketAddr>>,
     /// Counts the bytes to and from guards in other data centres.
     cross_centre_bytes: Option<IntCounter>,
-    connections: RefCell<HashMap<(SocketAddr, DaemonIncarnation), SendRequest<Bytes>>>,
+    connections: RefCell<HashMap<(SocketAddr, DaemonIncarnation), GuardConnection>>,
+    /// Number of the newest connection.
+    newest: Cell<u64>,
 }
 
 impl GuardPool {
@@ -55,20 +80,23 @@
         &self,
         guard: SocketAddr,
         incarnation: DaemonIncarnation,
-    ) -> Option<SendRequest<Bytes>> {
+    ) -> Option<GuardConnection> {
         let key = (guard, incarnation);
         let existing = self.connections.borrow().get(&key).cloned();
-        if let Some(existing) = existing
-            && let Ok(ready) = existing.ready().await
+        if let Some(GuardConnection { sender, number }) = existing
+            && let Ok(sender) = sender.ready().await
         {
-            return Some(ready);
+            return Some(GuardConnection { sender, number });
         }
         let is_remote = self.remote_guards.borrow().contains(&guard);
         let byte_counter = self.cross_centre_bytes.clone().filter(|_| is_remote);
         let opened =
             timeout(CONNECT_TIMEOUT, open_connection(guard, byte_counter)).await.ok()??;
-        self.connections.borrow_mut().insert(key, opened.clone());
-        opened.ready().await.ok()
+        let number = self.newest.get() + 1;
+        self.newest.set(number);
+        let pooled = GuardConnection { sender: opened.clone(), number };
+        self.connections.borrow_mut().insert(key, pooled);
+        Some(GuardConnection { sender: opened.ready().await.ok()?, number })
     }
 
     /// Sends a guard a request other than a call; returns the reader of its response, or `None`
@@ -80,16 +108,17 @@
         path: &str,
         head: &T,
     ) -> Option<HeadReader> {
-        let mut sender = self.connect(guard, incarnation).await?;
-        let request = Request::post(format!("http://guard{path}")).body(()).ok()?;
-        let (response, mut stream) = sender.send_request(request, false).ok()?;
-        h2io::send_all(&mut stream, h2io::encode_frame(head).ok()?, true).await.ok()?;
-        Some(HeadReader::open(response.await.ok()?.into_body()))
+        self.connect(guard, incarnation).await?.request(path, head).await
     }
 
-    /// Removes the connection to a guard that does not respond on it.
-    pub(crate) fn remove(&self, guard: SocketAddr, incarnation: DaemonIncarnation) {
-        self.connections.borrow_mut().remove(&(guard, incarnation));
+    /// Removes the connection with a number to a guard that does not respond on it, unless
+    /// another one has replaced it.
+    pub(crate) fn remove(&self, guard: SocketAddr, incarnation: DaemonIncarnation, number: u64) {
+        let mut connections = self.connections.borrow_mut();
+        let key = (guard, incarnation);
+        if connections.get(&key).is_some_and(|pooled| pooled.number == number) {
+            connections.remove(&key);
+        }
     }
 
     /// Removes the connections to guards that are gone and records which guards are in other
