Check the reasons of calls that are reported as not run

The cases now send calls until one arrives, and demand that it arrives once and the reason of its case. The call that was revoked at its deadline must have arrived. A new test checks that a repeatable call is retried before its revocation. The cases of calls that don't queue nearby check first that the call queues there without the change.

--- a/tests/entry_outcomes.rs
+++ b/tests/entry_outcomes.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::guard_wire::{FrameReader, frame};
-use common::hosted::{HostedFleet, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST};
+use common::hosted::{HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST};
 use common::{ephemeral_address, eventually};
 use h2::Reason;
 use h2::server::SendResponse;
@@ -60,6 +60,16 @@
     Stall,
 }
 
+/// What the fake guard has seen.
+#[derive(Debug, Default)]
+struct GuardCounters {
+    /// Calls whose head arrived, or whose stream was reset instead.
+    heads: AtomicUsize,
+    /// Calls that arrived whole.
+    received: AtomicUsize,
+    revocations: AtomicUsize,
+}
+
 /// The reply of the fake guard to revocations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RevokeStatus {
@@ -79,22 +89,22 @@
 }
 
 /// Serves the connections of a listener as a guard that behaves as `conduct` says.
-async fn serve_guard(listener: TcpListener, conduct: Conduct, received: Arc<AtomicUsize>) {
+async fn serve_guard(listener: TcpListener, conduct: Conduct, counters: Arc<GuardCounters>) {
     loop {
         let (socket, _) = listener.accept().await.expect("accept");
-        tokio::spawn(serve_connection(socket, conduct, Arc::clone(&received)));
+        tokio::spawn(serve_connection(socket, conduct, Arc::clone(&counters)));
     }
 }
 
 /// Serves a connection until a stream asks to close it.
-async fn serve_connection(socket: TcpStream, conduct: Conduct, received: Arc<AtomicUsize>) {
+async fn serve_connection(socket: TcpStream, conduct: Conduct, counters: Arc<GuardCounters>) {
     let close = Arc::new(Notify::new());
     let Ok(mut connection) = h2::server::handshake(socket).await else { return };
     loop {
         tokio::select! {
             accepted = connection.accept() => {
                 let Some(Ok((request, respond))) = accepted else { return };
-                let signals = (Arc::clone(&close), Arc::clone(&received));
+                let signals = (Arc::clone(&close), Arc::clone(&counters));
                 tokio::spawn(serve_stream(request, respond, conduct, signals));
             }
             () = close.notified() => return,
@@ -106,7 +116,7 @@
     request: Request<h2::RecvStream>,
     mut respond: SendResponse<Bytes>,
     conduct: Conduct,
-    (close, received): (Arc<Notify>, Arc<AtomicUsize>),
+    (close, counters): (Arc<Notify>, Arc<GuardCounters>),
 ) {
     let path = request.uri().path().to_owned();
     let mut reader = FrameReader::open(request.into_body());
@@ -125,6 +135,7 @@
     }
     if path == "/revoke" {
         let _head: Option<RevokeHead> = reader.head().await;
+        counters.revocations.fetch_add(1, Ordering::Relaxed);
         match conduct {
             Conduct::BreakAfterCall(reply) | Conduct::StaySilent(reply) => {
                 drop(answer(&mut respond, frame(&RevokeReply { status: reply.status() }), true));
@@ -134,9 +145,11 @@
         return;
     }
     if conduct == Conduct::RefuseStream {
+        counters.heads.fetch_add(1, Ordering::Relaxed);
         return respond.send_reset(Reason::REFUSED_STREAM);
     }
     let Some(head) = reader.head::<CallHead>().await else { return };
+    counters.heads.fetch_add(1, Ordering::Relaxed);
     let call = head.call;
     if conduct == Conduct::BreakAfterHead {
         close.notify_one();
@@ -163,12 +176,12 @@
         }
         Conduct::BreakAfterCall(_) => {
             reader.bytes(head.body_len as usize).await;
-            received.fetch_add(1, Ordering::Relaxed);
+            counters.received.fetch_add(1, Ordering::Relaxed);
             close.notify_one();
         }
         Conduct::StaySilent(_) => {
             reader.bytes(head.body_len as usize).await;
-            received.fetch_add(1, Ordering::Relaxed);
+            counters.received.fetch_add(1, Ordering::Relaxed);
         }
         _ => {}
     }
@@ -180,7 +193,7 @@
 /// it processed only the first stream, as a daemon that stops does to a stream it did not accept.
 ///
 /// Speaks in raw frames, since `h2` accepts each stream that it reads.
-async fn serve_going_away(listener: TcpListener) {
+async fn serve_going_away(listener: TcpListener, counters: Arc<GuardCounters>) {
     const DATA: u8 = 0;
     const HEADERS: u8 = 1;
     const SETTINGS: u8 = 4;
@@ -206,6 +219,7 @@
             let mut payload = vec![0; length];
             socket.read_exact(&mut payload).await.expect("payload");
             if head[3] == DATA && length > CALL_BYTES {
+                counters.heads.fetch_add(1, Ordering::Relaxed);
                 let last_stream_and_reason = [0, 0, 0, 1, 0, 0, 0, 0];
                 let goaway = raw(GOAWAY, 0, 0, &last_stream_and_reason);
                 socket.write_all(&goaway).await.expect("goaway");
@@ -225,8 +239,8 @@
 /// A fleet whose only targets are behind a guard that the test plays.
 struct EntryFleet {
     fleet: HostedFleet,
-    /// Number of calls that the guard received whole.
-    received: Arc<AtomicUsize>,
+    /// What the guard has seen.
+    counters: Arc<GuardCounters>,
     /// Runs the guard.
     _runtime: Runtime,
 }
@@ -246,7 +260,7 @@
         fleet.wait_for_targets(0, targets + 1);
         assert_eq!(fleet.targets[0].leave(fleet.control(0)).expect("leave"), 200);
         fleet.wait_for_targets(0, targets);
-        Self { fleet, received: Arc::default(), _runtime: runtime }
+        Self { fleet, counters: Arc::default(), _runtime: runtime }
     }
 
     /// Starts a fleet whose only target has a guard that behaves as `conduct` says.
@@ -259,9 +273,9 @@
         let runtime = Runtime::new().expect("runtime");
         let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("listener");
         let guard = listener.local_addr().expect("address");
-        let received = Arc::<AtomicUsize>::default();
-        runtime.spawn(serve_guard(listener, conduct, Arc::clone(&received)));
-        Self { received, ..Self::spawn(runtime, guard, targets) }
+        let counters = Arc::<GuardCounters>::default();
+        runtime.spawn(serve_guard(listener, conduct, Arc::clone(&counters)));
+        Self { counters, ..Self::spawn(runtime, guard, targets) }
     }
 
     /// Sends a call that must not be repeated, with a body of `length` bytes.
@@ -273,26 +287,58 @@
         let path = format!("{UNSAFE_PREFIX}call");
         hosted_call(caller, "POST", &path, &headers, &vec![b'x'; length]).expect("answer")
     }
+
+    /// Sends calls until one arrives at the guard; returns its answer.
+    ///
+    /// The entry may still have the address of the guard that was replaced, and on a busy machine
+    /// it may give up a call before it sends it.
+    fn call_that_arrives(&self, length: usize) -> HostedResponse {
+        let mut answer = None;
+        eventually("a call arrives at the guard", || {
+            answer = Some(self.call(length, DEADLINE_MS));
+            self.counters.heads.load(Ordering::Relaxed) > 0
+        });
+        assert_eq!(self.counters.heads.load(Ordering::Relaxed), 1, "a call arrives once");
+        answer.expect("answer")
+    }
+}
+
+/// Returns whether an answer states a reason.
+fn has_reason(answer: &HostedResponse, reason: &str) -> bool {
+    String::from_utf8_lossy(&answer.body).contains(&format!("\"reason\":\"{reason}\""))
 }
 
 #[track_caller]
-fn assert_not_run(answer: &HostedResponse) {
+fn assert_not_run(answer: &HostedResponse, reason: &str) {
     assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(has_reason(answer, reason), "not {reason}: {answer:?}");
     assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
 }
 
-#[test_case(Conduct::RefuseStream, INLINE; "reset before the head was read")]
-#[test_case(Conduct::BreakAfterHead, ANNOUNCED; "connection lost before the body was requested")]
-#[test_case(Conduct::BreakAfterRequest, ANNOUNCED; "connection lost within the body")]
-#[test_case(Conduct::Stall, ANNOUNCED; "deadline passed within the body")]
-#[test_case(Conduct::BreakAfterCall(RevokeStatus::NotRun), INLINE; "connection lost while waiting")]
-fn a_call_that_its_guard_did_not_dispatch_is_not_run(conduct: Conduct, length: usize) {
-    assert_not_run(&EntryFleet::with_guard(conduct).call(length, DEADLINE_MS));
+#[test_case(Conduct::RefuseStream, INLINE, "unreachable"; "reset before the head was read")]
+#[test_case(Conduct::BreakAfterHead, ANNOUNCED, "unreachable"; "connection lost before the body was requested")]
+#[test_case(Conduct::BreakAfterRequest, ANNOUNCED, "unreachable"; "connection lost within the body")]
+#[test_case(Conduct::Stall, ANNOUNCED, "revoked"; "deadline passed within the body")]
+#[test_case(Conduct::BreakAfterCall(RevokeStatus::NotRun), INLINE, "revoked"; "connection lost while waiting")]
+fn a_call_that_its_guard_did_not_dispatch_is_not_run(
+    conduct: Conduct,
+    length: usize,
+    reason: &str,
+) {
+    let fleet = EntryFleet::with_guard(conduct);
+    assert_not_run(&fleet.call_that_arrives(length), reason);
 }
 
 #[test]
 fn a_call_whose_deadline_passes_before_it_is_sent_is_not_run() {
-    assert_not_run(&EntryFleet::with_guard(Conduct::ReportLate).call(INLINE, SHORT_DEADLINE_MS));
+    let fleet = EntryFleet::with_guard(Conduct::ReportLate);
+    eventually("the load is requested and not reported in time", || {
+        let answer = fleet.call(INLINE, SHORT_DEADLINE_MS);
+        assert_eq!(fleet.counters.heads.load(Ordering::Relaxed), 0, "the call was not sent");
+        answer.status == 503
+            && answer.headers.contains_key("retry-after")
+            && has_reason(&answer, "too_late")
+    });
 }
 
 /// Repeats the call: the reply has 40 ms, within which a busy machine may delay it.
@@ -309,8 +355,26 @@
 #[test]
 fn a_call_that_was_revoked_at_its_deadline_is_not_sent_again() {
     let fleet = EntryFleet::with_targets(Conduct::StaySilent(RevokeStatus::NotRun), 2);
-    fleet.call(INLINE, DEADLINE_MS);
-    assert!(fleet.received.load(Ordering::Relaxed) <= 1);
+    fleet.call_that_arrives(INLINE);
+    assert_eq!(fleet.counters.received.load(Ordering::Relaxed), 1);
+}
+
+/// To ask whether a call ran delays its retry, so it is asked only after the last attempt.
+#[test]
+fn a_repeatable_call_is_retried_before_its_revocation() {
+    let conduct = Conduct::BreakAfterCall(RevokeStatus::Unknown);
+    let fleet = EntryFleet::with_targets(conduct, 2);
+    let counted = |counter: &AtomicUsize| counter.swap(0, Ordering::Relaxed);
+    eventually("both targets receive a call", || {
+        let deadline_ms = DEADLINE_MS as u32;
+        let answer = fleet.fleet.call_with_deadline(0, SAFE_PREFIX, "call", deadline_ms);
+        let (received, revocations) =
+            (counted(&fleet.counters.received), counted(&fleet.counters.revocations));
+        if received == 2 {
+            assert_eq!((answer.expect("answer").status, revocations), (504, 1));
+        }
+        received == 2
+    });
 }
 
 #[test]
@@ -319,8 +383,9 @@
     // On a busy machine the entry may refuse a call itself before it sends it.
     eventually("the refusal of the guard is delivered", || {
         let answer = fleet.call(ANNOUNCED, DEADLINE_MS);
-        assert_not_run(&answer);
-        answer.headers["retry-after"].starts_with('7')
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        has_reason(&answer, "leaving") && answer.headers["retry-after"].starts_with('7')
     });
 }
 
@@ -358,15 +423,17 @@
     let runtime = Runtime::new().expect("runtime");
     let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("listener");
     let guard = listener.local_addr().expect("address");
-    runtime.spawn(serve_going_away(listener));
-    assert_not_run(&EntryFleet::spawn(runtime, guard, 1).call(INLINE, DEADLINE_MS));
+    let counters = Arc::<GuardCounters>::default();
+    runtime.spawn(serve_going_away(listener, Arc::clone(&counters)));
+    let fleet = EntryFleet { counters, ..EntryFleet::spawn(runtime, guard, 1) };
+    assert_not_run(&fleet.call_that_arrives(INLINE), "unreachable");
 }
 
 #[test]
 fn a_call_whose_guard_is_gone_before_the_start_is_not_run() {
     // Nothing listens at the address.
     let fleet = EntryFleet::spawn(Runtime::new().expect("runtime"), ephemeral_address(), 1);
-    assert_not_run(&fleet.call(INLINE, DEADLINE_MS));
+    assert_not_run(&fleet.call(INLINE, DEADLINE_MS), "unreachable");
 }
 
 #[test_case(Conduct::StaySilent(RevokeStatus::Running); "still running at the deadline")]
@@ -375,9 +442,9 @@
     let fleet = EntryFleet::with_guard(conduct);
     // On a busy machine the entry may give up a call before it sends it.
     eventually("a call reaches the guard", || {
-        let received = fleet.received.load(Ordering::Relaxed);
+        let received = fleet.counters.received.load(Ordering::Relaxed);
         let answer = fleet.call(INLINE, DEADLINE_MS);
-        let was_received = fleet.received.load(Ordering::Relaxed) > received;
+        let was_received = fleet.counters.received.load(Ordering::Relaxed) > received;
         assert!(!was_received || answer.status == 504, "{answer:?}");
         was_received
     });
--- a/tests/local_queueing.rs
+++ b/tests/local_queueing.rs
@@ -172,8 +172,13 @@
 #[test_case(5.0, |local: &mut TargetRecord| local.outstanding = 100; "nearby target too busy")]
 fn a_call_does_not_queue_nearby_in_vain(crossing_cost: f64, change: fn(&mut TargetRecord)) {
     let now = MicroTime::from_millis(60_000);
+    let left_out = |local: TargetRecord, crossing_cost| {
+        let estimate = CallEstimate { work_us: 50_000.0, objective_us: 150_000.0, crossing_cost };
+        LocalQueueing::default().left_out(now, &[local], &[], &estimate)
+    };
     let mut local = TargetRecord::new("local".into(), None, SLOTS, MicroTime(0));
+    // Without the change and at a high cost the call queues nearby.
+    assert!(left_out(local.clone(), 5.0).is_some());
     change(&mut local);
-    let estimate = CallEstimate { work_us: 50_000.0, objective_us: 150_000.0, crossing_cost };
-    assert_eq!(LocalQueueing::default().left_out(now, &[local], &[], &estimate), None);
+    assert_eq!(left_out(local, crossing_cost), None);
 }
