Refused callers are told distinct retry times

Cause: a promise was bounded by two seconds from now and raised to the time of the next free request, so all callers refused longer than that before it got the same time; an entry repeated the time of its last refusal for 20 ms. Change: the bound counts from the next free request and is approached in shrinking steps; an entry subtracts the time since the refusal and adds a step for each caller.

--- a/src/decide/quota/credit.rs
+++ b/src/decide/quota/credit.rs
@@ -23,6 +23,13 @@
 /// Time for which an entry requests no grant after no holder had anything left to grant.
 const EXHAUSTED_DURATION: MicroTime = MicroTime::from_millis(20);
 
+/// Number of steps over which an entry spreads the callers that it refuses without asking a
+/// holder: each gets a retry time later than the one before by this fraction of the holder's.
+const REPEAT_STEPS: u64 = 32;
+
+/// Minimum length of such a step: callers are told whole milliseconds.
+const MIN_STEP: MicroTime = MicroTime::from_millis(1);
+
 /// Half-life of an entry's estimate of an account's request rate, in seconds.
 const RATE_HALF_LIFE_S: f64 = 0.5;
 
@@ -68,9 +75,12 @@
     /// Time until which no grant is requested, since no holder had anything left to grant.
     #[serde(rename = "dry_until")]
     exhausted_until: MicroTime,
-    /// Retry time returned to callers until then, in milliseconds.
+    /// Retry time that the holder stated, in milliseconds.
     #[serde(rename = "dry_wait_ms")]
     exhausted_wait_ms: u32,
+    /// Number of callers refused since then without asking a holder.
+    #[serde(skip)]
+    repeated_refusals: u64,
     /// Moving average of the requests per second.
     rate: f64,
     /// Time of the latest request.
@@ -110,6 +120,18 @@
         }
         None
     }
+
+    /// Returns the retry time of a caller that is refused without asking a holder: what is left
+    /// of the stated one, and one step more than the caller before, so that not all retry at
+    /// once.
+    fn next_repeated_wait_ms(&mut self, now: MicroTime) -> u32 {
+        let elapsed = (now + EXHAUSTED_DURATION).since(self.exhausted_until);
+        let wait = MicroTime::from_millis(self.exhausted_wait_ms.into());
+        self.repeated_refusals = self.repeated_refusals % REPEAT_STEPS + 1;
+        let step = MicroTime((wait.0 / REPEAT_STEPS).max(MIN_STEP.0));
+        let delay = MicroTime(step.0 * self.repeated_refusals);
+        u32::try_from((wait + delay).since(elapsed).ceil_millis()).unwrap_or(u32::MAX)
+    }
 }
 
 impl QuotaCredit {
@@ -121,15 +143,14 @@
         let weight = std::f64::consts::LN_2 / RATE_HALF_LIFE_S;
         credit.rate = credit.rate * (-elapsed / RATE_HALF_LIFE_S).exp2() + weight;
         let expected = credit.rate * PREFETCH_TIME.duration().as_secs_f64();
-        let exhausted = (now < credit.exhausted_until).then_some(credit.exhausted_wait_ms);
         let used = self.try_use(now, priority);
         let credit = self.credits.entry(priority).or_default();
         if let Some(grant) = used {
             credit.uncounted = credit.uncounted.saturating_add(1);
             return QuotaDecision::Admit(grant);
         }
-        if let Some(wait_ms) = exhausted {
-            return QuotaDecision::Refuse(wait_ms);
+        if now < credit.exhausted_until {
+            return QuotaDecision::Refuse(credit.next_repeated_wait_ms(now));
         }
         let arrived = std::mem::take(&mut credit.uncounted).saturating_add(1);
         QuotaDecision::AskHolder { want: (1 + expected as u16).min(MAX_REQUESTED), arrived }
@@ -170,6 +191,7 @@
         let credit = self.credits.entry(priority).or_default();
         credit.exhausted_until = now + EXHAUSTED_DURATION;
         credit.exhausted_wait_ms = wait_ms;
+        credit.repeated_refusals = 0;
     }
 
     /// Records the use of the account's quota that a holder stated, in thousandths.
--- a/src/decide/quota/levels.rs
+++ b/src/decide/quota/levels.rs
@@ -23,6 +23,10 @@
 /// an account within its quota is not limited by chance.
 const EXCESS_DEVIATIONS: f64 = 2.0;
 
+/// Number of steps in which the time up to the latest promise is divided at least. Callers that
+/// were all told the latest time would all come back at it.
+const APPROACH_STEPS: u64 = 32;
+
 /// Requests of one priority at one holder.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 struct PriorityLevel {
@@ -217,7 +221,8 @@
 
     /// Promises a refused caller of a level the next request that is free at `room` or later and
     /// not promised yet; returns the time of it. Requests are freed one per `interval`, and
-    /// promised no later than `latest`.
+    /// promised no later than `latest`, which is after `room`:
+    /// close to it the intervals shrink, so that the times stay distinct.
     pub(super) fn promise(
         &mut self,
         index: usize,
@@ -226,7 +231,8 @@
         latest: MicroTime,
     ) -> MicroTime {
         let promised = &mut self.levels[index].promised_until;
-        *promised = ((*promised).max(room) + interval).min(latest).max(room);
+        let last = (*promised).max(room).min(latest);
+        *promised = last + interval.min(MicroTime(latest.since(last).0 / APPROACH_STEPS));
         *promised
     }
 }
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -11,7 +11,8 @@
 use crate::base::datagram::QuotaRequest;
 use crate::base::wire::CallPriority;
 
-/// Maximum time over which the retry times of refused callers are spread.
+/// Maximum time over which the retry times of refused callers are spread, from the time at
+/// which a request is free again.
 const MAX_WAIT: MicroTime = MicroTime::from_millis(2_000);
 
 /// Fraction of the part that is in use when a refusal shows that requests compete for it.
@@ -185,7 +186,8 @@
         }
         // A refused caller is promised a request by every holder, and needs one.
         let interval = self.span.0 as f64 / share.max(1.0) / self.holders;
-        self.levels.promise(level, room, MicroTime(interval as u64), now + MAX_WAIT)
+        let latest = room.max(now) + MAX_WAIT;
+        self.levels.promise(level, room, MicroTime(interval as u64), latest)
     }
 
     /// Returns the granted part, without the use that is assumed before the window was opened.
