Expired grants of all priorities are returned when a credit is used

Cause: a grant was found expired only when a request of the same or a higher priority looked for one, so others of the account waited for its return. Change: each decision drops the expired grants of all priorities. The test of the entry's repeated refusal demands its exact retry time again.

--- a/src/decide/quota/credit.rs
+++ b/src/decide/quota/credit.rs
@@ -106,19 +106,22 @@
 }
 
 impl PriorityCredit {
-    /// Uses one granted request, if there is one; moves expired grants to `expired`.
-    fn try_use(&mut self, now: MicroTime, expired: &mut Vec<(GrantRef, u16)>) -> Option<GrantRef> {
-        while let Some(held) = self.grants.front_mut() {
-            if held.expires > now && held.left > 0 {
-                held.left -= 1;
-                return Some(held.grant);
-            }
-            if held.left > 0 {
+    /// Drops used grants, and moves expired ones to `expired`.
+    fn drop_expired(&mut self, now: MicroTime, expired: &mut Vec<(GrantRef, u16)>) {
+        self.grants.retain(|held| {
+            let is_expired = held.expires <= now;
+            if is_expired && held.left > 0 {
                 expired.push((held.grant, held.left));
             }
-            self.grants.pop_front();
-        }
-        None
+            !is_expired && held.left > 0
+        });
+    }
+
+    /// Uses one granted request, if there is one; none may have expired.
+    fn try_use(&mut self) -> Option<GrantRef> {
+        let held = self.grants.iter_mut().find(|held| held.left > 0)?;
+        held.left -= 1;
+        Some(held.grant)
     }
 
     /// Returns the retry time of a caller that is refused without asking a holder: what is left
@@ -137,13 +140,17 @@
 impl QuotaCredit {
     /// Decides about a request that arrived.
     pub fn decide(&mut self, now: MicroTime, priority: CallPriority) -> QuotaDecision {
+        // Grants of all priorities: those of less frequent requests would be returned late.
+        for credit in self.credits.values_mut() {
+            credit.drop_expired(now, &mut self.expired);
+        }
         let credit = self.credits.entry(priority).or_default();
         let elapsed = now.since(credit.last_arrival).duration().as_secs_f64();
         credit.last_arrival = credit.last_arrival.max(now);
         let weight = std::f64::consts::LN_2 / RATE_HALF_LIFE_S;
         credit.rate = credit.rate * (-elapsed / RATE_HALF_LIFE_S).exp2() + weight;
         let expected = credit.rate * PREFETCH_TIME.duration().as_secs_f64();
-        let used = self.try_use(now, priority);
+        let used = self.try_use(priority);
         let credit = self.credits.entry(priority).or_default();
         if let Some(grant) = used {
             credit.uncounted = credit.uncounted.saturating_add(1);
@@ -171,13 +178,13 @@
     }
 
     /// Uses a granted request of the priority itself, or of the least urgent one that has any.
-    fn try_use(&mut self, now: MicroTime, priority: CallPriority) -> Option<GrantRef> {
+    fn try_use(&mut self, priority: CallPriority) -> Option<GrantRef> {
         let own = self.credits.get_mut(&priority);
-        if let Some(grant) = own.and_then(|credit| credit.try_use(now, &mut self.expired)) {
+        if let Some(grant) = own.and_then(PriorityCredit::try_use) {
             return Some(grant);
         }
         let mut others = self.credits.range_mut(..priority);
-        others.find_map(|(_, credit)| credit.try_use(now, &mut self.expired))
+        others.find_map(|(_, credit)| credit.try_use())
     }
 
     /// Returns the requests of grants that expired unused, once.
--- a/tests/quota_priorities.rs
+++ b/tests/quota_priorities.rs
@@ -203,13 +203,17 @@
     assert!(asks(credit.decide(now, ROUTINE)));
     assert_eq!(credit.decide(now, URGENT), QuotaDecision::Admit(grant(1)));
     credit.mark_exhausted(now, ROUTINE, 700);
-    assert!(matches!(credit.decide(now, ROUTINE), QuotaDecision::Refuse(700..)));
+    assert_eq!(credit.decide(now, ROUTINE), QuotaDecision::Refuse(722));
     assert!(asks(credit.decide(now, URGENT)), "nothing is known of the urgent requests' quota");
     credit.add_grant(now, ROUTINE, 3, grant(2));
     let later = now + MicroTime::from_millis(200);
     assert!(asks(credit.decide(later, URGENT)));
     assert_eq!(credit.take_expired(), [(grant(2), 3)]);
     assert_eq!(credit.take_expired(), []);
+    // Requests of another priority must not leave expired grants of a more urgent one unreturned.
+    credit.add_grant(now, URGENT, 2, grant(3));
+    assert!(asks(credit.decide(later, ROUTINE)));
+    assert_eq!(credit.take_expired(), [(grant(3), 2)]);
 }
 
 /// A less urgent caller that is told the time at which any request may be granted comes back in
