Routes that a new configuration drops are no longer remembered as nested

Cause: a route that targets had called stayed among the at most 1,024 nested routes when a new configuration no longer had it. Change: a new configuration drops the routes that it doesn't have.

--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -205,6 +205,7 @@
             }
             EntryEvent::Config(active) => {
                 self.quotas.retain(&active.config.accounts);
+                self.nested_routes.borrow_mut().retain(&active.config.routes);
                 let revision = active.head.revision;
                 *self.active.borrow_mut() = Some(active);
                 self.confirmation.lock().set_in_force(revision);
--- a/src/call/entry/nested.rs
+++ b/src/call/entry/nested.rs
@@ -10,6 +10,7 @@
 use crate::base::ids::ServiceName;
 use crate::call::entry::intake::CallerCall;
 use crate::duty::events::{GuardEvent, NestedEnd};
+use crate::rules::route::RouteRule;
 
 /// Maximum number of routes that are remembered; a target calls a few services.
 const MAX_ROUTES: usize = 1_024;
@@ -30,6 +31,11 @@
         }
     }
 
+    /// Drops the routes that a new configuration does not have.
+    pub(super) fn retain(&mut self, rules: &[RouteRule]) {
+        self.routes.retain(|route| rules.iter().any(|rule| rule.name == *route));
+    }
+
     /// Returns whether only targets call a route, as far as known.
     pub(super) fn contains(&self, route: &str) -> bool {
         self.routes.contains(route)
