Grants whose reply nobody waits for are returned to their holder

Cause: a grant that arrived after the timeout, or whose caller had left, was dropped and counted as used for a window; the entry of a request whose caller left stayed among the pending ones. Change: a drop guard removes the pending entry and returns a grant found in its channel; the replies of abandoned requests are expected for another second, and their grants returned.

--- a/src/call/entry/load_probe.rs
+++ b/src/call/entry/load_probe.rs
@@ -53,7 +53,7 @@
             Ok(GuardReply::Probe(reply)) => {
                 duty.update_load(&reply.service, &reply.target, reply.load);
             }
-            Ok(GuardReply::Quota(reply)) => duty.quotas.deliver(reply),
+            Ok(GuardReply::Quota(reply)) => duty.deliver_quota_reply(reply),
             Ok(GuardReply::Confirmation(reply)) => duty.handle_confirmation(reply),
             Err(_malformed) => {}
         }
--- a/src/call/entry/quota.rs
+++ b/src/call/entry/quota.rs
@@ -1,7 +1,7 @@
 //! Client account quotas at the entry, which requests grants from the quotas' holders.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +32,10 @@
 /// Time for which a holder that did not reply is asked after all others.
 const UNRESPONSIVE_DURATION: MicroTime = MicroTime::from_millis(1_000);
 
+/// Time for which the reply to a request that nobody waits for any more is expected. A grant that
+/// arrives later counts as used.
+const LATE_REPLY_DURATION: MicroTime = MicroTime::from_millis(1_000);
+
 /// Retry delay if no holder can be reached, in milliseconds.
 const UNREACHABLE_RETRY_MS: u32 = 300;
 
@@ -45,6 +49,8 @@
     credits: RefCell<HashMap<AccountName, QuotaCredit>>,
     /// Channels for the replies to grant requests in progress, by the number of the request.
     pending: RefCell<HashMap<u64, oneshot::Sender<QuotaReply>>>,
+    /// Grant requests that nobody waits for any more, by the time at which that began.
+    abandoned: RefCell<VecDeque<(MicroTime, AccountName, GrantRef)>>,
     next_number: Cell<u64>,
     /// Holders that did not reply, with the time of the last timeout.
     unresponsive: RefCell<HashMap<HostName, MicroTime>>,
@@ -72,6 +78,46 @@
     }
 }
 
+/// Grant request in progress.
+///
+/// Invariant: a grant that nobody takes is returned, whether the reply is late or the caller
+/// has left.
+struct PendingGrant<'a> {
+    duty: &'a EntryDuty,
+    account: &'a AccountName,
+    grant: GrantRef,
+    receiver: oneshot::Receiver<QuotaReply>,
+    is_answered: bool,
+}
+
+impl<'a> PendingGrant<'a> {
+    fn open(duty: &'a EntryDuty, account: &'a AccountName, grant: GrantRef) -> Self {
+        let (sender, receiver) = oneshot::channel();
+        duty.quotas.pending.borrow_mut().insert(grant.number, sender);
+        Self { duty, account, grant, receiver, is_answered: false }
+    }
+
+    /// Returns the reply, or `None` if it doesn't arrive in time.
+    async fn reply(mut self) -> Option<QuotaReply> {
+        let reply = timeout(HOLDER_TIMEOUT, &mut self.receiver).await.ok()?.ok();
+        self.is_answered = reply.is_some();
+        reply
+    }
+}
+
+impl Drop for PendingGrant<'_> {
+    fn drop(&mut self) {
+        self.duty.quotas.pending.borrow_mut().remove(&self.grant.number);
+        if self.is_answered {
+            return;
+        }
+        match self.receiver.try_recv() {
+            Ok(reply) => self.duty.return_grant(self.account, self.grant, reply.granted),
+            Err(_) => self.duty.quotas.abandon(self.duty.clock.now(), self.account, self.grant),
+        }
+    }
+}
+
 /// Result of asking the holders of a quota.
 #[derive(Clone, Copy, Debug)]
 enum QuotaResult {
@@ -89,6 +135,7 @@
             incarnation,
             credits: RefCell::default(),
             pending: RefCell::default(),
+            abandoned: RefCell::default(),
             next_number: Cell::default(),
             unresponsive: RefCell::default(),
             returned: RefCell::default(),
@@ -110,11 +157,19 @@
         self.terms.set(terms);
     }
 
-    /// Passes a holder's reply to the request that waits for it.
-    pub(super) fn deliver(&self, reply: QuotaReply) {
-        if let Some(waiter) = self.pending.borrow_mut().remove(&reply.number) {
-            _ = waiter.send(reply);
-        }
+    /// Records that nobody waits for the reply to a grant request any more.
+    fn abandon(&self, now: MicroTime, account: &AccountName, grant: GrantRef) {
+        let mut abandoned = self.abandoned.borrow_mut();
+        let is_old = |since: &MicroTime| now.since(*since) >= LATE_REPLY_DURATION;
+        while abandoned.pop_front_if(|(since, ..)| is_old(since)).is_some() {}
+        abandoned.push_back((now, account.clone(), grant));
+    }
+
+    /// Removes a grant request that nobody waits for any more.
+    fn take_abandoned(&self, number: u64) -> Option<(AccountName, GrantRef)> {
+        let mut abandoned = self.abandoned.borrow_mut();
+        let index = abandoned.iter().position(|(.., grant)| grant.number == number)?;
+        abandoned.remove(index).map(|(_, account, grant)| (account, grant))
     }
 
     /// Drops the state of accounts that a new configuration does not limit.
@@ -209,9 +264,23 @@
         }
     }
 
+    /// Passes a holder's reply to the request that waits for it; returns its grant if none does.
+    pub(super) fn deliver_quota_reply(&self, reply: QuotaReply) {
+        let waiter = self.quotas.pending.borrow_mut().remove(&reply.number);
+        if let Some(waiter) = waiter {
+            // The drop of a request whose caller has left returns what it finds in the channel.
+            _ = waiter.send(reply);
+        } else if let Some((account, grant)) = self.quotas.take_abandoned(reply.number) {
+            self.return_grant(&account, grant, reply.granted);
+        }
+    }
+
     /// Returns requests of a grant to its holder. If the datagram is lost, they count as used,
     /// unless a later return of the same grant includes them.
     fn return_grant(&self, account: &AccountName, grant: GrantRef, count: u16) {
+        if count == 0 {
+            return;
+        }
         let returned = QuotaReturn {
             incarnation: self.quotas.incarnation,
             number: grant.number,
@@ -299,14 +368,11 @@
         address: SocketAddr,
         request: &QuotaRequest,
     ) -> Option<QuotaReply> {
-        let number = request.number;
         let bytes = wire::encode(&GuardDatagram::Quota(request.clone())).ok()?;
-        let (sender, receiver) = oneshot::channel();
-        self.quotas.pending.borrow_mut().insert(number, sender);
+        let grant = GrantRef { holder: address, number: request.number };
+        let pending = PendingGrant::open(self, &request.account, grant);
         // A datagram that can't be sent is handled by the timeout, like a lost one.
         drop(self.probe_socket.try_send_to(&bytes, address));
-        let reply = timeout(HOLDER_TIMEOUT, receiver).await;
-        self.quotas.pending.borrow_mut().remove(&number);
-        reply.ok()?.ok()
+        pending.reply().await
     }
 }
