--- a/src/base/datagram.rs
+++ b/src/base/datagram.rs
@@ -1,4 +1,5 @@
-//! Datagrams between entries and guards: load probes, and requests for grants from quotas.
+//! Datagrams between entries and guards: load probes, requests for grants from quotas, returns of
+//! grants, and requests for confirmations from the store.
 
 use serde::{Deserialize, Serialize};
 
@@ -41,9 +42,10 @@
     pub settled: bool,
     /// Priority of the request that waits at the entry.
     pub priority: CallPriority,
-    /// Number of requests of this priority that the entry admitted since its last request for
-    /// them, and the one that waits; zero if another holder was asked for these before.
-    pub arrived: u16,
+    /// Demand that no holder knows of yet: the requests of this priority that the entry admitted
+    /// since its last request for them, and the one that waits; zero if another holder was asked
+    /// for these before.
+    pub new_demand: u16,
     /// Incarnation of the entry's daemon, which together with `number` identifies the grant.
     pub incarnation: DaemonIncarnation,
 }
--- a/src/call/entry/quota.rs
+++ b/src/call/entry/quota.rs
@@ -161,7 +161,9 @@
     fn abandon(&self, now: MicroTime, account: &AccountName, grant: GrantRef) {
         let mut abandoned = self.abandoned.borrow_mut();
         let is_old = |since: &MicroTime| now.since(*since) >= LATE_REPLY_DURATION;
-        while abandoned.pop_front_if(|(since, ..)| is_old(since)).is_some() {}
+        while abandoned.front().is_some_and(|(since, ..)| is_old(since)) {
+            abandoned.pop_front();
+        }
         abandoned.push_back((now, account.clone(), grant));
     }
 
@@ -204,12 +206,12 @@
         for (grant, count) in expired {
             self.return_grant(name, grant, count);
         }
-        let (want, arrived) = match decision {
+        let (want, new_demand) = match decision {
             QuotaDecision::Admit(grant) => return Ok(Some(UsedGrant::open(name, grant))),
             QuotaDecision::Refuse(wait_ms) => {
                 return Err(self.over_quota(account, priority, request_id, wait_ms));
             }
-            QuotaDecision::AskHolder { want, arrived } => (want, arrived),
+            QuotaDecision::AskHolder { want, new_demand } => (want, new_demand),
         };
         let request = QuotaRequest {
             number: 0,
@@ -217,7 +219,7 @@
             want,
             settled: self.clock.now() >= self.quotas.terms.get().window + GRANT_LIFETIME,
             priority,
-            arrived,
+            new_demand,
             incarnation: self.quotas.incarnation,
         };
         match self.request_grant(quota, request).await {
@@ -324,7 +326,7 @@
                 return QuotaResult::Granted(grant);
             }
             if reply.wait_ms.is_some() {
-                request.arrived = 0;
+                request.new_demand = 0;
             }
             result = match (result, reply.wait_ms) {
                 (QuotaResult::Exhausted(shortest_ms), Some(wait_ms)) => {
--- a/src/decide/quota/credit.rs
+++ b/src/decide/quota/credit.rs
@@ -52,9 +52,9 @@
     AskHolder {
         /// Number of requests, the current one included.
         want: u16,
-        /// Number of requests that were admitted since the last request for a grant, and the
-        /// current one.
-        arrived: u16,
+        /// Demand that no holder knows of yet: the requests that were admitted since the last
+        /// request for a grant, and the current one.
+        new_demand: u16,
     },
     /// Refuse the request; the caller may retry after this number of milliseconds.
     Refuse(u32),
@@ -86,8 +86,9 @@
     /// Time of the latest request.
     #[serde(rename = "arrived")]
     last_arrival: MicroTime,
-    /// Number of requests that were admitted since the last request for a grant.
-    uncounted: u16,
+    /// Demand that no holder knows of yet: the requests that were admitted since the last request
+    /// for a grant.
+    unreported: u16,
 }
 
 /// Requests that were granted to an entry from an account's quota and are not used yet.
@@ -153,14 +154,14 @@
         let used = self.try_use(priority);
         let credit = self.credits.entry(priority).or_default();
         if let Some(grant) = used {
-            credit.uncounted = credit.uncounted.saturating_add(1);
+            credit.unreported = credit.unreported.saturating_add(1);
             return QuotaDecision::Admit(grant);
         }
         if now < credit.exhausted_until {
             return QuotaDecision::Refuse(credit.next_repeated_wait_ms(now));
         }
-        let arrived = std::mem::take(&mut credit.uncounted).saturating_add(1);
-        QuotaDecision::AskHolder { want: (1 + expected as u16).min(MAX_REQUESTED), arrived }
+        let new_demand = std::mem::take(&mut credit.unreported).saturating_add(1);
+        QuotaDecision::AskHolder { want: (1 + expected as u16).min(MAX_REQUESTED), new_demand }
     }
 
     /// Adds the requests that a holder granted; the entry sent its request at `requested_at`.
--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -128,7 +128,8 @@
         let granted = room.min(allowance).floor().min(f64::from(request.want)).max(0.0);
         // Refused requests count at every holder asked: otherwise a part that less urgent
         // requests have filled would be taken for one that few urgent requests ask for.
-        let asked = if request.arrived > 0 { request.arrived.into() } else { granted.max(1.0) };
+        let asked =
+            if request.new_demand > 0 { request.new_demand.into() } else { granted.max(1.0) };
         self.levels.record_demand(now, self.span, level, asked);
         if granted > 0.0 {
             let leaves = self.record(now, granted);
--- a/tests/common/quota_fleet.rs
+++ b/tests/common/quota_fleet.rs
@@ -212,10 +212,10 @@
         for (grant, count) in self.daemons[entry].credit.take_expired() {
             self.send_return(entry, grant, count, STEP);
         }
-        let (want, mut arrived) = match decision {
+        let (want, mut new_demand) = match decision {
             QuotaDecision::Admit(grant) => return Ok(grant),
             QuotaDecision::Refuse(wait_ms) => return Err(wait_ms),
-            QuotaDecision::AskHolder { want, arrived } => (want, arrived),
+            QuotaDecision::AskHolder { want, new_demand } => (want, new_demand),
         };
         let mut shortest_ms = u32::MAX;
         let mut holders = self.holders_for(entry);
@@ -232,7 +232,7 @@
                 want,
                 settled: self.now.since(daemon.started) >= WINDOW,
                 priority,
-                arrived,
+                new_demand,
                 incarnation: daemon.incarnation,
             };
             if !self.connected(entry, holder) {
@@ -243,7 +243,7 @@
             // One reply in twenty is lost, together with its grant.
             if granted.granted == 0 || self.rng.random_bool(0.05) {
                 if granted.granted == 0 {
-                    arrived = 0;
+                    new_demand = 0;
                     shortest_ms = shortest_ms.min(granted.wait_ms);
                 }
                 continue;
@@ -351,7 +351,7 @@
         want,
         settled: true,
         priority,
-        arrived: 1,
+        new_demand: 1,
         incarnation: DaemonIncarnation(1),
     }
 }
--- a/tests/quota_priorities.rs
+++ b/tests/quota_priorities.rs
@@ -225,7 +225,7 @@
     let mut number = 0;
     let mut ask = |window: &mut QuotaWindow, now: MicroTime, priority: CallPriority| {
         number += 1;
-        let request = QuotaRequest { arrived: 1, ..quota_request(number, priority, 1) };
+        let request = QuotaRequest { new_demand: 1, ..quota_request(number, priority, 1) };
         window.grant(now, &request)
     };
     let mut told = Vec::new();
