--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -126,10 +126,9 @@
     let token = account.and_then(|_account| duty.token_to_recheck(&parts.headers));
     let rank = account.and_then(|account| account.rank);
     let caller_busy = duty.own_target.is_busy();
-    // Callers other than targets have a token on every route that is not public; a target makes
-    // calls only while it runs some.
+    // Callers other than targets have a token on every route that is not public.
     let has_no_token = account.is_none() && !config.accounts.is_empty() && !route.public;
-    let nested = has_no_token && caller_busy || duty.is_nested_route(&route.name);
+    let nested = has_no_token || duty.is_nested_route(&route.name);
     let mut options =
         route.call_options(stated_deadline.and_then(|text| text.trim().parse().ok()), rank);
     if nested && let Some(highest) = duty.own_target.highest_priority() {
