--- a/src/decide/quota/window.rs
+++ b/src/decide/quota/window.rs
@@ -11,7 +11,8 @@
 use crate::base::datagram::QuotaRequest;
 use crate::base::wire::CallPriority;
 
-/// Maximum time over which the retry times of refused callers are spread.
+/// Maximum time over which the retry times of refused callers are spread, from the time at
+/// which a request is free again.
 const MAX_WAIT: MicroTime = MicroTime::from_millis(2_000);
 
 /// Fraction of the part that is in use when a refusal shows that requests compete for it.
@@ -127,7 +128,8 @@
         let granted = room.min(allowance).floor().min(f64::from(request.want)).max(0.0);
         // Refused requests count at every holder asked: otherwise a part that less urgent
         // requests have filled would be taken for one that few urgent requests ask for.
-        let asked = if request.arrived > 0 { request.arrived.into() } else { granted.max(1.0) };
+        let asked =
+            if request.new_demand > 0 { request.new_demand.into() } else { granted.max(1.0) };
         self.levels.record_demand(now, self.span, level, asked);
         if granted > 0.0 {
             let leaves = self.record(now, granted);
@@ -185,7 +187,8 @@
         }
         // A refused caller is promised a request by every holder, and needs one.
         let interval = self.span.0 as f64 / share.max(1.0) / self.holders;
-        self.levels.promise(level, room, MicroTime(interval as u64), now + MAX_WAIT)
+        let latest = room.max(now) + MAX_WAIT;
+        self.levels.promise(level, room, MicroTime(interval as u64), latest)
     }
 
     /// Returns the granted part, without the use that is assumed before the window was opened.
