Soak: accounts with quotas, revoked tokens, nested calls, large bodies

Cause: the fault soak had no client accounts, so quotas, strict revocation, nested calls and announced bodies were never checked under faults.

Nested calls are checked like requests of clients.

--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -13,6 +13,7 @@
 
 use crate::hosted_behaviour::{HostedBehaviour, respond};
 use crate::hosted_client::{hosted_call, read_head};
+use crate::hosted_nested::NestedCalls;
 
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
@@ -56,6 +57,7 @@
     stops_listening: AtomicBool,
     /// Prefix of the paths whose requests crash the target while it runs them, if any.
     crash_path: Mutex<Option<String>>,
+    nested: NestedCalls,
     /// Header lines that are added to each answer to a call.
     answer_headers: Mutex<String>,
     /// Header lines that are added to each answer to a health check.
@@ -116,6 +118,7 @@
             crashed: AtomicBool::new(false),
             stops_listening: AtomicBool::new(false),
             crash_path: Mutex::default(),
+            nested: NestedCalls::default(),
             answer_headers: Mutex::default(),
             health_headers: Mutex::default(),
             connections: Mutex::default(),
@@ -156,6 +159,12 @@
         *lock(&self.state.crash_path) = Some(prefix.to_owned());
     }
 
+    /// Returns the calls that the target makes while it runs others.
+    #[must_use]
+    pub fn nested(&self) -> &NestedCalls {
+        &self.state.nested
+    }
+
     /// Returns whether the target has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -344,7 +353,10 @@
         if !matches!(behaviour, HostedBehaviour::Decline | HostedBehaviour::OtherTarget) {
             let crashes = state.is_crashed_by(&line);
             let run = HostedRun { request_line: line, headers, body, received_at: Instant::now() };
-            lock(&state.runs).push(run);
+            lock(&state.runs).push(run.clone());
+            if !state.nested.succeeds(&state.name, &run) && behaviour == HostedBehaviour::Answer {
+                behaviour = HostedBehaviour::ServerError;
+            }
             let service_time = *lock(&state.service_time);
             std::thread::sleep(service_time);
             if crashes {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 mod hosted;
 mod hosted_behaviour;
 mod hosted_client;
+mod hosted_nested;
 mod http;
 mod link;
 mod other_writers;
@@ -16,6 +17,7 @@
 pub use hosted::{HostedRun, HostedTarget};
 pub use hosted_behaviour::HostedBehaviour;
 pub use hosted_client::{HostedConnection, HostedResponse, hosted_call};
+pub use hosted_nested::{NestedCall, NestedCallRule, NestedCalls};
 pub use link::{FaultyLink, LinkDirection};
 pub use platform::{PlatformFaults, PlatformLimits, PlatformStandin};
 pub use process::{DaemonEndpoints, DaemonProcess, DaemonSpec};
--- a/tests/soak/crash_requests.rs
+++ b/tests/soak/crash_requests.rs
@@ -43,6 +43,7 @@
             service: SERVICES[0],
             request_line: format!("GET {CRASH_PATH} HTTP/1.1"),
             body: Vec::new(),
+            token: None,
             deadline: COPY_DEADLINE,
             sent: now,
             ended: now,
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::account_events;
 use super::capacity_events::CapacityPlan;
 use super::crash_requests;
 use super::statement_events::{self, PlannedStatement};
@@ -107,6 +108,8 @@
     pub disruptions: Vec<PlannedDisruption>,
     pub capacity: CapacityPlan,
     pub statements: Vec<PlannedStatement>,
+    /// Times of the configurations that revoke a token, counted from the start of the run.
+    pub revocations: Vec<Duration>,
     /// Whether clients also send copies of a request that crashes each target that runs it.
     pub sends_crash_requests: bool,
 }
@@ -152,6 +155,7 @@
             disruptions,
             capacity,
             statements,
+            revocations: account_events::draw(seed, duration),
             sends_crash_requests,
         }
     }
