Soak: a host cut off from the store and all others while tokens are revoked

Cause: no disruption lasts longer than 2.5 s, so no daemon stayed ignorant of a revision for the 5 s after which revoked tokens must not run.

--- a/tests/soak/account_events.rs
+++ b/tests/soak/account_events.rs
@@ -7,7 +7,7 @@
 use std::thread::{Scope, ScopedJoinHandle};
 use std::time::{Duration, Instant};
 
-use railspan_standins::{NestedCall, NestedCallRule};
+use railspan_standins::{LinkDirection, NestedCall, NestedCallRule};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
@@ -66,6 +66,23 @@
 const DEADLINE: Duration = Duration::from_millis(1_500);
 const NESTED_DEADLINE: Duration = Duration::from_millis(600);
 
+/// Times for which a host is cut off from the store and from all others, in milliseconds: longer
+/// than the bound on revoked tokens.
+const ISOLATION_MS: std::ops::Range<u64> = 7_000..9_000;
+
+/// Time by which the isolation begins before the first revocation, and between two cuts of its
+/// links, which other disruptions may have restored.
+const ISOLATION_LEAD: Duration = Duration::from_millis(200);
+const ISOLATION_STEP: Duration = Duration::from_millis(20);
+
+/// The configurations of a run that revoke a token, with times counted from its start.
+#[derive(Clone, Debug, Default)]
+pub struct RevocationPlan {
+    times: Vec<Duration>,
+    /// Host that is isolated around the first revocation, and for how long.
+    pub isolation: Option<(usize, Duration)>,
+}
+
 /// A token that a configuration revoked.
 #[derive(Clone, Copy, Debug)]
 pub struct Revocation {
@@ -155,26 +172,60 @@
     }
 }
 
-/// Draws the times of the revocations of a run.
-pub fn draw(seed: u64, duration: Duration) -> Vec<Duration> {
-    let mut times = Vec::new();
+/// Draws the revocations of a run; a host is isolated in every second run with faults.
+pub fn draw(seed: u64, hosts: usize, duration: Duration, planned_only: bool) -> RevocationPlan {
+    let mut plan = RevocationPlan::default();
     if seed < FIRST_SEED {
-        return times;
+        return plan;
     }
     let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(29));
     let mut at = Duration::from_millis(rng.random_range(FIRST_REVOCATION_MS));
     while at < duration.mul_f64(0.75) {
-        times.push(at);
+        plan.times.push(at);
         at += Duration::from_millis(rng.random_range(REVOCATION_INTERVAL_MS));
     }
-    times
+    if seed.is_multiple_of(2) && !planned_only {
+        let lasts = Duration::from_millis(rng.random_range(ISOLATION_MS));
+        plan.isolation = Some((rng.random_range(0..hosts), lasts));
+    }
+    plan
 }
 
 /// Publishes the configurations that revoke tokens.
-pub fn run(fleet: &SoakFleet, revocations: &[Duration], start: Instant) {
-    for at in revocations {
-        std::thread::sleep((start + *at).saturating_duration_since(Instant::now()));
-        fleet.publish_config(true);
+pub fn run(fleet: &SoakFleet, plan: &RevocationPlan, start: Instant) {
+    std::thread::scope(|scope| {
+        if let (Some((host, lasts)), Some(first)) = (plan.isolation, plan.times.first()) {
+            let from = start + first.saturating_sub(ISOLATION_LEAD);
+            scope.spawn(move || isolate(fleet, host, from, lasts));
+        }
+        for at in &plan.times {
+            std::thread::sleep((start + *at).saturating_duration_since(Instant::now()));
+            fleet.publish_config(true);
+        }
+    });
+}
+
+/// Cuts a host off from the store and from all other daemons. Its own guard stays reachable,
+/// since its entry calls it through the same link, so that revoked tokens could run there.
+fn isolate(fleet: &SoakFleet, isolated: usize, from: Instant, lasts: Duration) {
+    std::thread::sleep(from.saturating_duration_since(Instant::now()));
+    let set_cut = |cut| {
+        for (index, host) in fleet.hosts.iter().enumerate() {
+            let own = if index == isolated { &host.links.store } else { &host.links.guard };
+            for link in [own, &host.links.peer] {
+                link.cut(LinkDirection::Inbound, cut);
+                link.cut(LinkDirection::Outbound, cut);
+            }
+        }
+    };
+    let from = Instant::now();
+    while from.elapsed() < lasts {
+        set_cut(true);
+        std::thread::sleep(ISOLATION_STEP);
+    }
+    set_cut(false);
+    for host in &fleet.hosts {
+        lock(&host.link_faults).push((from, Instant::now()));
     }
 }
 
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::account_events;
+use super::account_events::{self, RevocationPlan};
 use super::capacity_events::CapacityPlan;
 use super::crash_requests;
 use super::statement_events::{self, PlannedStatement};
@@ -108,8 +108,7 @@
     pub disruptions: Vec<PlannedDisruption>,
     pub capacity: CapacityPlan,
     pub statements: Vec<PlannedStatement>,
-    /// Times of the configurations that revoke a token, counted from the start of the run.
-    pub revocations: Vec<Duration>,
+    pub revocations: RevocationPlan,
     /// Whether clients also send copies of a request that crashes each target that runs it.
     pub sends_crash_requests: bool,
 }
@@ -141,7 +140,12 @@
             }
         }
         disruptions.sort_by_key(|planned| planned.at);
-        let capacity = CapacityPlan::draw(seed, hosts, duration);
+        let mut capacity = CapacityPlan::draw(seed, hosts, duration);
+        let revocations = account_events::draw(seed, hosts, duration, planned_only);
+        if revocations.isolation.is_some() {
+            // An isolated host can't learn of an evacuation within the bound of its check.
+            capacity.evacuations.clear();
+        }
         let statements = statement_events::draw(seed, hosts, duration, planned_only);
         let sends_crash_requests =
             (crash_requests::FIRST_SEED..statement_events::FIRST_SEED).contains(&seed);
@@ -155,7 +159,7 @@
             disruptions,
             capacity,
             statements,
-            revocations: account_events::draw(seed, duration),
+            revocations,
             sends_crash_requests,
         }
     }
