--- a/tests/downstream.rs
+++ b/tests/downstream.rs
@@ -18,7 +18,7 @@
 const URGENT: CallPriority = CallPriority { urgent: true, worth: 9 };
 const ROUTINE: CallPriority = CallPriority { urgent: false, worth: 1 };
 
-/// The chained services of docs/hard-load.md, from the least urgent outer calls inwards, with
+/// The chained services of docs/design/hard-load.md, from the least urgent outer calls inwards, with
 /// `per_s` calls a second from callers, of which the share `calling` makes calls at each service.
 fn chain(calling: f64, per_s: f64) -> Vec<ServicePlan> {
     let plan = |targets, work_us, calls: Option<(usize, u32)>, part, worth| ServicePlan {
--- a/tests/nested_routes.rs
+++ b/tests/nested_routes.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
 
-/// Hosts of each service in the first load of `docs/hard-load.md`.
+/// Hosts of each service in the first load of `docs/design/hard-load.md`.
 const CHAINED: [(&str, usize); 4] = [("shares", 33), ("payouts", 24), ("ledgers", 8), ("pools", 4)];
 
 /// Time between two calls of a route at one guard.
--- a/tests/nested_slots.rs
+++ b/tests/nested_slots.rs
@@ -1,4 +1,4 @@
-//! Slots reserved for nested calls: the chained load of `docs/hard-load.md` played at one target,
+//! Slots reserved for nested calls: the chained load of `docs/design/hard-load.md` played at one target,
 //! in virtual time.
 
 use std::collections::{BTreeSet, HashMap};
