Preference of nested calls is a setting, off by default

Change: nested_first among the deployment's settings; without it nested calls are treated like all others, and are only counted for the refusals of downstream services. The hosted test fleets set it, so their tests of the preference stay.

--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -259,11 +259,11 @@
 ///
 /// The call is refused once it would probably miss its latency objective, while another
 /// target or a later attempt may still serve it. A call without an objective shorter than
-/// its deadline may wait until the deadline. A nested call may wait until its deadline less
-/// its work, since its run can use a late answer.
-fn max_wait(call: &CallerCall, work_us: f64, now: MicroTime) -> MicroTime {
+/// its deadline may wait until the deadline. With `nested_first`, a nested call may wait
+/// until its deadline less its work, since its run can use a late answer.
+fn max_wait(call: &CallerCall, nested_first: bool, work_us: f64, now: MicroTime) -> MicroTime {
     let work = MicroTime((work_us * WORK_MARGIN) as u64);
-    if call.nested {
+    if call.nested && nested_first {
         return call.deadline.since(now).since(work);
     }
     if call.options.objective_ms >= call.options.deadline_ms {
@@ -282,7 +282,8 @@
     last_target: bool,
 ) -> CallHead {
     let work_us = duty.route_stats.borrow().work_us(&call.options);
-    let max_wait_ms = max_wait(call, work_us, duty.clock.now()).ceil_millis() as u32;
+    let max_wait_ms =
+        max_wait(call, duty.nested_first, work_us, duty.clock.now()).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
         digest: call.digest,
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -131,7 +131,10 @@
     let nested = has_no_token || duty.is_nested_route(&route.name);
     let mut options =
         route.call_options(stated_deadline.and_then(|text| text.trim().parse().ok()), rank);
-    if nested && let Some(highest) = duty.own_target.highest_priority() {
+    if nested
+        && duty.nested_first
+        && let Some(highest) = duty.own_target.highest_priority()
+    {
         // The run that made the call is among those, but it is not known which one it is.
         options.priority = highest;
     }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -93,6 +93,8 @@
     pub(crate) watch_count: Cell<usize>,
     /// Service of the target on this host, in a deployment.
     pub(crate) own_service: Option<ServiceName>,
+    /// Whether nested calls go before others of the same priority.
+    pub(crate) nested_first: bool,
     /// What the target on this host runs now.
     pub(crate) own_target: OwnTarget,
     /// What this daemon knows of the store's newest revision.
@@ -124,6 +126,7 @@
     pub(crate) data_centre: CentreName,
     pub(crate) crossing_cost: f64,
     pub(crate) own_service: Option<ServiceName>,
+    pub(crate) nested_first: bool,
     pub(crate) own_target: OwnTarget,
     pub(crate) confirmation: SharedConfirmation,
     pub(crate) retry_share: RetryShare,
@@ -169,6 +172,7 @@
         route_stats: RefCell::default(),
         watch_count: Cell::new(0),
         own_service: parts.own_service,
+        nested_first: parts.nested_first,
         own_target: parts.own_target,
         confirmation: parts.confirmation,
         asker: RefCell::new(ConfirmationAsker::open(rand::random())),
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -206,7 +206,7 @@
             queue_deadline: call.deadline.min(call.queue_deadline),
             work_us: head.work_us,
             last_target: head.last,
-            nested: call.nested,
+            nested: call.nested && call.duty.nested_first,
         }
     }
 
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -82,6 +82,8 @@
     pub(crate) header_names: &'static HeaderNames,
     /// Service of the host's target, if the settings name one.
     pub(crate) own_service: Option<ServiceName>,
+    /// Whether nested calls go before others of the same priority.
+    pub(crate) nested_first: bool,
     /// Shared with the entry of this daemon.
     pub(crate) own_target: OwnTarget,
     /// Shared with the other duties of this daemon.
@@ -126,6 +128,8 @@
     pub(crate) connections: Rc<TargetConnections>,
     pub(crate) header_names: &'static HeaderNames,
     own_service: Option<ServiceName>,
+    /// Whether nested calls go before others of the same priority.
+    pub(crate) nested_first: bool,
     /// What the host's own target runs, for the entry of this daemon.
     own_target: OwnTarget,
     /// Throttle of the calls to the host's own target, by the calls that its runs make.
@@ -181,6 +185,7 @@
         connections: TargetConnections::open(clock),
         header_names: parts.header_names,
         own_service: parts.own_service,
+        nested_first: parts.nested_first,
         own_target: parts.own_target,
         downstream: RefCell::default(),
         confirmation: parts.confirmation,
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -71,7 +71,7 @@
 
 /// A call at this guard; dropping it removes it from the admission queue.
 pub(crate) struct ServedCall {
-    duty: Rc<GuardDuty>,
+    pub(super) duty: Rc<GuardDuty>,
     pub(crate) call_id: CallId,
     pub(crate) digest: RequestDigest,
     /// The caller's request id; empty if the caller gave none.
@@ -143,7 +143,7 @@
             nested_route,
             arrived_at: now,
             deadline,
-            queue_deadline: if nested {
+            queue_deadline: if nested && duty.nested_first {
                 queue_deadline.max(GuardDuty::nested_queue_deadline(head, deadline))
             } else {
                 queue_deadline
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -146,6 +146,7 @@
         crossing_cost: deployment
             .map_or(0.0, |deployment| f64::from(deployment.crossing_cost) / 1_000.0),
         own_service: deployment.map(|deployment| deployment.service.clone()),
+        nested_first: deployment.is_some_and(|deployment| deployment.nested_first),
         own_target: shared.own_target.clone(),
         confirmation: shared.confirmation.clone(),
         retry_share: reload::retry_share(terms),
@@ -246,6 +247,7 @@
         incarnation: shared.incarnation,
         header_names,
         own_service: deployment.map(|deployment| deployment.service.clone()),
+        nested_first: deployment.is_some_and(|deployment| deployment.nested_first),
         own_target: shared.own_target.clone(),
         confirmation: shared.confirmation.clone(),
         target_address: deployment.and_then(|deployment| deployment.target_address),
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -75,6 +75,10 @@
     /// benefit.
     #[serde(default)]
     pub crossing_cost: u32,
+    /// Whether calls that targets make for their runs go before other calls of the same priority
+    /// and may use slots beyond the limit.
+    #[serde(default)]
+    pub nested_first: bool,
 }
 
 /// Budget of load probes; zero by default.
@@ -103,6 +107,7 @@
     FieldSchema { name: "ready_address", kind: FieldKind::Address, required: true },
     FieldSchema { name: "control_address", kind: FieldKind::Address, required: true },
     FieldSchema { name: "crossing_cost", kind: FieldKind::Integer(0, 100_000), required: false },
+    FieldSchema { name: "nested_first", kind: FieldKind::Flag, required: false },
     FieldSchema { name: "terms", kind: FieldKind::Text(4_000), required: true },
 ];
 
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -341,6 +341,7 @@
 pub fn deployment_settings(terms: &str) -> Value {
     json!({
         "service": SERVICE,
+        "nested_first": true,
         "terms": terms,
     })
 }
