--- a/tests/downstream_calls.rs
+++ b/tests/downstream_calls.rs
@@ -9,7 +9,7 @@
 use common::hosted::{
     HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST, platform_config,
 };
-use railspan_standins::{HostedResponse, hosted_call};
+use railspan_standins::{HostedBehaviour, HostedResponse, hosted_call};
 use serde_json::{Value, json};
 
 const KEY: &str = "n2ftimaj3nr26tta828m";
@@ -75,12 +75,14 @@
         assert_eq!(call_with_nested(&fleet, &format!("served{number}")).status, 200);
     }
     drop(downstream);
+    // A run whose call is not answered fails.
+    fleet.targets[0].set_behaviour(HostedBehaviour::ServerError);
     let mut number = 0;
     eventually("a call is refused", || {
         number += 1;
         let id = format!("gone{number}");
         let answer = call_with_nested(&fleet, &id);
-        if answer.status == 200 {
+        if answer.status == 500 {
             return false;
         }
         assert_eq!(answer.status, 503);
@@ -100,6 +102,7 @@
         line.strip_prefix("railspan_downstream_refusals_total ")?.parse::<u64>().ok()
     });
     assert!(count.is_some_and(|count| count > 0), "{count:?}");
+    fleet.targets[0].set_behaviour(HostedBehaviour::Answer);
     for number in 0..5 {
         let answer = call(&fleet, UNSAFE_PREFIX, &format!("alone{number}"), Some(KEY));
         assert_eq!(answer.status, 200, "a call that needs no other service was refused");
