Refusal of runs that fail downstream is a setting, off by default

Change: refuse_failing_runs among the deployment's settings; the hosted test fleets set it, so the tests of the refusals stay.

--- a/src/call/guard/downstream.rs
+++ b/src/call/guard/downstream.rs
@@ -51,7 +51,7 @@
         call: &ServedCall,
         head: &CallHead,
     ) -> Result<(), AnswerHead> {
-        if !self.is_own_service(&head.service) {
+        if !self.refuse_failing_runs || !self.is_own_service(&head.service) {
             return Ok(());
         }
         let now = self.clock.now();
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -84,6 +84,8 @@
     pub(crate) own_service: Option<ServiceName>,
     /// Whether nested calls go before others of the same priority.
     pub(crate) nested_first: bool,
+    /// Whether calls are refused while most runs of their route fail downstream.
+    pub(crate) refuse_failing_runs: bool,
     /// Shared with the entry of this daemon.
     pub(crate) own_target: OwnTarget,
     /// Shared with the other duties of this daemon.
@@ -130,6 +132,8 @@
     own_service: Option<ServiceName>,
     /// Whether nested calls go before others of the same priority.
     pub(crate) nested_first: bool,
+    /// Whether calls are refused while most runs of their route fail downstream.
+    refuse_failing_runs: bool,
     /// What the host's own target runs, for the entry of this daemon.
     own_target: OwnTarget,
     /// Throttle of the calls to the host's own target, by the calls that its runs make.
@@ -186,6 +190,7 @@
         header_names: parts.header_names,
         own_service: parts.own_service,
         nested_first: parts.nested_first,
+        refuse_failing_runs: parts.refuse_failing_runs,
         own_target: parts.own_target,
         downstream: RefCell::default(),
         confirmation: parts.confirmation,
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -248,6 +248,7 @@
         header_names,
         own_service: deployment.map(|deployment| deployment.service.clone()),
         nested_first: deployment.is_some_and(|deployment| deployment.nested_first),
+        refuse_failing_runs: deployment.is_some_and(|deployment| deployment.refuse_failing_runs),
         own_target: shared.own_target.clone(),
         confirmation: shared.confirmation.clone(),
         target_address: deployment.and_then(|deployment| deployment.target_address),
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -79,6 +79,10 @@
     /// and may use slots beyond the limit.
     #[serde(default)]
     pub nested_first: bool,
+    /// Whether calls are refused while most runs of their route fail and the calls that these make
+    /// are not answered.
+    #[serde(default)]
+    pub refuse_failing_runs: bool,
 }
 
 /// Budget of load probes; zero by default.
@@ -108,6 +112,7 @@
     FieldSchema { name: "control_address", kind: FieldKind::Address, required: true },
     FieldSchema { name: "crossing_cost", kind: FieldKind::Integer(0, 100_000), required: false },
     FieldSchema { name: "nested_first", kind: FieldKind::Flag, required: false },
+    FieldSchema { name: "refuse_failing_runs", kind: FieldKind::Flag, required: false },
     FieldSchema { name: "terms", kind: FieldKind::Text(4_000), required: true },
 ];
 
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -342,6 +342,7 @@
     json!({
         "service": SERVICE,
         "nested_first": true,
+        "refuse_failing_runs": true,
         "terms": terms,
     })
 }
