--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -7,11 +7,13 @@
 mod client;
 mod deployment;
 mod record;
+mod store;
 mod upstream;
 
 pub use client::{Answer, Client, Load, LoadPlan};
-pub use deployment::{Deployment, DeploymentPlan, MachinePlan, find_addresses};
+pub use deployment::{Deployment, DeploymentPlan, MachinePlan, find_addresses, store_address};
 pub use record::Record;
+pub use store::Store;
 pub use upstream::{Noise, Run, Upstream, UpstreamPlan};
 
 use std::process::ExitCode;
