Review case 8: a long answer is held past its route's timeout

Cause: from the head of a streamed answer on, nothing at the entry watches the call's deadline. While the guard stands still, the caller gets neither the rest nor an end.

Change: the case; the upstream stand-in can send long answers slowly.

--- a/review/play-2/src/cases.rs
+++ b/review/play-2/src/cases.rs
@@ -3,6 +3,7 @@
 mod allotment;
 mod cold_again;
 mod forgotten_leave;
+mod held_download;
 mod uploads;
 
 use std::io;
@@ -31,6 +32,7 @@
         "forgotten-leave" => forgotten_leave::play(stage, trouble),
         "cold-again" => cold_again::play(stage, trouble),
         "allotment" => allotment::play(stage, trouble),
+        "held-download" => held_download::play(stage, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -74,6 +76,8 @@
                 control: machine.address(CONTROL_PORT),
                 slots: 12,
                 work: Duration::from_millis(100),
+                answer_len: 0,
+                answer_time: Duration::ZERO,
                 cold_factor: 2,
                 cold_crash: usize::MAX,
             }))?);
--- a/review/play-2/src/fleet.rs
+++ b/review/play-2/src/fleet.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Sends the process a signal by name, such as `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let child = self.child.lock().expect("child");
+        let Some(child) = child.as_ref() else { return Err(io::Error::other("no process")) };
+        let signal = format!("-{name}");
+        let status = Command::new("kill").args([&signal, &child.id().to_string()]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("the signal can't be sent")) }
+    }
+
     fn is_ready(&self) -> bool {
         let address = self.address(READY_PORT);
         let timeout = Duration::from_millis(500);
--- a/review/play-2/src/http.rs
+++ b/review/play-2/src/http.rs
@@ -90,7 +90,8 @@
     writer.write_all(&bytes)
 }
 
-fn write_paced(
+/// Writes a message whose body takes its time, at a rate in bytes a second.
+pub fn write_paced(
     writer: &mut impl Write,
     line: &str,
     headers: &[(&str, &str)],
@@ -104,7 +105,7 @@
     writer.write_all(format!("{head}Content-Length: {}\r\n\r\n", body.len()).as_bytes())?;
     let started_at = Instant::now();
     let mut sent = 0;
-    for part in body.chunks(64 << 10) {
+    for part in body.chunks(16 << 10) {
         let due = started_at + Duration::from_secs_f64(sent as f64 / rate as f64);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
         writer.write_all(part)?;
--- a/review/play-2/src/upstream.rs
+++ b/review/play-2/src/upstream.rs
@@ -8,7 +8,7 @@
 
 use serde_json::json;
 
-use crate::http::{Answer, Message, call_once, read_message, serve, write_message};
+use crate::http::{Answer, Message, call_once, read_message, serve, write_message, write_paced};
 
 /// Interval between two heartbeats, as the settings state it.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
@@ -26,6 +26,9 @@
     pub control: SocketAddr,
     pub slots: usize,
     pub work: Duration,
+    /// Length of the answers, and the time over which they are written; short ones at once.
+    pub answer_len: usize,
+    pub answer_time: Duration,
     /// Factor by which work takes longer while the upstream is cold.
     pub cold_factor: u32,
     /// Number of requests in one second at which it crashes while it is cold.
@@ -265,14 +268,20 @@
             }
             self.load(&state)
         };
-        let body = format!("body of {id}");
+        let mut body = format!("body of {id}").into_bytes();
+        body.resize(body.len().max(self.options.answer_len), b'.');
         let headers = [
             ("X-Request-Id", &*id),
             ("X-Server-Signature", "3e1b.07"),
             ("X-Server-Load", &load),
             ("Keep-Alive", "timeout=10"),
         ];
-        write_message(writer, "HTTP/1.1 200 OK", &headers, body.as_bytes())?;
+        if self.options.answer_time.is_zero() {
+            write_message(writer, "HTTP/1.1 200 OK", &headers, &body)?;
+        } else {
+            let rate = body.len() as f64 / self.options.answer_time.as_secs_f64();
+            write_paced(writer, "HTTP/1.1 200 OK", &headers, &body, rate as usize)?;
+        }
         self.lock().runs[index].answered = true;
         Ok(())
     }
