--- a/review/play-2/src/cases.rs
+++ b/review/play-2/src/cases.rs
@@ -4,6 +4,7 @@
 mod cold_again;
 mod forgotten_leave;
 mod held_download;
+mod stop_limit;
 mod uploads;
 
 use std::io;
@@ -33,6 +34,7 @@
         "cold-again" => cold_again::play(stage, trouble),
         "allotment" => allotment::play(stage, trouble),
         "held-download" => held_download::play(stage, trouble),
+        "stop-limit" => stop_limit::play(stage, trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -89,9 +91,14 @@
         self.clients.push(spawn_client(options, &self.log, &self.stop));
     }
 
+    /// Lets the clients send nothing new.
+    fn stop_sending(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+
     /// Stops the clients and returns what they sent.
     fn finish(&mut self) -> Vec<Sent> {
-        self.stop.store(true, Ordering::Relaxed);
+        self.stop_sending();
         for client in self.clients.drain(..) {
             drop(client.join());
         }
--- a/review/play-2/src/load.rs
+++ b/review/play-2/src/load.rs
@@ -77,6 +77,18 @@
                 Some(connection) => send(&options, &id, &body, connection),
                 None => Answer::Closed { sent: false },
             };
+            // A refused client honours the time that it is told, up to a third of the time it has.
+            if let Answer::Whole(message) = &answer
+                && let Some(wait) = message.header("retry-after")
+                && let Ok(seconds) = wait.parse::<f64>()
+            {
+                next = next.max(
+                    Instant::now()
+                        + Duration::from_secs_f64(
+                            seconds.min(options.deadline.as_secs_f64() / 3.0),
+                        ),
+                );
+            }
             let kept = used > 0;
             used += 1;
             let closes = match &answer {
