--- a/review/play-2/src/cases.rs
+++ b/review/play-2/src/cases.rs
@@ -1,8 +1,5 @@
 //! The cases.
 
-mod allotment;
-mod cold_again;
-mod forgotten_leave;
 mod held_download;
 mod stop_limit;
 mod uploads;
@@ -30,9 +27,6 @@
     let stage = Stage::open(repository)?;
     match case {
         "uploads" => uploads::play(stage, trouble),
-        "forgotten-leave" => forgotten_leave::play(stage, trouble),
-        "cold-again" => cold_again::play(stage, trouble),
-        "allotment" => allotment::play(stage, trouble),
         "held-download" => held_download::play(stage, trouble),
         "stop-limit" => stop_limit::play(stage, trouble),
         _ => Err(io::Error::other("no such case")),
@@ -80,8 +74,6 @@
                 work: Duration::from_millis(100),
                 answer_len: 0,
                 answer_time: Duration::ZERO,
-                cold_factor: 2,
-                cold_crash: usize::MAX,
             }))?);
         }
         Ok((fleet, upstreams))
--- a/review/play-2/src/cases/held_download.rs
+++ b/review/play-2/src/cases/held_download.rs
@@ -52,7 +52,6 @@
             body_len: 0,
             deadline: DEADLINE,
             interval: INTERVAL,
-            key: None,
             keeps: true,
             rate: None,
             delay: INTERVAL * index as u32 / CLIENTS as u32,
--- a/review/play-2/src/cases/stop_limit.rs
+++ b/review/play-2/src/cases/stop_limit.rs
@@ -53,7 +53,6 @@
             body_len: 300,
             deadline: Duration::from_millis(TIMEOUT_MS.into()),
             interval: Duration::from_millis(100),
-            key: None,
             keeps: true,
             rate: None,
             delay: Duration::from_millis(100 * index as u64),
--- a/review/play-2/src/cases/uploads.rs
+++ b/review/play-2/src/cases/uploads.rs
@@ -12,12 +12,12 @@
 const MEMORY_KB: u64 = 260 << 10;
 
 /// Length of one upload; `max_body_bytes` is 64 MiB.
-const UPLOAD_BYTES: usize = 16 << 20;
+const UPLOAD_BYTES: usize = 24 << 20;
 
 /// Clients that upload through one machine at the same time: usually, and in the burst of 1.7
 /// times the traffic.
-const UPLOADERS: usize = 6;
-const BURST_UPLOADERS: usize = 10;
+const UPLOADERS: usize = 3;
+const BURST_UPLOADERS: usize = 5;
 
 /// Speed of a client's line in bytes a second: all clients of a machine together stay below the
 /// 1,000 Mbit/s of its link.
@@ -123,7 +123,6 @@
         body_len: 0,
         deadline: Duration::from_secs(1),
         interval: Duration::from_secs(1),
-        key: None,
         keeps: false,
         rate: None,
         delay: Duration::ZERO,
--- a/review/play-2/src/http.rs
+++ b/review/play-2/src/http.rs
@@ -90,13 +90,15 @@
     writer.write_all(&bytes)
 }
 
-/// Writes a message whose body takes its time, at a rate in bytes a second.
+/// Writes a message whose body takes its time, at a rate in bytes a second. Breaks off at the
+/// deadline.
 pub fn write_paced(
     writer: &mut impl Write,
     line: &str,
     headers: &[(&str, &str)],
     body: &[u8],
     rate: usize,
+    deadline: Instant,
 ) -> io::Result<()> {
     let mut head = format!("{line}\r\n");
     for (name, value) in headers {
@@ -108,6 +110,9 @@
     for part in body.chunks(16 << 10) {
         let due = started_at + Duration::from_secs_f64(sent as f64 / rate as f64);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        if Instant::now() >= deadline {
+            return Err(io::Error::from(io::ErrorKind::TimedOut));
+        }
         writer.write_all(part)?;
         sent += part.len();
     }
@@ -165,7 +170,9 @@
             .and_then(|()| self.socket.set_write_timeout(Some(timeout)));
         let written = limits.and_then(|()| match rate {
             None => write_message(&mut self.socket, line, headers, body),
-            Some(rate) => write_paced(&mut self.socket, line, headers, body, rate),
+            Some(rate) => {
+                write_paced(&mut self.socket, line, headers, body, rate, Instant::now() + timeout)
+            }
         });
         if written.is_err() {
             return Answer::Closed { sent: false };
--- a/review/play-2/src/load.rs
+++ b/review/play-2/src/load.rs
@@ -40,8 +40,6 @@
     pub deadline: Duration,
     /// Time from one request to the next.
     pub interval: Duration,
-    /// API key.
-    pub key: Option<&'static str>,
     /// Whether it keeps its connection for many requests.
     pub keeps: bool,
     /// Speed of its line in bytes a second, if that matters.
@@ -113,12 +111,7 @@
 
 fn send(options: &ClientOptions, id: &str, body: &[u8], connection: &mut Connection) -> Answer {
     let deadline = options.deadline.as_millis().to_string();
-    let key = options.key.map(|key| format!("Bearer {key}"));
-    let mut headers =
-        vec![("Host", options.host), ("X-Request-Id", id), ("X-Deadline-Ms", &*deadline)];
-    if let Some(key) = &key {
-        headers.push(("Authorization", key));
-    }
+    let headers = [("Host", options.host), ("X-Request-Id", id), ("X-Deadline-Ms", &*deadline)];
     let line = format!("{} {}{id} HTTP/1.1", options.method, options.prefix);
     let timeout = options.deadline + Duration::from_millis(500);
     connection.call_paced(&line, &headers, body, options.rate, timeout)
@@ -150,9 +143,8 @@
             at(sent.ended_at),
         ));
         for run in runs_of.get(&*sent.id).into_iter().flatten() {
-            let cold = if run.cold { " cold" } else { "" };
             let (time, answered) = (at(run.arrived_at), run.answered);
-            text.push_str(&format!(" {}{cold} {time:.3} {answered}", run.upstream));
+            text.push_str(&format!(" {} {time:.3} {answered}", run.upstream));
         }
         text.push('\n');
     }
