--- a/src/base/digest.rs
+++ b/src/base/digest.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Identifies a request by its content, independent of caller, host and attempt.
@@ -17,7 +18,16 @@
     /// Hashes the parts of a request.
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
-        let hash = hash_parts(parts);
+        Self::from_hash(&hash_parts(parts))
+    }
+
+    /// Hashes the texts of a request and its body, as [`Self::of`] does with the body as the
+    /// last part.
+    pub(crate) fn of_call(texts: &[&[u8]], body: &[Bytes]) -> Self {
+        Self::from_hash(&hash_call(texts, body))
+    }
+
+    fn from_hash(hash: &blake3::Hash) -> Self {
         let (bytes, _) = hash.as_bytes().split_at(size_of::<u128>());
         Self(u128::from_be_bytes(bytes.try_into().unwrap_or_default()))
     }
@@ -62,9 +72,26 @@
 /// give different input to the hash.
 pub(crate) fn hash_parts(parts: &[&[u8]]) -> blake3::Hash {
     let mut hasher = blake3::Hasher::new();
+    update_parts(&mut hasher, parts);
+    hasher.finalize()
+}
+
+/// Hashes byte strings and a body in segments, as [`hash_parts`] does with the body as the last
+/// part.
+pub(crate) fn hash_call(texts: &[&[u8]], body: &[Bytes]) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new();
+    update_parts(&mut hasher, texts);
+    let length: usize = body.iter().map(Bytes::len).sum();
+    hasher.update(&(length as u64).to_le_bytes());
+    for segment in body {
+        hasher.update(segment);
+    }
+    hasher.finalize()
+}
+
+fn update_parts(hasher: &mut blake3::Hasher, parts: &[&[u8]]) {
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    hasher.finalize()
 }
--- a/src/base/h2io.rs
+++ b/src/base/h2io.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
@@ -11,8 +12,10 @@
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::timeout;
 
 use crate::base::consts::MAX_HEAD;
+use crate::base::segments::{BodySegments, SEGMENT_BYTES, SegmentWriter};
 use crate::base::wire::{self, WireError};
 
 /// Size of the length field before a head, in bytes.
@@ -45,6 +48,9 @@
     /// The stream goes on after the end of the message.
     #[snafu(display("stream goes on after the end of the message"))]
     TooLong,
+    /// The sender paused too long.
+    #[snafu(display("stream paused too long"))]
+    Paused,
     /// The head can't be decoded.
     #[snafu(display("{source}"))]
     Head { source: WireError },
@@ -86,13 +92,16 @@
 /// Encodes a head, preceded by its length and followed by a body.
 pub(crate) fn encode_frame_with_body<T: Serialize>(
     head: &T,
-    body: &[u8],
+    body: &[Bytes],
 ) -> Result<Bytes, WireError> {
     let encoded = wire::encode(head)?;
-    let mut framed = BytesMut::with_capacity(HEAD_LENGTH_BYTES + encoded.len() + body.len());
+    let body_len: usize = body.iter().map(Bytes::len).sum();
+    let mut framed = BytesMut::with_capacity(HEAD_LENGTH_BYTES + encoded.len() + body_len);
     framed.put_u32(encoded.len() as u32);
     framed.put_slice(&encoded);
-    framed.put_slice(body);
+    for part in body {
+        framed.put_slice(part);
+    }
     Ok(framed.freeze())
 }
 
@@ -122,6 +131,20 @@
     Ok(())
 }
 
+/// Sends all segments of a body that is not empty, and ends the stream, as [`send_all`] does.
+pub(crate) async fn send_segments(
+    stream: &mut SendStream<Bytes>,
+    segments: &[Bytes],
+) -> Result<(), StreamError> {
+    let Some((last, others)) = segments.split_last() else {
+        return send_all(stream, Bytes::new(), true).await;
+    };
+    for segment in others {
+        send_all(stream, segment.clone(), false).await?;
+    }
+    send_all(stream, last.clone(), true).await
+}
+
 /// Reads one head and the bytes that follow it.
 #[derive(Debug)]
 pub(crate) struct HeadReader {
@@ -150,20 +173,31 @@
         wire::decode(&bytes).context(HeadSnafu)
     }
 
-    /// Reads a body of exactly `length` bytes, with which the stream must end.
-    pub(crate) async fn last_body(&mut self, length: usize) -> Result<Bytes, StreamError> {
-        self.fill(length).await?;
-        while self.buffer.len() == length {
-            match self.stream.data().await {
-                None => return Ok(self.buffer.split().freeze()),
-                Some(part) => {
-                    let part = part.context(BrokenSnafu)?;
-                    release(&mut self.stream, part.len());
-                    self.buffer.extend_from_slice(&part);
+    /// Reads a body of exactly `length` bytes, with which the stream must end. Each part of it
+    /// must arrive within `max_pause`.
+    pub(crate) async fn last_body(
+        &mut self,
+        length: usize,
+        max_pause: Duration,
+    ) -> Result<BodySegments, StreamError> {
+        let mut writer = SegmentWriter::default();
+        let mut part = self.buffer.split().freeze();
+        loop {
+            while !part.is_empty() {
+                if writer.is_full() {
+                    let missing = length - writer.len();
+                    snafu::ensure!(missing > 0, TooLongSnafu);
+                    writer.add_segment(SEGMENT_BYTES.min(missing));
                 }
+                part.advance(writer.write(&part));
             }
+            let next = timeout(max_pause, self.stream.data()).await;
+            let Some(next) = next.map_err(|_elapsed| StreamError::Paused)? else { break };
+            part = next.context(BrokenSnafu)?;
+            release(&mut self.stream, part.len());
         }
-        Err(StreamError::TooLong)
+        snafu::ensure!(writer.len() == length, EndedEarlySnafu);
+        Ok(writer.finish())
     }
 
     /// Returns the bytes received after those read, and the stream.
--- /dev/null
+++ b/src/base/memory_plan.rs
@@ -0,0 +1,58 @@
+//! How a process divides its memory.
+
+use serde::{Deserialize, Serialize};
+
+/// Memory of a process if its settings name none, in MiB.
+pub const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// Maximum size of a body that counts as small, in bytes. Small bodies have memory of their own,
+/// so that large ones keep none of them waiting.
+pub(crate) const SMALL_BODY_BYTES: usize = 64 << 10;
+
+/// Shares of a process's memory that calls may use. An entry and a guard each have theirs, since
+/// a body is kept by both. The rest is for the process itself, its connections and its logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryPlan {
+    /// Memory of the process, in bytes.
+    pub total: u64,
+}
+
+impl MemoryPlan {
+    /// Creates the plan of a process with `memory_mb` MiB.
+    #[must_use]
+    pub const fn of_mib(memory_mb: u64) -> Self {
+        Self { total: memory_mb << 20 }
+    }
+
+    /// Returns the limit of all large bodies at one entry or one guard, in bytes.
+    #[must_use]
+    pub const fn large_bodies(self) -> u64 {
+        self.total / 16 * 5
+    }
+
+    /// Returns the limit of all small bodies at one entry or one guard, in bytes.
+    #[must_use]
+    pub const fn small_bodies(self) -> u64 {
+        self.total / 64 * 3
+    }
+}
+
+/// Use of a memory for bodies, as operators see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemoryUse {
+    /// Limit of the sum of all bodies, in bytes.
+    pub limit_bytes: u64,
+    /// Sum of all bodies, in bytes.
+    pub held_bytes: u64,
+    /// Number of bodies that wait for memory.
+    pub waiting: usize,
+}
+
+/// Use of the memories of one duty.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyMemoryUse {
+    /// Memory for small bodies.
+    pub small: MemoryUse,
+    /// Memory for large bodies.
+    pub large: MemoryUse,
+}
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics of one daemon, shared by its duties.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds of the latency histogram, in seconds.
@@ -23,6 +23,12 @@
     pub(crate) refusals: IntCounterVec,
     /// Calls at this guard whose body was announced, by whether it was requested.
     pub(crate) announced_bodies: IntCounterVec,
+    /// Memory of the bodies of calls, in bytes, by the duty that keeps them.
+    pub(crate) body_bytes: IntGaugeVec,
+    /// Waits of bodies for memory, by the duty that receives them.
+    pub(crate) body_waits: IntCounterVec,
+    /// Bodies that were given up for others that waited for memory, by duty.
+    pub(crate) bodies_given_up: IntCounterVec,
     /// Requests of accounts refused by this entry for their quota, by reason.
     pub(crate) quota_refusals: IntCounterVec,
     /// Granted requests that this entry returned to the holders of quotas.
@@ -91,21 +97,24 @@
         let options = HistogramOpts::new("railspan_call_seconds", "Time to the head of an answer");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
-        let blamed_requests =
-            IntGauge::new("railspan_blamed_requests", "Requests that reach no target")?;
-        registry.register(Box::new(blamed_requests.clone()))?;
-        let limited_targets =
-            IntGauge::new("railspan_rate_limited_targets", "Targets that state a rate of calls")?;
-        registry.register(Box::new(limited_targets.clone()))?;
-        let reserved_slots =
-            IntGauge::new("railspan_reserved_slots", "Slots reserved for nested calls")?;
-        registry.register(Box::new(reserved_slots.clone()))?;
-        let confirmation_age = IntGauge::new(
-            "railspan_confirmation_age_ms",
-            "Age of the confirmation that no token was revoked",
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let body_bytes = IntGaugeVec::new(
+            Opts::new("railspan_body_bytes", "Memory of the bodies of calls"),
+            &["duty"],
         )?;
-        registry.register(Box::new(confirmation_age.clone()))?;
+        registry.register(Box::new(body_bytes.clone()))?;
         Ok(Self {
+            body_bytes,
+            body_waits: family("railspan_body_waits_total", "Waits of bodies for memory", "duty")?,
+            bodies_given_up: family(
+                "railspan_bodies_given_up_total",
+                "Slow bodies given up for others",
+                "duty",
+            )?,
             calls: family("railspan_calls_total", "Calls of callers", "outcome")?,
             latency,
             retries: family("railspan_retries_total", "Attempts after the first", "cause")?,
@@ -143,8 +152,11 @@
                 "railspan_invalid_statements_total",
                 "Statements of targets that could not be read",
             )?,
-            limited_targets,
-            reserved_slots,
+            limited_targets: gauge(
+                "railspan_rate_limited_targets",
+                "Targets that state a rate of calls",
+            )?,
+            reserved_slots: gauge("railspan_reserved_slots", "Slots reserved for nested calls")?,
             target_crashes: counter(
                 "railspan_target_crashes_total",
                 "Targets that ended under calls",
@@ -153,7 +165,7 @@
                 "railspan_held_back_total",
                 "Calls of requests that end targets",
             )?,
-            blamed_requests,
+            blamed_requests: gauge("railspan_blamed_requests", "Requests that reach no target")?,
             downstream_refusals: counter(
                 "railspan_downstream_refusals_total",
                 "Calls whose own calls could not be served",
@@ -162,7 +174,10 @@
                 "railspan_unconfirmed_refusals_total",
                 "Requests with a token refused without a confirmation",
             )?,
-            confirmation_age,
+            confirmation_age: gauge(
+                "railspan_confirmation_age_ms",
+                "Age of the confirmation that no token was revoked",
+            )?,
             log_dropped: counter("railspan_log_dropped_total", "Log lines dropped")?,
             ring_drops: family("railspan_ring_shed_total", "Messages a full ring shed", "duty")?,
             registry,
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -17,6 +17,8 @@
 pub(crate) mod load_report;
 pub(crate) mod log;
 pub(crate) mod member;
+pub(crate) mod memory_plan;
 pub(crate) mod metrics;
+pub(crate) mod segments;
 pub(crate) mod suspect;
 pub(crate) mod wire;
--- /dev/null
+++ b/src/call/body_room.rs
@@ -0,0 +1,212 @@
+//! Memory for the bodies of the calls that an entry or a guard has, with waits for it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus::{IntCounter, IntGauge};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::memory_plan::{DutyMemoryUse, MemoryPlan, MemoryUse, SMALL_BODY_BYTES};
+use crate::base::metrics::DaemonMetrics;
+use crate::decide::body_memory::{BodyMemory, BodyNumber};
+
+/// Interval at which a body that waits looks for others to give up.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Which duty keeps the bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodySide {
+    Entry,
+    Guard,
+}
+
+impl BodySide {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Guard => "guard",
+        }
+    }
+}
+
+/// Which of the two memories a body uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum BodySize {
+    Small,
+    Large,
+}
+
+impl BodySize {
+    /// Returns the memory that a body of a length uses.
+    pub(crate) const fn of(length: usize) -> Self {
+        if length <= SMALL_BODY_BYTES { Self::Small } else { Self::Large }
+    }
+}
+
+/// Memory for all bodies of a duty.
+pub(crate) struct BodyRoom {
+    clock: ProcessClock,
+    small: RefCell<BodyMemory>,
+    large: RefCell<BodyMemory>,
+    /// Tells bodies that are being received that they were given up.
+    receivers: RefCell<HashMap<(BodySize, BodyNumber), Rc<Notify>>>,
+    /// Notified whenever memory is returned.
+    returned: Notify,
+    held_bytes: IntGauge,
+    waits: IntCounter,
+    given_up: IntCounter,
+}
+
+/// Memory of one body, which is returned when this is dropped.
+pub(crate) struct BodyPermit {
+    room: Rc<BodyRoom>,
+    size: BodySize,
+    number: BodyNumber,
+    given_up: Rc<Notify>,
+}
+
+impl BodyRoom {
+    /// Creates the memory of a duty, all of it free.
+    pub(crate) fn open(
+        clock: ProcessClock,
+        plan: MemoryPlan,
+        side: BodySide,
+        metrics: &Arc<DaemonMetrics>,
+    ) -> Rc<Self> {
+        let labels = &[side.label()];
+        Rc::new(Self {
+            clock,
+            small: RefCell::new(BodyMemory::open(plan.small_bodies())),
+            large: RefCell::new(BodyMemory::open(plan.large_bodies())),
+            receivers: RefCell::default(),
+            returned: Notify::new(),
+            held_bytes: metrics.body_bytes.with_label_values(labels),
+            waits: metrics.body_waits.with_label_values(labels),
+            given_up: metrics.bodies_given_up.with_label_values(labels),
+        })
+    }
+
+    /// Returns the length of the longest body that can be held.
+    pub(crate) fn max_length(&self) -> u64 {
+        self.large.borrow().capacity()
+    }
+
+    /// Adds a body of at most `claim` bytes, which has no memory yet; `None` if it can't be held.
+    pub(crate) fn open_body(
+        self: &Rc<Self>,
+        size: BodySize,
+        claim: u64,
+        deadline: MicroTime,
+    ) -> Option<BodyPermit> {
+        let number = self.memory(size).borrow_mut().open_body(self.clock.now(), claim, deadline)?;
+        let given_up = Rc::new(Notify::new());
+        self.receivers.borrow_mut().insert((size, number), Rc::clone(&given_up));
+        Some(BodyPermit { room: Rc::clone(self), size, number, given_up })
+    }
+
+    /// Returns limits and current use.
+    pub(crate) fn memory_use(&self) -> DutyMemoryUse {
+        let describe = |memory: &BodyMemory| MemoryUse {
+            limit_bytes: memory.capacity(),
+            held_bytes: memory.held(),
+            waiting: memory.waiting(),
+        };
+        DutyMemoryUse {
+            small: describe(&self.small.borrow()),
+            large: describe(&self.large.borrow()),
+        }
+    }
+
+    const fn memory(&self, size: BodySize) -> &RefCell<BodyMemory> {
+        match size {
+            BodySize::Small => &self.small,
+            BodySize::Large => &self.large,
+        }
+    }
+
+    fn update_gauge(&self) {
+        let held = self.small.borrow().held() + self.large.borrow().held();
+        self.held_bytes.set(held.cast_signed());
+    }
+
+    /// Gives up a body that keeps others waiting and arrives too slowly, if there is one.
+    fn give_up_hopeless(&self, size: BodySize) {
+        let hopeless = self.memory(size).borrow().find_hopeless(self.clock.now());
+        let Some(number) = hopeless else { return };
+        if let Some(receiver) = self.receivers.borrow_mut().remove(&(size, number)) {
+            self.given_up.inc();
+            receiver.notify_one();
+        }
+    }
+}
+
+impl BodyPermit {
+    /// Takes memory if there is some now; returns whether there was.
+    pub(crate) fn try_take(&self, bytes: usize) -> bool {
+        let now = self.room.clock.now();
+        let granted = self.room.memory(self.size).borrow_mut().take(now, self.number, bytes as u64);
+        if granted {
+            self.room.update_gauge();
+        }
+        granted
+    }
+
+    /// Returns whether the body has any memory.
+    pub(crate) fn has_memory(&self) -> bool {
+        self.room.memory(self.size).borrow().held_by(self.number) > 0
+    }
+
+    /// Takes memory, for which it waits until `until` at most; returns whether it got any.
+    pub(crate) async fn take(&self, bytes: usize, until: Instant) -> bool {
+        if self.try_take(bytes) {
+            return true;
+        }
+        self.room.waits.inc();
+        let wait = async {
+            loop {
+                self.room.give_up_hopeless(self.size);
+                tokio::select! {
+                    () = self.room.returned.notified() => {}
+                    () = sleep(CHECK_INTERVAL) => {}
+                }
+                if self.try_take(bytes) {
+                    return;
+                }
+            }
+        };
+        timeout_at(until, wait).await.is_ok()
+    }
+
+    /// Waits until the body is given up for others.
+    pub(crate) async fn wait_given_up(&self) {
+        self.given_up.notified().await;
+    }
+
+    /// Records that a part of the body arrived.
+    pub(crate) fn note_progress(&self) {
+        let now = self.room.clock.now();
+        self.room.memory(self.size).borrow_mut().note_progress(now, self.number);
+    }
+
+    /// Records that the whole body has arrived.
+    pub(crate) fn complete(&self) {
+        self.room.memory(self.size).borrow_mut().complete(self.number);
+        self.room.receivers.borrow_mut().remove(&(self.size, self.number));
+        // Others may take what this one has claimed and does not need.
+        self.room.returned.notify_waiters();
+    }
+}
+
+impl Drop for BodyPermit {
+    fn drop(&mut self) {
+        self.room.memory(self.size).borrow_mut().close(self.number);
+        self.room.receivers.borrow_mut().remove(&(self.size, self.number));
+        self.room.update_gauge();
+        self.room.returned.notify_waiters();
+    }
+}
--- a/src/call/entry/exchange.rs
+++ b/src/call/entry/exchange.rs
@@ -19,6 +19,7 @@
 use crate::base::h2io::{self, HeadReader, StreamError};
 use crate::base::ids::{CallId, DaemonIncarnation};
 use crate::base::wire::{AnswerHead, CallHead, RevokeHead, RevokeReply};
+use crate::call::call_body::CallBody;
 use crate::call::entry::EntryDuty;
 use crate::call::entry::pool::GuardConnection;
 
@@ -62,7 +63,7 @@
 }
 
 /// Returns whether a body is sent only after the guard asks for it.
-pub(super) const fn body_follows(body: &Bytes) -> bool {
+pub(super) const fn body_follows(body: &CallBody) -> bool {
     body.len() > MAX_INLINE_BODY
 }
 
@@ -71,9 +72,9 @@
 pub(super) async fn send(
     mut sender: SendRequest<Bytes>,
     head: &CallHead,
-    body: &Bytes,
+    body: &CallBody,
 ) -> Result<SentCall, NotSent> {
-    let inline_body: &[u8] = if head.body_follows { &[] } else { body };
+    let inline_body = if head.body_follows { &[] } else { body.segments() };
     let framed = h2io::encode_frame_with_body(head, inline_body).map_err(|_too_long| NotSent)?;
     let request = Request::post("http://guard/call").body(()).map_err(|_never| NotSent)?;
     let sent = sender.send_request(request, false).map_err(|_closed| NotSent);
@@ -94,7 +95,7 @@
     }
     // A guard that stops meanwhile refuses the call without the rest of its body.
     let early_answer = {
-        let sending = pin!(h2io::send_all(&mut stream, body.clone(), true));
+        let sending = pin!(h2io::send_segments(&mut stream, body.segments()));
         match select(sending, pin!(reader.head())).await {
             Either::Left((Ok(()), _reading)) => None,
             Either::Left((Err(_broken), reading)) => Some(reading.await),
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -4,21 +4,20 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use crate::base::clock::MicroTime;
-use crate::base::consts::{MAX_DEADLINE_MS, MAX_IDEMPOTENCY_KEY, MAX_REQUEST_BODY, SENDER_TIMEOUT};
-use crate::base::digest::{RequestDigest, hash_parts};
+use crate::base::consts::{MAX_DEADLINE_MS, MAX_IDEMPOTENCY_KEY, MAX_REQUEST_BODY};
+use crate::base::digest::{RequestDigest, hash_call, hash_parts};
 use crate::base::ids::{AccountName, ServiceName};
 use crate::base::wire::{CallPriority, KeyClaim};
+use crate::call::call_body::CallBody;
 use crate::call::entry::EntryDuty;
 use crate::call::entry::accounts::RankedAccount;
+use crate::call::entry::body_intake::read_body;
 use crate::call::entry::quota::UsedGrant;
 use crate::call::headers;
 use crate::call::responses::{self, ResponseBody};
@@ -54,7 +53,7 @@
     pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) headers: headers::HeaderList,
-    pub(crate) body: Bytes,
+    pub(crate) body: CallBody,
     pub(crate) arrived_at: MicroTime,
     pub(crate) deadline: MicroTime,
     /// Whether the target on this host made the call.
@@ -154,7 +153,7 @@
     let deadline = arrived_at + MicroTime::from_millis(u64::from(options.deadline_ms));
     let limit = config.limits.body_bytes.unwrap_or(DEFAULT_MAX_BODY);
     let service = route.choose_service(&mut duty.rng.borrow_mut()).clone();
-    let body = read_body(body, &parts.headers, limit as usize).await?;
+    let body = read_body(duty, body, &parts.headers, limit as usize, deadline).await?;
     let grant = match account {
         // The account's own rank is the same for all its requests and orders them against those
         // of others; among themselves they compete for its quota by the rank of their route.
@@ -214,7 +213,7 @@
     let deadline_ms = parse_deadline(&parts.headers, options.deadline_ms)
         .ok_or_else(|| reject(StatusCode::BAD_REQUEST, "bad_deadline"))?;
     let deadline = arrived_at + MicroTime::from_millis(u64::from(deadline_ms));
-    let body = read_body(body, &parts.headers, MAX_REQUEST_BODY).await?;
+    let body = read_body(duty, body, &parts.headers, MAX_REQUEST_BODY, deadline).await?;
     let grant = duty.admit(account, options.priority, "").await?;
     let (account_name, service_name) = (account.name.as_str(), service.name.as_str());
     let mut call = CallerCall {
@@ -309,44 +308,13 @@
     Some(deadline_ms.min(MAX_DEADLINE_MS))
 }
 
-/// Reads a request's body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Returns the response to a request whose body is too large, broken or too slow.
-async fn read_body(
-    body: Incoming,
-    headers: &HeaderMap,
-    limit: usize,
-) -> Result<Bytes, Response<ResponseBody>> {
-    let reject = |status, reason| {
-        let mut response = responses::not_run(status, reason, 0);
-        // The rest of the body is not read, so the connection can't be used again.
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
-        response
-    };
-    let length = headers::get_str(headers, "content-length");
-    let length = length.and_then(|text| text.parse::<usize>().ok());
-    if length.is_some_and(|length| length > limit) {
-        return Err(reject(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
-    }
-    match timeout(SENDER_TIMEOUT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(reject(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
-        }
-        Ok(Err(_broken)) => Err(reject(StatusCode::BAD_REQUEST, "body_broken")),
-        Err(_elapsed) => Err(reject(StatusCode::REQUEST_TIMEOUT, "body_too_slow")),
-    }
-}
-
 /// Derives the claim of a call's idempotency key. The row's name depends on the account, so no
 /// other account can name the row.
 fn make_claim(call: &CallerCall, key: &[u8]) -> KeyClaim {
     let row =
         hash_parts(&[call.account.as_str().as_bytes(), call.service.as_str().as_bytes(), key]);
-    let fingerprint = hash_parts(&[call.method.as_bytes(), call.path.as_bytes(), &call.body]);
+    let fingerprint =
+        hash_call(&[call.method.as_bytes(), call.path.as_bytes()], call.body.segments());
     KeyClaim {
         row: format!("claim-{}", row.to_hex()),
         fingerprint: fingerprint.to_string(),
@@ -361,9 +329,8 @@
     destination: &str,
     method: &str,
     path: &str,
-    body: &[u8],
+    body: &CallBody,
 ) -> RequestDigest {
     let texts = [account, destination, method, path].map(str::as_bytes);
-    let [account, destination, method, path] = texts;
-    RequestDigest::of(&[account, destination, method, path, body])
+    RequestDigest::of_call(&texts, body.segments())
 }
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod attempt;
+mod body_intake;
 mod confirmation;
 mod exchange;
 mod hedge;
@@ -33,7 +34,9 @@
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::load_report::{LoadReport, StatedRate};
 use crate::base::member::FleetView;
+use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
+use crate::call::body_room::{BodyRoom, BodySide};
 use crate::call::entry::nested::NestedRoutes;
 use crate::call::entry::pool::GuardPool;
 use crate::call::entry::quota::EntryQuotas;
@@ -89,6 +92,8 @@
     crossing_cost: f64,
     /// Work times and sizes of calls, by route.
     pub(crate) route_stats: RefCell<RouteStats>,
+    /// Memory for the bodies of requests.
+    pub(crate) body_room: Rc<BodyRoom>,
     /// Number of targets whose load reports are streamed to this entry.
     pub(crate) watch_count: Cell<usize>,
     /// Service of the target on this host, in a deployment.
@@ -132,6 +137,7 @@
     pub(crate) retry_share: RetryShare,
     pub(crate) quota_terms: QuotaTerms,
     pub(crate) readiness: DaemonReadiness,
+    pub(crate) memory: MemoryPlan,
     pub(crate) peers: RingSender<PeersEvent>,
     pub(crate) guard: RingSender<GuardEvent>,
     pub(crate) probe_budget: ProbeBudget,
@@ -149,12 +155,14 @@
     let listener = TcpListener::from_std(parts.listener);
     let probe_socket = UdpSocket::from_std(parts.probe_socket);
     let (Ok(listener), Ok(probe_socket)) = (listener, probe_socket) else { return };
+    let clock = ProcessClock::open();
     let duty = Rc::new(EntryDuty {
-        clock: ProcessClock::open(),
+        clock,
         registry: RefCell::default(),
         view: RefCell::default(),
         evacuated: RefCell::default(),
         pool: GuardPool::open(metrics.cross_centre_bytes.with_label_values(&["guards"])),
+        body_room: BodyRoom::open(clock, parts.memory, BodySide::Entry, &metrics),
         metrics,
         probe_budget: RefCell::new(parts.probe_budget),
         probe_socket,
@@ -340,6 +348,7 @@
             "hedge_budget": *self.hedge_budget.borrow(),
             "probe_budget": *self.probe_budget.borrow(),
             "quotas": self.quotas.dump(),
+            "body_memory": self.body_room.memory_use(),
             "caller_connections": *self.caller_connections.borrow(),
             "guard_connections": self.pool.len(),
             "now": self.clock.now(),
--- a/src/call/guard/dump.rs
+++ b/src/call/guard/dump.rs
@@ -18,6 +18,7 @@
             "nested_routes": self.nested.dump(now),
             "downstream": self.downstream.borrow().dump(now),
             "calls_remembered": self.ledger.borrow().len(),
+            "body_memory": self.body_room.memory_use(),
             "streams": *self.open_streams.borrow(),
             "stopping": *self.stopping.borrow(),
         })
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -10,15 +10,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use slog::info;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::base::clock::MicroTime;
 use crate::base::ids::{ServiceName, TargetName};
+use crate::call::call_body::CallBody;
 use crate::call::guard::GuardDuty;
 use crate::call::guard::cold_targets::ColdSource;
 use crate::call::guard::target_call;
@@ -209,7 +209,7 @@
     duty.metrics.health_requests.inc();
     let make_request = || {
         let request = Request::get(path).header(http::header::HOST, address.to_string());
-        request.body(Full::new(Bytes::new())).ok()
+        request.body(CallBody::default().request_body()).ok()
     };
     let exchange = async {
         let (response, connection) =
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -35,8 +35,10 @@
 use crate::base::clock::ProcessClock;
 use crate::base::ids::{CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
+use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
 use crate::base::wire::{AnswerHead, RefusalReason};
+use crate::call::body_room::{BodyRoom, BodySide};
 use crate::call::guard::body_transfer::MAX_BODY_TRANSFERS;
 use crate::call::guard::load_reports::GuardWatchers;
 use crate::call::guard::local_target::LocalTarget;
@@ -100,6 +102,7 @@
     pub(crate) quota_terms: QuotaTerms,
     /// Maximum length of a call's body, in bytes.
     pub(crate) max_body: usize,
+    pub(crate) memory: MemoryPlan,
     pub(crate) address: SocketAddr,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) socket: std::net::UdpSocket,
@@ -151,6 +154,8 @@
     /// Whether the host's data centre is evacuated and accepts no calls.
     pub(crate) evacuated: Cell<bool>,
     pub(crate) max_body: usize,
+    /// Memory for the bodies of calls.
+    body_room: Rc<BodyRoom>,
     /// Permits to receive the bodies of announced calls.
     body_transfers: Semaphore,
     pub(crate) metrics: Arc<DaemonMetrics>,
@@ -201,6 +206,7 @@
         nested: GuardNested::default(),
         evacuated: Cell::new(false),
         max_body: parts.max_body,
+        body_room: BodyRoom::open(clock, parts.memory, BodySide::Guard, &metrics),
         body_transfers: Semaphore::new(MAX_BODY_TRANSFERS),
         metrics,
         rings,
--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -143,7 +143,7 @@
     /// Sends an answer that was read whole, in one frame if the flow-control window allows.
     async fn send_whole(&mut self, answer: &AnswerHead, body: Bytes) {
         let Some(mut stream) = self.unsent.take() else { return };
-        let Ok(bytes) = h2io::encode_frame_with_body(answer, &body) else {
+        let Ok(bytes) = h2io::encode_frame_with_body(answer, &[body]) else {
             stream.reset(Reason::INTERNAL_ERROR);
             return;
         };
--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use slog::info;
 use tokio::sync::OwnedMutexGuard;
 use tokio::time::{sleep_until, timeout};
@@ -18,6 +17,7 @@
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{AccountName, CallId, ServiceName, TargetName};
 use crate::base::wire::{CallHead, RefusalReason};
+use crate::call::call_body::CallBody;
 use crate::call::guard::GuardDuty;
 use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::crash_detection::RunOutcome;
@@ -179,7 +179,7 @@
     pub(crate) async fn run(
         &self,
         head: &CallHead,
-        body: Bytes,
+        body: CallBody,
         claim: Option<HeldClaim>,
         mut answer: AnswerStream,
     ) {
@@ -264,7 +264,7 @@
     async fn call_target(
         &self,
         head: &CallHead,
-        body: Bytes,
+        body: CallBody,
     ) -> Result<TargetAnswer, TargetFailure> {
         let duty = &self.duty;
         let address = {
@@ -275,7 +275,7 @@
         let make_request = || {
             self.request_made.set(true);
             let remaining_ms = self.deadline.since(duty.clock.now()).duration().as_millis() as u32;
-            target_call::make_request(head, body.clone(), address, remaining_ms, duty.header_names)
+            target_call::make_request(head, &body, address, remaining_ms, duty.header_names)
         };
         let sent = duty.connections.send(address, make_request, head.repeatable).await;
         if matches!(sent, Err(TargetFailure::NotSent)) {
--- a/src/call/guard/target_call.rs
+++ b/src/call/guard/target_call.rs
@@ -4,11 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::base::consts::MAX_BUFFERED_ANSWER;
 use crate::base::wire::CallHead;
+use crate::call::call_body::{CallBody, RequestBody};
 use crate::call::guard::target_connections::{BusyConnection, TargetFailure};
 use crate::call::headers::{self, HeaderNames};
 
@@ -45,11 +46,11 @@
 /// Returns `None` if the method, the path or a header is invalid.
 pub(crate) fn make_request(
     head: &CallHead,
-    body: Bytes,
+    body: &CallBody,
     address: SocketAddr,
     remaining_ms: u32,
     names: &HeaderNames,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let mut builder = Request::builder()
         .method(head.method.as_str())
         .uri(head.path.as_str())
@@ -70,7 +71,7 @@
     for (name, value) in &head.headers {
         builder = builder.header(name.as_str(), value.as_slice());
     }
-    builder.body(Full::new(body)).ok()
+    builder.body(body.request_body()).ok()
 }
 
 /// Classifies an answer by its status and headers.
--- a/src/call/guard/target_connections.rs
+++ b/src/call/guard/target_connections.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::base::clock::{MicroTime, ProcessClock};
+use crate::call::call_body::RequestBody;
 use crate::call::keepalive::{KeepaliveLimits, enable_keepalive};
 
 /// Maximum time to connect to a target on the same host.
@@ -53,7 +52,7 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     idle_since: MicroTime,
     idle_timeout: Duration,
 }
@@ -70,7 +69,7 @@
 pub(crate) struct BusyConnection {
     connections: Rc<TargetConnections>,
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
 }
 
 impl TargetConnections {
@@ -86,7 +85,7 @@
     pub(crate) async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
-        make_request: impl Fn() -> Option<Request<Full<Bytes>>>,
+        make_request: impl Fn() -> Option<Request<RequestBody>>,
         repeatable: bool,
     ) -> Result<(Response<Incoming>, BusyConnection), TargetFailure> {
         let max_idle = if repeatable { Duration::MAX } else { MAX_UNREPEATABLE_IDLE };
@@ -126,7 +125,7 @@
         &self,
         address: SocketAddr,
         max_idle: Duration,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    ) -> Option<SendRequest<RequestBody>> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let idle_time = |idle: &IdleConnection| self.clock.now().since(idle.idle_since).duration();
@@ -169,7 +168,7 @@
 }
 
 /// Opens a connection to a target; returns `None` if that fails.
-async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> Option<SendRequest<RequestBody>> {
     let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
     socket.set_nodelay(true).ok()?;
     enable_keepalive(&socket, &KEEPALIVE_LIMITS).ok()?;
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -4,6 +4,8 @@
 //! `guard` starts the call at its target and returns the answer. These modules do the I/O;
 //! `decide` chooses the target and when a call starts.
 
+pub(crate) mod body_room;
+pub(crate) mod call_body;
 pub(crate) mod entry;
 pub(crate) mod guard;
 pub(crate) mod headers;
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -9,8 +9,8 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use snafu::Snafu;
 use tokio::time::timeout;
@@ -18,6 +18,7 @@
 use crate::base::digest::RequestDigest;
 use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
 use crate::base::member::{FleetView, MemberRecord, MemberState};
+use crate::base::memory_plan::DutyMemoryUse;
 use crate::command::progress::CommandProgress;
 
 /// Maximum time for a request to one daemon.
@@ -131,6 +132,8 @@
     pub blamed: Vec<RequestDigest>,
     /// What the host's targets state in their answers: names, and rates or that they leave.
     pub statements: Vec<String>,
+    /// Use of the memory for the bodies of requests to the daemon's entry.
+    pub body_memory: DutyMemoryUse,
 }
 
 /// Returns all members of the fleet that a daemon knows.
@@ -243,6 +246,7 @@
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
+        body_memory: DutyMemoryUse::default(),
     }
 }
 
@@ -260,6 +264,7 @@
     let digests = blamed.filter_map(|request| RequestDigest::parse(request["digest"].as_str()?));
     host.blamed = digests.collect();
     let statements = answer["statements"].as_array().into_iter().flatten();
+    host.body_memory = DutyMemoryUse::deserialize(&answer["body_memory"]).unwrap_or_default();
     host.statements = statements.filter_map(|text| text.as_str().map(str::to_owned)).collect();
     host.condition = if host.ready { HostCondition::Serving } else { HostCondition::NotReady };
 }
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -71,6 +71,13 @@
         if self.tokens == TokenCondition::Unconfirmed {
             differences.push("refuses tokens, revocations unconfirmed".to_owned());
         }
+        for memory in [self.body_memory.small, self.body_memory.large] {
+            if memory.waiting > 0 {
+                let (held, limit) = (memory.held_bytes >> 20, memory.limit_bytes >> 20);
+                let waiting = memory.waiting;
+                differences.push(format!("{waiting} bodies wait, {held} of {limit} MiB are used"));
+            }
+        }
         differences
     }
 }
--- /dev/null
+++ b/src/decide/body_memory.rs
@@ -0,0 +1,219 @@
+//! Decides which request bodies may take more memory, so that their sum stays within a limit.
+//!
+//! Every body states the most that it may need. A body gets memory only if all bodies can still
+//! be completed one after the other afterwards (the banker's algorithm), so that bodies that are
+//! received in part never wait for each other without end. Beside a body that waits, bodies that
+//! arrive later get nothing, and those that will miss their deadlines may be given up.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::base::clock::MicroTime;
+
+/// Pause of a sender after which its body may be given up for others that wait for memory.
+const MAX_PAUSE: MicroTime = MicroTime::from_millis(1_000);
+
+/// Time for which a body is received before its rate is known.
+const MIN_RATE_TIME: MicroTime = MicroTime::from_millis(1_000);
+
+/// Number of a body within one [`BodyMemory`]; later bodies have greater numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct BodyNumber(pub u64);
+
+/// A body that is being received or is kept for its call.
+#[derive(Clone, Debug, Serialize)]
+struct HeldBody {
+    /// Maximum length, in bytes; never less than `held`.
+    claim: u64,
+    /// Memory that the body has, in bytes.
+    held: u64,
+    deadline: MicroTime,
+    opened_at: MicroTime,
+    /// Time at which the last memory was taken.
+    progress_at: MicroTime,
+    /// Time at which the body began to wait for memory, if it waits.
+    waiting_since: Option<MicroTime>,
+    /// Time for which the body has waited so far, the present wait excluded.
+    waited: MicroTime,
+    /// Whether the body is received as a whole.
+    complete: bool,
+}
+
+/// Memory for the bodies of calls.
+///
+/// Invariant: the held memory is at most `capacity`, and all bodies can be completed in some
+/// order if each gives its memory back once it is complete.
+#[derive(Clone, Debug, Serialize)]
+pub struct BodyMemory {
+    /// Limit of the sum of all bodies, in bytes.
+    capacity: u64,
+    /// Sum of the memory of all bodies, in bytes.
+    held: u64,
+    next_number: u64,
+    #[serde(skip)]
+    bodies: BTreeMap<BodyNumber, HeldBody>,
+}
+
+impl BodyMemory {
+    /// Creates an empty memory of `capacity` bytes.
+    #[must_use]
+    pub const fn open(capacity: u64) -> Self {
+        Self { capacity, held: 0, next_number: 0, bodies: BTreeMap::new() }
+    }
+
+    /// Returns the limit of the sum of all bodies, in bytes.
+    #[must_use]
+    pub const fn capacity(&self) -> u64 {
+        self.capacity
+    }
+
+    /// Returns the sum of the memory of all bodies, in bytes.
+    #[must_use]
+    pub const fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Returns the memory of one body, in bytes.
+    #[must_use]
+    pub fn held_by(&self, number: BodyNumber) -> u64 {
+        self.bodies.get(&number).map_or(0, |body| body.held)
+    }
+
+    /// Returns how many bodies wait for memory.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.bodies.values().filter(|body| body.waiting_since.is_some()).count()
+    }
+
+    /// Adds a body of at most `claim` bytes whose call has a deadline; `None` if it can't be held
+    /// even alone.
+    pub fn open_body(
+        &mut self,
+        now: MicroTime,
+        claim: u64,
+        deadline: MicroTime,
+    ) -> Option<BodyNumber> {
+        if claim > self.capacity {
+            return None;
+        }
+        let number = BodyNumber(self.next_number);
+        self.next_number += 1;
+        let body = HeldBody {
+            claim,
+            held: 0,
+            deadline,
+            opened_at: now,
+            progress_at: now,
+            waiting_since: None,
+            waited: MicroTime(0),
+            complete: false,
+        };
+        self.bodies.insert(number, body);
+        Some(number)
+    }
+
+    /// Takes memory for a body, up to its claim; returns whether it got the memory. A body that
+    /// did not waits from now on.
+    pub fn take(&mut self, now: MicroTime, number: BodyNumber, bytes: u64) -> bool {
+        let granted = self.may_take(number, bytes);
+        let Some(body) = self.bodies.get_mut(&number) else { return false };
+        if granted {
+            body.held += bytes;
+            body.progress_at = now;
+            if let Some(since) = body.waiting_since.take() {
+                body.waited = body.waited + now.since(since);
+            }
+            self.held += bytes;
+        } else {
+            body.waiting_since.get_or_insert(now);
+        }
+        granted
+    }
+
+    /// Records that a part of a body arrived in memory that it has already.
+    pub fn note_progress(&mut self, now: MicroTime, number: BodyNumber) {
+        if let Some(body) = self.bodies.get_mut(&number) {
+            body.progress_at = now;
+        }
+    }
+
+    /// Records that a body is received as a whole: it needs no more memory than it has.
+    pub fn complete(&mut self, number: BodyNumber) {
+        if let Some(body) = self.bodies.get_mut(&number) {
+            body.claim = body.held;
+            body.complete = true;
+        }
+    }
+
+    /// Removes a body and returns its memory.
+    pub fn close(&mut self, number: BodyNumber) {
+        if let Some(body) = self.bodies.remove(&number) {
+            self.held -= body.held;
+        }
+    }
+
+    /// Returns a body to give up for those that wait: one whose sender pauses, or that will miss
+    /// its deadline at the rate at which it has arrived so far. Of several, that with the most
+    /// memory.
+    #[must_use]
+    pub fn find_hopeless(&self, now: MicroTime) -> Option<BodyNumber> {
+        if self.waiting() == 0 {
+            return None;
+        }
+        let hopeless = |body: &HeldBody| {
+            !body.complete && body.waiting_since.is_none() && body.held > 0 && body.is_late(now)
+        };
+        let candidates = self.bodies.iter().filter(|(_, body)| hopeless(body));
+        candidates.max_by_key(|(_, body)| body.held).map(|(number, _)| *number)
+    }
+
+    fn may_take(&self, number: BodyNumber, bytes: u64) -> bool {
+        let Some(body) = self.bodies.get(&number) else { return false };
+        if self.held + bytes > self.capacity || body.held + bytes > body.claim {
+            return false;
+        }
+        // A large body would never be completed if smaller ones kept passing it.
+        let is_behind_another =
+            || self.bodies.range(..number).any(|(_, earlier)| earlier.waiting_since.is_some());
+        if body.held == 0 && is_behind_another() {
+            return false;
+        }
+        self.can_complete_all(number, bytes)
+    }
+
+    /// Returns whether all bodies can be completed in some order once a body has `bytes` more.
+    fn can_complete_all(&self, number: BodyNumber, bytes: u64) -> bool {
+        let mut needs: Vec<(u64, u64)> = Vec::with_capacity(self.bodies.len());
+        for (other, body) in &self.bodies {
+            let held = if *other == number { body.held + bytes } else { body.held };
+            if held > 0 {
+                needs.push((body.claim - held, held));
+            }
+        }
+        needs.sort_unstable();
+        let mut free = self.capacity - self.held - bytes;
+        for (need, held) in needs {
+            if need > free {
+                return false;
+            }
+            free += held;
+        }
+        true
+    }
+}
+
+impl HeldBody {
+    fn is_late(&self, now: MicroTime) -> bool {
+        if now.since(self.progress_at) >= MAX_PAUSE {
+            return true;
+        }
+        let reading = now.since(self.opened_at).since(self.waited);
+        if reading < MIN_RATE_TIME {
+            return false;
+        }
+        let left = self.deadline.since(now).0 as f64;
+        let rate = self.held as f64 / reading.0 as f64;
+        ((self.claim - self.held) as f64) > rate * left
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod account_usage;
 pub(crate) mod admission;
 pub(crate) mod benefit;
+pub(crate) mod body_memory;
 pub(crate) mod call_ledger;
 pub(crate) mod clock_offset;
 pub(crate) mod cold_start;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
     AdvertisedTarget, EXCHANGE_BUCKETS, FleetView, GossipKind, GossipMessage, MemberRecord,
     MemberState,
 };
+pub use base::memory_plan::{DEFAULT_MEMORY_MB, DutyMemoryUse, MemoryPlan, MemoryUse};
 pub use base::suspect::{
     BLAMED_AFTER_CRASHES, RUNS_ALONE_AFTER_CRASHES, SuspectRecord, SuspectUpdate,
 };
@@ -82,6 +83,7 @@
 pub use decide::account_usage::{AccountUsage, MAX_TRACKED_ACCOUNTS};
 pub use decide::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
 pub use decide::benefit::BENEFIT_POLICY;
+pub use decide::body_memory::{BodyMemory, BodyNumber};
 pub use decide::call_ledger::{CallLedger, ClaimVerdict};
 pub use decide::clock_offset::ClockOffset;
 pub use decide::cold_start::{COLD_RATE_WINDOW, ColdStartLimit, ColdTerms};
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -127,6 +127,7 @@
             "unconfirmed": entry["revocation"]["serves_tokens"] == json!(false),
             "blamed": entry["blamed"],
             "statements": statements.unwrap_or_default(),
+            "body_memory": entry["body_memory"],
             "head": *self.revision_head.borrow(),
         })
     }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -14,6 +14,7 @@
 use crate::base::ids::DaemonIncarnation;
 use crate::base::log::{self, LogFlusher};
 use crate::base::member::{MemberRecord, MemberState};
+use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
 use crate::call::entry::{self, EntryParts};
 use crate::call::guard::{self, GuardParts, GuardRings};
@@ -152,6 +153,7 @@
         retry_share: reload::retry_share(terms),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         readiness: readiness.clone(),
+        memory: MemoryPlan::of_mib(settings.memory_mb),
         peers: rings.from_entry,
         guard: rings.nested_ends,
         probe_budget: ProbeBudget::open(
@@ -256,6 +258,7 @@
         cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         max_body: if terms.is_some() { MAX_DEPLOYMENT_BODY } else { MAX_REQUEST_BODY },
+        memory: MemoryPlan::of_mib(settings.memory_mb),
         address,
         listener,
         socket,
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::base::findings::FindingList;
 use crate::base::ids::{CentreName, HostName, ServiceName};
+use crate::base::memory_plan::DEFAULT_MEMORY_MB;
 use crate::rules::file_schema::{CheckedFile, FieldKind, FieldSchema};
 
 /// Contents of a daemon's settings file.
@@ -39,6 +40,9 @@
     /// Maximum duration of a planned stop, in milliseconds.
     #[serde(default = "default_stop")]
     pub stop_bound_ms: u64,
+    /// Memory that the daemon may use, in MiB; the bodies of calls have shares of it.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u64,
     /// Budget of load probes.
     #[serde(default)]
     pub probe_budget: BudgetSettings,
@@ -100,6 +104,10 @@
     20_000
 }
 
+const fn default_memory() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 const BUDGET_FIELDS: &[FieldSchema] = &[
     FieldSchema { name: "messages_per_s", kind: FieldKind::Integer(0, 100_000), required: true },
     FieldSchema { name: "bytes_per_s", kind: FieldKind::Integer(0, 100_000_000), required: true },
@@ -128,6 +136,7 @@
     FieldSchema { name: "platform_address", kind: FieldKind::Address, required: true },
     FieldSchema { name: "seeds", kind: FieldKind::Addresses, required: false },
     FieldSchema { name: "stop_bound_ms", kind: FieldKind::Integer(0, 600_000), required: false },
+    FieldSchema { name: "memory_mb", kind: FieldKind::Integer(32, 1 << 20), required: false },
     FieldSchema { name: "probe_budget", kind: FieldKind::Object(BUDGET_FIELDS), required: false },
     FieldSchema { name: "one_thread", kind: FieldKind::Flag, required: false },
     FieldSchema { name: "first_start", kind: FieldKind::Flag, required: false },
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -158,6 +158,18 @@
         self.child.id()
     }
 
+    /// Returns the memory that the process has resident, in kB.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has exited.
+    pub fn resident_kb(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
+        number.ok_or_else(|| io::Error::other("the process has no memory"))
+    }
+
     /// Suspends the process with SIGSTOP, which it can't notice.
     ///
     /// # Errors
--- a/tests/fleet_report.rs
+++ b/tests/fleet_report.rs
@@ -2,8 +2,8 @@
 //! and name every host that needs attention.
 
 use railspan::{
-    HostCondition, HostStatus, MemberState, TargetStatus, TokenCondition, render_status,
-    render_targets,
+    DutyMemoryUse, HostCondition, HostStatus, MemberState, TargetStatus, TokenCondition,
+    render_status, render_targets,
 };
 use test_case::test_case;
 
@@ -26,9 +26,21 @@
         evacuated: false,
         blamed: Vec::new(),
         statements: Vec::new(),
+        body_memory: DutyMemoryUse::default(),
     }
 }
 
+#[test]
+fn a_host_whose_bodies_wait_for_memory_is_listed() {
+    let mut host = healthy_host(1);
+    let memory = &mut host.body_memory.large;
+    (memory.limit_bytes, memory.held_bytes, memory.waiting) = (81 << 20, 80 << 20, 3);
+    let report = render_status(&[host, healthy_host(2)], false);
+    let line = report.lines().find(|line| line.starts_with("host-001")).expect("line");
+    assert!(line.ends_with("3 bodies wait, 80 of 81 MiB are used"), "{line}");
+    assert!(!report.contains("host-002"), "{report}");
+}
+
 #[test]
 fn targets_that_state_a_rate_are_named_up_to_a_screenful() {
     let mut hosts: Vec<HostStatus> = (0..30).map(healthy_host).collect();
