--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -9,7 +9,7 @@
 
 use crate::base::call_status::{CallStatus, ClaimRow};
 use crate::base::clock::MicroTime;
-use crate::base::consts::{REVOKE_MARGIN, WORK_MARGIN};
+use crate::base::consts::WORK_MARGIN;
 use crate::base::h2io::HeadReader;
 use crate::base::ids::{CallId, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
@@ -19,6 +19,7 @@
 use crate::call::entry::intake::CallerCall;
 use crate::call::entry::load_watch;
 use crate::call::entry::pool::GuardConnection;
+use crate::call::entry::revocation::{has_time_left, revoke, revoke_margin, until_due};
 use crate::call::responses::{self, GuardBody, ResponseBody};
 use crate::decide::selection::TargetLocation;
 
@@ -112,7 +113,7 @@
         failed: false,
         unreachable: false,
     };
-    if !has_time_left(call, now) {
+    if !has_time_left(duty, call, now) {
         return AttemptEnd::not_run(RefusalReason::TooLate);
     }
     let remaining = call.deadline.since(now).duration();
@@ -136,14 +137,15 @@
         return AttemptEnd::not_run(RefusalReason::Unconfirmed);
     }
     let now = duty.clock.now();
-    if !has_time_left(call, now) {
+    if !has_time_left(duty, call, now) {
         return AttemptEnd::not_run(RefusalReason::TooLate);
     }
     let remaining = call.deadline.since(now).duration();
     let revoke_at = Instant::now() + remaining.saturating_sub(revoke_margin(call));
     let head = make_head(duty, call, target, location, guard_time, remaining, last_target);
     let GuardConnection { sender, number } = connection;
-    let pending = match timeout_at(revoke_at, exchange::send(sender, &head, &call.body)).await {
+    let sending = exchange::send(sender, &head, &call.body);
+    let pending = match until_due(duty, call, revoke_at, sending).await {
         Ok(Ok(SentCall::Complete(pending))) => pending,
         Ok(Ok(SentCall::Refused(answer, reader))) => {
             record_answer(duty, call, &answer);
@@ -154,19 +156,19 @@
             duty.report_unreachable(&location.host);
             return AttemptEnd::unreachable();
         }
-        Err(_elapsed) => {
+        Err(reason) => {
             // The guard lacks the end of the call; the revocation shows whether it responds.
             outstanding.failed = revoke(duty, call, location, head.call, number).await.is_none();
-            return AttemptEnd::not_run(RefusalReason::Revoked);
+            return AttemptEnd::not_run(reason);
         }
     };
     let mut answer_future = Box::pin(pending.read());
-    let answer = match timeout_at(revoke_at, &mut answer_future).await {
+    let answer = match until_due(duty, call, revoke_at, &mut answer_future).await {
         Ok(answer) => answer,
-        Err(_elapsed) => {
+        Err(reason) => {
             let status = revoke(duty, call, location, head.call, number).await;
             if status == Some(CallStatus::NotRun) {
-                return AttemptEnd::not_run(RefusalReason::Revoked);
+                return AttemptEnd::not_run(reason);
             }
             let Ok(answer) = timeout_at(deadline, &mut answer_future).await else {
                 outstanding.failed = status.is_none();
@@ -201,39 +203,6 @@
     AttemptEnd::Lost
 }
 
-/// Returns the time before the deadline at which an unanswered attempt of a call is revoked.
-fn revoke_margin(call: &CallerCall) -> Duration {
-    REVOKE_MARGIN.min(call.deadline.since(call.arrived_at).duration() / 4)
-}
-
-/// Returns whether an attempt of a call may start: later, its revocation could not be confirmed
-/// before the deadline, and the call would be reported as unknown.
-pub(crate) fn has_time_left(call: &CallerCall, now: MicroTime) -> bool {
-    call.deadline.since(now).duration() > revoke_margin(call)
-}
-
-/// Asks a guard to ensure that an attempt never runs; returns the attempt's status, or `None` if
-/// the guard does not reply in time. `connection` is the number of the attempt's connection.
-async fn revoke(
-    duty: &EntryDuty,
-    call: &CallerCall,
-    location: &TargetLocation,
-    attempt: CallId,
-    connection: u64,
-) -> Option<CallStatus> {
-    let (guard, incarnation) = (location.guard, location.incarnation);
-    let status = exchange::revoke(duty, guard, incarnation, attempt, call.deadline).await;
-    if status.is_none() {
-        // Neither the call nor the revocation was answered; the connection may be dead while
-        // the guard is not.
-        duty.pool.remove(guard, incarnation, connection);
-        duty.report_unreachable(&location.host);
-        info!(duty.logger, "guard not responding"; "id" => &*call.request_id,
-            "at" => %location.host);
-    }
-    status
-}
-
 /// Records what a guard's answer says about the call, apart from its target's load.
 fn record_answer(duty: &EntryDuty, call: &CallerCall, answer: &AnswerHead) {
     if let AnswerHead::Answered { status, length, work_us, .. } = answer
@@ -282,8 +251,9 @@
     last_target: bool,
 ) -> CallHead {
     let work_us = duty.route_stats.borrow().work_us(&call.options);
-    let max_wait_ms =
-        max_wait(call, duty.nested_first, work_us, duty.clock.now()).ceil_millis() as u32;
+    let max_wait = max_wait(call, duty.nested_first, work_us, duty.clock.now());
+    let before_stop = duty.time_to_start(call).map_or(max_wait, MicroTime::from);
+    let max_wait_ms = max_wait.min(before_stop).ceil_millis() as u32;
     CallHead {
         call: CallId::random(),
         digest: call.digest,
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -12,9 +12,11 @@
 mod nested;
 mod pool;
 mod quota;
+mod revocation;
 mod route_stats;
 mod routing;
 mod serving;
+mod stopping;
 mod suspects;
 
 use std::cell::{Cell, RefCell};
@@ -29,6 +31,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
@@ -111,8 +114,9 @@
     peers: RingSender<PeersEvent>,
     guard: RingSender<GuardEvent>,
     readiness: DaemonReadiness,
-    /// Whether callers are asked to use another daemon.
-    withdrawn: Cell<bool>,
+    /// Time by which all calls must have ended, once the daemon stops; callers are then asked to
+    /// use another one.
+    calls_end: watch::Sender<Option<Instant>>,
     active: RefCell<Option<ActiveRevision>>,
     /// Oldest revision that calls may be served with; `None` until the daemon has joined.
     least_revision: RefCell<Option<u64>>,
@@ -188,7 +192,7 @@
         readiness: parts.readiness,
         peers: parts.peers,
         guard: parts.guard,
-        withdrawn: Cell::new(false),
+        calls_end: watch::Sender::new(None),
         active: RefCell::default(),
         least_revision: RefCell::default(),
         caller_connections: watch::Sender::new(0),
@@ -233,10 +237,7 @@
                 self.retry_budgets.borrow_mut().clear();
             }
             EntryEvent::Suspects(updates) => self.merge_suspects(&updates),
-            EntryEvent::Withdraw => {
-                self.withdrawn.set(true);
-                self.update_readiness();
-            }
+            EntryEvent::Withdraw { calls_end } => self.withdraw(calls_end),
             EntryEvent::Accounts(reply) => drop(reply.send(self.describe_accounts())),
             EntryEvent::Dump(reply) => drop(reply.send(self.dump())),
             EntryEvent::Stop(done) => {
@@ -255,7 +256,7 @@
     }
 
     fn update_readiness(&self) {
-        self.readiness.set(self.config().is_some() && !self.withdrawn.get());
+        self.readiness.set(self.config().is_some() && !self.is_withdrawn());
     }
 
     /// Calls `act` with the retry budget of a service, which is created if necessary.
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -11,10 +11,10 @@
 use crate::base::ids::TargetName;
 use crate::base::load_report::LoadReport;
 use crate::base::wire::RefusalReason;
-use crate::call::entry::attempt::{self, AttemptEnd};
+use crate::call::entry::attempt::AttemptEnd;
 use crate::call::entry::intake::{CallerCall, NOT_READY_RETRY_MS};
 use crate::call::entry::load_probe;
-use crate::call::entry::{exchange, hedge};
+use crate::call::entry::{exchange, hedge, revocation};
 use crate::call::responses::{self, ResponseBody};
 use crate::decide::benefit;
 use crate::decide::call_ledger::ClaimVerdict;
@@ -126,7 +126,7 @@
                     (AttemptResult::TakeOver, "take_over")
                 }
             };
-            let in_time = attempt::has_time_left(&call, self.clock.now());
+            let in_time = revocation::has_time_left(self, &call, self.clock.now());
             let next = self.with_retry_budget(&call.service, |budget| {
                 attempts.record(result, in_time, budget)
             });
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -14,17 +14,16 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
-use super::EntryDuty;
+use super::{EntryDuty, stopping};
 use crate::base::clock::MicroTime;
 use crate::base::consts::SENDER_TIMEOUT;
 use crate::base::lingering_socket::LingeringSocket;
 use crate::call::entry::accounts::RankedAccount;
 use crate::call::entry::intake;
 use crate::call::headers;
-use crate::call::responses::ResponseBody;
+use crate::call::responses::{self, ResponseBody};
 
 impl EntryDuty {
     pub(super) async fn accept(self: Rc<Self>, listener: TcpListener) {
@@ -90,12 +89,22 @@
             account: OnceCell::new(),
             answered: Cell::new(false),
         };
-        let received = intake::receive(&self, request, &request_id, &in_progress.account).await;
+        let receive = intake::receive(&self, request, &request_id, &in_progress.account);
+        let received = tokio::select! {
+            biased;
+            received = receive => received,
+            // Nothing of the request was passed on yet.
+            () = self.wait_for_calls_end() => Err(stopping::refuse_incomplete()),
+        };
         let mut response = match received {
             Ok(call) => {
                 let nested = self.watch_nested_end(&call);
                 let grant = call.grant.clone();
-                let response = self.route(call).await;
+                let response = tokio::select! {
+                    biased;
+                    response = self.route(call) => response,
+                    () = self.wait_for_calls_end() => responses::unknown("stopping", None),
+                };
                 if let Some(nested) = nested {
                     nested.finish(response.status());
                 }
@@ -148,7 +157,7 @@
                 headers.remove(*name);
             }
         }
-        if self.withdrawn.get() {
+        if self.is_withdrawn() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
     }
@@ -163,16 +172,6 @@
         let seconds = format!("{:.3}", f64::from(ms) / 1_000.0);
         HeaderValue::from_str(&seconds).unwrap_or(whole_seconds)
     }
-
-    /// Stops accepting connections and waits until the open ones have closed.
-    pub(super) async fn stop(self: Rc<Self>, done: oneshot::Sender<()>) {
-        info!(self.logger, "entry stopping"; "connections" => *self.caller_connections.borrow());
-        self.stopping.send_replace(true);
-        let mut connections = self.caller_connections.subscribe();
-        // Fails only if the duty itself is gone.
-        drop(connections.wait_for(|count| *count == 0).await);
-        _ = done.send(());
-    }
 }
 
 /// A call that is being served; if this is dropped before the call is answered, its caller
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -67,11 +67,10 @@
             return Err(Some(self.refuse_without_memory(call, length)));
         };
         let remaining = call.deadline.since(self.clock.now()).duration();
-        let mut stopping = self.stopping.subscribe();
         let body = reader.last_body(length, MAX_TRANSFER_PAUSE);
         let received = tokio::select! {
             received = timeout(SENDER_TIMEOUT.min(remaining), body) => received,
-            _ = stopping.wait_for(|stopping| *stopping), if head.body_follows => {
+            () = self.wait_for_stop(), if head.body_follows => {
                 let reason = RefusalReason::Leaving;
                 return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
             }
@@ -124,6 +123,10 @@
         };
         let transfer = tokio::select! {
             acquired = acquire => acquired.map_err(Some)?,
+            () = self.wait_for_stop() => {
+                let reason = RefusalReason::Leaving;
+                return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
+            }
             () = answer.wait_for_reset() => return Err(None),
         };
         self.check_before_body(call, head).map_err(Some)?;
--- a/src/call/guard/call_admission.rs
+++ b/src/call/guard/call_admission.rs
@@ -157,7 +157,7 @@
             })?),
             None => None,
         };
-        let in_time = self.clock.now() < call.deadline;
+        let in_time = self.clock.now() < call.deadline && self.ends_before_stop(head.work_us);
         // Checks the request's crash record again: it may have changed while the call waited.
         let run_begun = self.begin_run(call);
         if run_begun.is_ok() && in_time && self.ledger.borrow_mut().try_dispatch(head.call) {
@@ -197,13 +197,15 @@
 
     /// Returns a call as its target's admission queue gets it.
     pub(super) fn waiting_call(call: &ServedCall, head: &CallHead) -> WaitingCall {
+        let latest_start = call.duty.latest_start(head.work_us);
+        let queue_deadline = call.deadline.min(call.queue_deadline);
         WaitingCall {
             call: head.call,
             account: head.account.clone(),
             share: head.share,
             priority: head.priority,
             deadline: call.deadline,
-            queue_deadline: call.deadline.min(call.queue_deadline),
+            queue_deadline: latest_start.map_or(queue_deadline, |at| at.min(queue_deadline)),
             work_us: head.work_us,
             last_target: head.last,
             nested: call.nested && call.duty.nested_first,
--- a/src/call/guard/crash_detection.rs
+++ b/src/call/guard/crash_detection.rs
@@ -79,8 +79,12 @@
             .map(|target| Arc::clone(&target.exclusive_run));
         let Some(mutex) = mutex else { return Err(RefusalReason::Absent) };
         let remaining = call.queue_deadline.min(call.deadline).since(self.clock.now()).duration();
-        let lock = timeout(remaining, mutex.lock_owned()).await;
-        lock.map(Some).map_err(|_elapsed| RefusalReason::TooLate)
+        tokio::select! {
+            lock = timeout(remaining, mutex.lock_owned()) => {
+                lock.map(Some).map_err(|_elapsed| RefusalReason::TooLate)
+            }
+            () = self.wait_for_stop() => Err(RefusalReason::Leaving),
+        }
     }
 
     /// Records that a call starts to run.
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -16,6 +16,7 @@
 mod served_call;
 mod serving;
 mod statements;
+mod stopping;
 mod target_call;
 mod target_connections;
 mod target_lifecycle;
@@ -31,6 +32,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::base::clock::ProcessClock;
 use crate::base::ids::{CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
@@ -130,6 +132,8 @@
     /// Number of open streams that carry calls or revocations.
     open_streams: watch::Sender<usize>,
     pub(crate) stopping: watch::Sender<bool>,
+    /// Time by which all calls must have ended, once the daemon stops.
+    calls_end: Cell<Option<Instant>>,
     pub(crate) connections: Rc<TargetConnections>,
     pub(crate) header_names: &'static HeaderNames,
     own_service: Option<ServiceName>,
@@ -190,6 +194,7 @@
         suspects: RefCell::default(),
         open_streams: watch::Sender::new(0),
         stopping: watch::Sender::new(false),
+        calls_end: Cell::default(),
         watchers: GuardWatchers::open(),
         connections: TargetConnections::open(clock),
         header_names: parts.header_names,
@@ -262,6 +267,7 @@
             GuardEvent::NestedEnded(end) => self.handle_nested_end(&end),
             GuardEvent::Dump(reply) => drop(reply.send(self.dump())),
             GuardEvent::Statements(reply) => drop(reply.send(self.describe_statements())),
+            GuardEvent::Withdraw { calls_end } => self.calls_end.set(Some(calls_end)),
             GuardEvent::Stop(done) => {
                 spawn_local(Rc::clone(self).stop(done));
             }
@@ -374,14 +380,4 @@
         let nested = call.nested_route;
         AnswerHead::Refused { call: call.call_id, reason, retry_after_ms, load, suspect, nested }
     }
-
-    /// Refuses new calls from now on and reports when all open streams have ended.
-    async fn stop(self: Rc<Self>, done: oneshot::Sender<()>) {
-        self.stopping.send_replace(true);
-        self.apply_leases();
-        let mut open_streams = self.open_streams.subscribe();
-        // Fails only if the duty itself has been dropped.
-        drop(open_streams.wait_for(|streams| *streams == 0).await);
-        _ = done.send(());
-    }
 }
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use serde_json::Value;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::base::clock::MicroTime;
 use crate::base::digest::RequestDigest;
@@ -46,8 +47,8 @@
     Accounts(oneshot::Sender<Value>),
     /// The daemon's share of the fleet's retry budget and the tolerances of quotas changed.
     Settings { retries: RetryShare, quota: QuotaTerms },
-    /// Ask callers to use other daemons, but continue to serve their calls.
-    Withdraw,
+    /// Ask callers to use other daemons, but continue to serve calls that can end by `calls_end`.
+    Withdraw { calls_end: Instant },
     /// Accept no new connections; reply when all connections of callers have closed.
     Stop(oneshot::Sender<()>),
 }
@@ -80,6 +81,8 @@
     Dump(oneshot::Sender<Value>),
     /// Request for what the host's targets state about themselves, a line each.
     Statements(oneshot::Sender<Vec<String>>),
+    /// The daemon stops: start no call that would not end by `calls_end`.
+    Withdraw { calls_end: Instant },
     /// Refuse new calls; reply when all calls have finished.
     Stop(oneshot::Sender<()>),
 }
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -5,6 +5,7 @@
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::process::adapter::DeploymentTerms;
@@ -23,27 +24,36 @@
 const DRAIN_FRACTION: f64 = 0.5;
 
 /// Fraction of the time between a stop signal and a kill after which all calls must have ended.
-const STOP_FRACTION: f64 = 0.85;
+const CALLS_FRACTION: f64 = 0.85;
 
-/// Time limits of a planned stop.
+/// Fraction of the time between a stop signal and a kill after which the process exits, even if
+/// callers have not read their answers.
+const EXIT_FRACTION: f64 = 0.95;
+
+/// Time limits of a planned stop, counted from the stop signal.
+///
+/// Invariant: `drain` <= `calls_end` <= `exit`.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StopPlan {
     /// Time during which callers are asked to use another daemon but are still served.
     pub(crate) drain: Duration,
-    /// Time after which calls in progress are abandoned; includes `drain`.
-    pub(crate) limit: Duration,
+    /// Time after which calls in progress are answered as unknown.
+    pub(crate) calls_end: Duration,
+    /// Time after which answers that are still being sent are abandoned.
+    pub(crate) exit: Duration,
 }
 
 /// Returns the time limits of a stop, from the deployment's terms or the settings.
 pub(crate) fn stop_plan(settings: &DaemonSettings, terms: Option<DeploymentTerms>) -> StopPlan {
-    match terms {
-        Some(terms) => StopPlan {
-            drain: terms.grace.mul_f64(DRAIN_FRACTION),
-            limit: terms.grace.mul_f64(STOP_FRACTION),
-        },
-        None => {
-            StopPlan { drain: Duration::ZERO, limit: Duration::from_millis(settings.stop_bound_ms) }
-        }
+    let Some(terms) = terms else {
+        let exit = Duration::from_millis(settings.stop_bound_ms);
+        let calls_end = exit.mul_f64(CALLS_FRACTION / EXIT_FRACTION);
+        return StopPlan { drain: Duration::ZERO, calls_end, exit };
+    };
+    StopPlan {
+        drain: terms.grace.mul_f64(DRAIN_FRACTION),
+        calls_end: terms.grace.mul_f64(CALLS_FRACTION),
+        exit: terms.grace.mul_f64(EXIT_FRACTION),
     }
 }
 
@@ -65,32 +75,36 @@
 /// Stops all duties: notifies the peers of the leave, finishes the calls, and removes the
 /// member row.
 pub(crate) async fn stop_duties(rings: &AdminRings, plan: StopPlan, logger: &Logger) {
-    let StopPlan { drain, limit } = plan;
-    info!(logger, "planned stop"; "bound_ms" => limit.as_millis() as u64);
+    let StopPlan { drain, calls_end, exit } = plan;
+    let started_at = Instant::now();
+    info!(logger, "planned stop"; "calls_end_ms" => calls_end.as_millis() as u64,
+        "exit_ms" => exit.as_millis() as u64);
     let (leave_done, peers_notified) = oneshot::channel();
     let leave_sent = rings.peers.push(PeersEvent::Leave(leave_done)).is_ok();
     // Runs beside the other steps, so that an unavailable platform doesn't delay the stop.
     let (removal_done, row_removed) = oneshot::channel();
     let removal_sent = rings.platform.push(PlatformEvent::RemoveMemberRow(removal_done)).is_ok();
-    if rings.entry.push(EntryEvent::Withdraw).is_ok() {
-        tokio::time::sleep(drain).await;
+    let calls_end = started_at + calls_end;
+    drop(rings.guard.push(GuardEvent::Withdraw { calls_end }));
+    if rings.entry.push(EntryEvent::Withdraw { calls_end }).is_ok() {
+        sleep(drain).await;
     }
-    let limit = limit.saturating_sub(drain);
     let (entry_done, entry_stopped) = oneshot::channel();
     let (guard_done, guard_stopped) = oneshot::channel();
     let entry_sent = rings.entry.push(EntryEvent::Stop(entry_done)).is_ok();
     let guard_sent = rings.guard.push(GuardEvent::Stop(guard_done)).is_ok();
     let finished = async { tokio::join!(entry_stopped, guard_stopped) };
-    let in_time = tokio::time::timeout(limit, finished).await.is_ok();
+    let in_time = timeout_at(started_at + exit, finished).await.is_ok();
     if !in_time {
         warn!(logger, "stop limit reached with calls in progress");
     }
     if leave_sent {
-        drop(tokio::time::timeout(LEAVE_TIMEOUT, peers_notified).await);
-        tokio::time::sleep(LEAVE_TIMEOUT.saturating_sub(drain)).await;
+        drop(timeout(LEAVE_TIMEOUT, peers_notified).await);
+        sleep(LEAVE_TIMEOUT.saturating_sub(drain)).await;
     }
     if removal_sent {
-        drop(tokio::time::timeout(ROW_REMOVAL_TIMEOUT.saturating_sub(drain), row_removed).await);
+        let removal_end = (started_at + ROW_REMOVAL_TIMEOUT).min(started_at + exit);
+        drop(timeout_at(removal_end, row_removed).await);
     }
     info!(logger, "stopped"; "entry" => entry_sent, "guard" => guard_sent, "in_time" => in_time);
 }
