--- a/benches/capacity/fleet.rs
+++ b/benches/capacity/fleet.rs
@@ -58,6 +58,7 @@
                 platform: fleet.platform.address(),
                 seeds: Vec::new(),
                 stop_bound_ms: 2_000,
+                memory_mb: None,
                 seed: index as u64,
                 deployment: None,
             });
--- a/benches/capacity/table.rs
+++ b/benches/capacity/table.rs
@@ -43,6 +43,7 @@
         platform: platform.address(),
         seeds: Vec::new(),
         stop_bound_ms: 1_000,
+        memory_mb: None,
         seed: 1,
         deployment: None,
     });
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -203,6 +203,7 @@
             platform: platform.address,
             seeds: Vec::new(),
             stop_bound_ms: 5_000,
+            memory_mb: None,
             seed: index as u64,
             deployment: None,
         })?;
--- a/src/base/memory_plan.rs
+++ b/src/base/memory_plan.rs
@@ -5,6 +5,11 @@
 /// Memory of a process if its settings name none, in MiB.
 pub const DEFAULT_MEMORY_MB: u64 = 256;
 
+/// Bounds of the memory of a process, in MiB.
+pub const MIN_MEMORY_MB: u64 = 16;
+/// See [`MIN_MEMORY_MB`].
+pub const MAX_MEMORY_MB: u64 = 1 << 20;
+
 /// Maximum size of a body that counts as small, in bytes. Small bodies have memory of their own,
 /// so that large ones keep none of them waiting.
 pub(crate) const SMALL_BODY_BYTES: usize = 64 << 10;
--- a/src/bin/railspand.rs
+++ b/src/bin/railspand.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use gumdrop::Options;
-use railspan::{DaemonParts, DaemonSettings};
+use railspan::{DaemonParts, DaemonSettings, MAX_MEMORY_MB, MIN_MEMORY_MB};
 
 /// Exit code for invalid settings; the same as the argument parser's for bad arguments.
 const EXIT_INVALID_SETTINGS: u8 = 2;
@@ -17,6 +17,9 @@
     #[options(help = "print this help")]
     help: bool,
 
+    #[options(no_short, help = "memory that the daemon may use, over the settings", meta = "MIB")]
+    memory_mb: Option<f64>,
+
     #[options(free, required, help = "settings file, JSON with comments")]
     settings: String,
 }
@@ -24,10 +27,19 @@
 fn main() -> ExitCode {
     let options = DaemonOptions::parse_args_default_or_exit();
     let file = options.settings;
-    let settings = match DaemonSettings::open(&file) {
+    let mut settings = match DaemonSettings::open(&file) {
         Ok(settings) => settings,
         Err(findings) => return fail(EXIT_INVALID_SETTINGS, &findings.to_string()),
     };
+    if let Some(memory_mb) = options.memory_mb {
+        if !(memory_mb >= MIN_MEMORY_MB as f64 && memory_mb <= MAX_MEMORY_MB as f64) {
+            let text = format!(
+                "--memory-mb: expected {MIN_MEMORY_MB} to {MAX_MEMORY_MB}, not {memory_mb}"
+            );
+            return fail(EXIT_INVALID_SETTINGS, &text);
+        }
+        settings.memory_mb = memory_mb as u64;
+    }
     let parts = DaemonParts {
         client: railspan::open_store(settings.platform_address),
         adapter: railspan::adapter(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,7 +61,9 @@
     AdvertisedTarget, EXCHANGE_BUCKETS, FleetView, GossipKind, GossipMessage, MemberRecord,
     MemberState,
 };
-pub use base::memory_plan::{DEFAULT_MEMORY_MB, DutyMemoryUse, MemoryPlan, MemoryUse};
+pub use base::memory_plan::{
+    DEFAULT_MEMORY_MB, DutyMemoryUse, MAX_MEMORY_MB, MIN_MEMORY_MB, MemoryPlan, MemoryUse,
+};
 pub use base::suspect::{
     BLAMED_AFTER_CRASHES, RUNS_ALONE_AFTER_CRASHES, SuspectRecord, SuspectUpdate,
 };
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::base::findings::FindingList;
 use crate::base::ids::{CentreName, HostName, ServiceName};
-use crate::base::memory_plan::DEFAULT_MEMORY_MB;
+use crate::base::memory_plan::{DEFAULT_MEMORY_MB, MAX_MEMORY_MB, MIN_MEMORY_MB};
 use crate::rules::file_schema::{CheckedFile, FieldKind, FieldSchema};
 
 /// Contents of a daemon's settings file.
@@ -136,7 +136,11 @@
     FieldSchema { name: "platform_address", kind: FieldKind::Address, required: true },
     FieldSchema { name: "seeds", kind: FieldKind::Addresses, required: false },
     FieldSchema { name: "stop_bound_ms", kind: FieldKind::Integer(0, 600_000), required: false },
-    FieldSchema { name: "memory_mb", kind: FieldKind::Integer(32, 1 << 20), required: false },
+    FieldSchema {
+        name: "memory_mb",
+        kind: FieldKind::Integer(MIN_MEMORY_MB, MAX_MEMORY_MB),
+        required: false,
+    },
     FieldSchema { name: "probe_budget", kind: FieldKind::Object(BUDGET_FIELDS), required: false },
     FieldSchema { name: "one_thread", kind: FieldKind::Flag, required: false },
     FieldSchema { name: "first_start", kind: FieldKind::Flag, required: false },
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -35,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Upper bound on the duration of a planned stop, in milliseconds.
     pub stop_bound_ms: u64,
+    /// Memory that the daemon may use, in MiB; its default if `None`.
+    pub memory_mb: Option<u64>,
     /// Seed of the daemon's random numbers.
     pub seed: u64,
     /// File that its log is appended to, if any.
@@ -110,6 +112,9 @@
             "stop_bound_ms": spec.stop_bound_ms,
             "seed": spec.seed,
         });
+        if let Some(memory_mb) = spec.memory_mb {
+            text["memory_mb"] = json!(memory_mb);
+        }
         if let Some((guard, peer)) = spec.advertised {
             text["advertised_guard_address"] = json!(guard);
             text["advertised_peer_address"] = json!(peer);
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -59,6 +59,17 @@
     assert_eq!(exit_code(&railspan(arguments)), expected);
 }
 
+#[test]
+fn a_daemon_without_a_sensible_memory_does_not_start() {
+    let output = Command::new(env!("CARGO_BIN_EXE_railspand"))
+        .args(["--memory-mb", "3", "examples/settings.jsonc"])
+        .output()
+        .expect("run");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("--memory-mb: expected 16 to 1048576, not 3"), "{text}");
+}
+
 #[test]
 fn a_daemon_with_invalid_settings_does_not_start() {
     let output = Command::new(env!("CARGO_BIN_EXE_railspand"))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -108,6 +108,7 @@
             platform: self.platform.address(),
             seeds: seeds.to_vec(),
             stop_bound_ms: self.plan.stop_bound_ms,
+            memory_mb: None,
             seed: index as u64,
             deployment: None,
         };
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -138,6 +138,7 @@
             advertised: Some((links.guard.address(), links.peer.address())),
             seeds: Vec::new(),
             stop_bound_ms: 5_000,
+            memory_mb: None,
             seed: seed.wrapping_mul(1_000) + index as u64,
             log_file: Some(log_file(logs, index)),
             deployment: Some(json!({
