--- a/src/call/guard/cold_targets.rs
+++ b/src/call/guard/cold_targets.rs
@@ -37,7 +37,23 @@
         // The rate that a cold target sustains is unknown until the first configuration, so the
         // lowest limit applies until then.
         let max_rate = if config.is_some() { max_rate } else { Some(0) };
-        target.queue.cold_start_mut().set_max_rate(max_rate);
+        let names = self.header_names;
+        let is_checked = config.as_ref().is_some_and(|config| {
+            config.health_path(&target.announcement.service).is_some()
+                && self.is_own_service(&target.announcement.service)
+        });
+        let limit = target.queue.cold_start_mut();
+        limit.set_max_rate(max_rate);
+        limit.set_can_be_asked(
+            is_checked && names.cold_remaining_ms.is_some() && names.responding_target.is_some(),
+        );
+    }
+
+    /// Records that a target's answer to the health check sent at `asked_at` says that it is warm.
+    pub(super) fn confirm_warm(&self, key: &(ServiceName, TargetName), asked_at: MicroTime) {
+        if let Some(target) = self.targets.borrow_mut().get_mut(key) {
+            target.queue.cold_start_mut().confirm_warm(asked_at);
+        }
     }
 
     /// Applies a target's report of how much longer it stays cold; zero means that it is warm.
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -3,7 +3,8 @@
 //!
 //! Answers to calls carry the same information, but arrive late from a target that has just
 //! become slow, whereas a health check is answered at once. It is cheap but not free, so it is
-//! sent only if the known slowness is out of date and the target is in use.
+//! sent only if the known slowness is out of date and the target is in use, or if the target may
+//! have turned cold under the calls that started since it last said that it is warm.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -61,13 +62,16 @@
         let in_use = in_use || rate_interval.is_some();
         let interval = rate_interval.map_or(interval, |rate| rate.max(interval));
         let stale = now.since(target.slowness_updated_at) >= interval;
-        if !(in_use && stale && target.is_open()) {
+        // A health check counts towards the rate that a target states.
+        let confirms = rate_interval.is_none() && target.queue.cold_start().should_ask(now);
+        if !(in_use && (stale || confirms) && target.is_open()) {
             continue;
         }
         let Some(path) = duty.health_path() else { return };
         // Counts as updated, so that the next check comes after the answer to this one.
         target.slowness_updated_at = now;
         target.queue.rate_limit_mut().record_health_check(now);
+        target.queue.cold_start_mut().note_asked(now);
         let address = target.announcement.address;
         tokio::task::spawn_local(check_target(Rc::clone(duty), key.clone(), address, path));
     }
@@ -81,6 +85,7 @@
     address: SocketAddr,
     path: String,
 ) {
+    let asked_at = duty.clock.now();
     let Some(answer) = fetch_health(&duty, address, &path).await else {
         duty.assume_cold(&key);
         return;
@@ -92,11 +97,11 @@
         return;
     }
     duty.note_statements(&key, &answer.headers, RateSource::HealthCheck);
-    duty.update_cold_remaining(
-        &key,
-        parse_cold_remaining(&answer.headers, names),
-        ColdSource::Answer,
-    );
+    let cold_remaining = parse_cold_remaining(&answer.headers, names);
+    if cold_remaining.is_zero() && responder.is_some() {
+        duty.confirm_warm(&key, asked_at);
+    }
+    duty.update_cold_remaining(&key, cold_remaining, ColdSource::Answer);
     if let Some(percent) =
         target_call::parse_slowness(&answer.headers, names).filter(|_| answer.healthy)
     {
--- a/src/call/guard/local_target.rs
+++ b/src/call/guard/local_target.rs
@@ -102,6 +102,7 @@
         *self = Self::open(now, announcement, incarnation, lease_duration);
         self.claiming = claiming;
         *self.queue.cold_start_mut() = cold;
+        self.queue.cold_start_mut().forget_confirmation();
         self.queue.continue_reports(sequence);
     }
 
--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -8,6 +8,10 @@
 //! The state of a target is known from its heartbeats, which are infrequent and may arrive
 //! late, and from its answers to health checks, which are up to date. An answer replaces
 //! the known state; a heartbeat can only extend a known cold period.
+//!
+//! A target may turn cold at any moment. So a target that can be asked counts as warm only
+//! for as many calls as it could bear if it had turned cold just after it was asked; a busy
+//! target is asked again before these are used up.
 
 use std::collections::VecDeque;
 
@@ -34,6 +38,16 @@
 /// heartbeat may arrive that late; a later end belongs to a new cold period.
 const COLD_END_TOLERANCE: MicroTime = MicroTime::from_millis(500);
 
+/// Part of the calls that a cold target bears after which a warm one is asked again.
+const ASK_AGAIN_DIVISOR: usize = 2;
+
+/// Minimum interval between two health checks for the cold state: what remains below the number
+/// of health checks that a platform allows, together with those for other reasons.
+const MIN_ASK_INTERVAL: MicroTime = MicroTime::from_millis(25);
+
+/// Time within which a target that is asked is expected to answer.
+const EXPECTED_CONFIRMATION: MicroTime = MicroTime::from_millis(40);
+
 /// Tolerance that a deployment permits above the rate that a service's cold targets sustain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdTerms {
@@ -84,7 +98,8 @@
 /// Limit on the calls that start at one target while it is cold.
 ///
 /// Invariant: while the target counts as cold and a maximum rate is set, no more than
-/// `max_rate - 2` calls start within any [`COLD_RATE_WINDOW`], but at least one may.
+/// `max_rate - 2` calls start within any [`COLD_RATE_WINDOW`], but at least one may. While it
+/// counts as warm and can be asked, this holds for the calls since `warm_at`.
 #[derive(Clone, Debug, Serialize)]
 pub struct ColdStartLimit {
     /// Maximum number of calls in a second that a cold target sustains; `None` if unlimited.
@@ -94,6 +109,12 @@
     /// Start times of the calls within [`COLD_RATE_WINDOW`], oldest first.
     #[serde(rename = "begun")]
     start_times: VecDeque<MicroTime>,
+    /// Whether the target's answers to health checks state whether it is cold.
+    can_be_asked: bool,
+    /// Time at which the latest health check was sent whose answer says that the target is warm.
+    warm_at: MicroTime,
+    /// Time at which the latest health check was sent.
+    asked_at: MicroTime,
     /// Time before which no call starts at a cold target, since the calls recently started by
     /// an earlier guard are unknown.
     blocked_until: MicroTime,
@@ -105,6 +126,9 @@
             max_rate: None,
             state: ColdState::Until(MicroTime(0)),
             start_times: VecDeque::new(),
+            can_be_asked: false,
+            warm_at: MicroTime(0),
+            asked_at: MicroTime(0),
             blocked_until: MicroTime(0),
         }
     }
@@ -116,6 +140,37 @@
         self.max_rate = max_rate;
     }
 
+    /// Sets whether the target's answers to health checks state whether it is cold.
+    pub fn set_can_be_asked(&mut self, can_be_asked: bool) {
+        self.can_be_asked = can_be_asked;
+    }
+
+    /// Returns whether the target should be asked now whether it is still warm.
+    #[must_use]
+    pub fn should_ask(&self, now: MicroTime) -> bool {
+        let Some(max_calls) = self.max_calls().filter(|_| self.can_be_asked) else { return false };
+        let unconfirmed = self.count_starts_since(now, self.warm_at);
+        !self.is_cold(now)
+            && unconfirmed >= (max_calls / ASK_AGAIN_DIVISOR).max(1)
+            && now.since(self.asked_at) >= MIN_ASK_INTERVAL
+    }
+
+    /// Records that a health check is sent now.
+    pub fn note_asked(&mut self, now: MicroTime) {
+        self.asked_at = now;
+    }
+
+    /// Records that the answer to the health check that was sent at `asked_at` says that the
+    /// target is warm.
+    pub fn confirm_warm(&mut self, asked_at: MicroTime) {
+        self.warm_at = self.warm_at.max(asked_at);
+    }
+
+    /// Forgets that the target was warm, since it has restarted.
+    pub fn forget_confirmation(&mut self) {
+        self.warm_at = MicroTime(0);
+    }
+
     /// Assumes that an earlier guard of this target used up the limit until this guard took
     /// over at `started_at`.
     pub fn block_for_predecessor(&mut self, started_at: MicroTime) {
@@ -195,13 +250,25 @@
     /// Returns the time until a call may start if `ahead` other calls start before it.
     #[must_use]
     pub fn wait_behind(&self, now: MicroTime, ahead: usize) -> MicroTime {
-        let Some(max_calls) = self.max_calls().filter(|_| self.is_cold(now)) else {
-            return MicroTime(0);
-        };
+        let Some(max_calls) = self.max_calls() else { return MicroTime(0) };
+        if !self.is_cold(now) {
+            return self.wait_for_confirmation(now, max_calls, ahead);
+        }
         let wait = self.start_time(now, max_calls, ahead).since(now);
         wait.min(self.cold_end().since(now))
     }
 
+    /// Returns the expected time until a call may start at a target that counts as warm: until an
+    /// answer says that it still is, or the calls since the last one have left the window.
+    fn wait_for_confirmation(&self, now: MicroTime, max_calls: usize, ahead: usize) -> MicroTime {
+        let unconfirmed = self.count_starts_since(now, self.warm_at);
+        // Calls that wait behind others start after the next answers.
+        if !self.can_be_asked || ahead > 0 || unconfirmed < max_calls {
+            return MicroTime(0);
+        }
+        self.start_time(now, max_calls, 0).since(now).min(EXPECTED_CONFIRMATION)
+    }
+
     /// Returns whether a call may start now.
     #[must_use]
     pub fn may_start(&self, now: MicroTime) -> bool {
@@ -226,6 +293,13 @@
         })
     }
 
+    /// Returns how many calls started within the window and not before `since`.
+    fn count_starts_since(&self, now: MicroTime, since: MicroTime) -> usize {
+        let counts =
+            |started: &&MicroTime| **started >= since && now.since(**started) < COLD_RATE_WINDOW;
+        self.start_times.iter().rev().take_while(counts).count()
+    }
+
     /// Returns the time from which on the target counts as warm unless it reports otherwise.
     fn cold_end(&self) -> MicroTime {
         match self.state {
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -15,7 +15,7 @@
 use crate::hosted_client::{hosted_call, read_head};
 use crate::hosted_nested::NestedCalls;
 
-/// Interval between two heartbeats.
+/// Interval between two heartbeats, unless another one is set.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Address of all hosted targets. Daemons have another one, so that no target gets the port of
@@ -45,6 +45,7 @@
     sequence: AtomicU64,
     /// Start time of its present incarnation, in milliseconds; zero for not reported.
     born: AtomicU64,
+    heartbeat_interval: Mutex<Duration>,
     /// End of its cold phase, if any.
     cold_until: Mutex<Option<Instant>>,
     /// Slowness of its host that it reports, in percent of the usual service time.
@@ -111,6 +112,7 @@
             runs: Mutex::default(),
             sequence: AtomicU64::new(0),
             born: AtomicU64::new(0),
+            heartbeat_interval: Mutex::new(HEARTBEAT_INTERVAL),
             cold_until: Mutex::default(),
             reported_slowness: AtomicU64::new(100),
             heartbeats_stopped: AtomicBool::new(false),
@@ -141,7 +143,8 @@
             while !state.heartbeats_stopped.load(Ordering::Relaxed) {
                 // If the daemon is down, the next heartbeat follows anyway.
                 drop(heartbeat(&state, address, control, "ready"));
-                std::thread::sleep(HEARTBEAT_INTERVAL);
+                let interval = *lock(&state.heartbeat_interval);
+                std::thread::sleep(interval);
             }
         });
     }
@@ -229,6 +232,11 @@
         *lock(&self.state.cold_until) = Some(Instant::now() + lasts);
     }
 
+    /// Changes the interval between two heartbeats, from the next one on.
+    pub fn set_heartbeat_interval(&self, interval: Duration) {
+        *lock(&self.state.heartbeat_interval) = interval;
+    }
+
     /// Changes how the target responds.
     pub fn set_behaviour(&self, behaviour: HostedBehaviour) {
         *lock(&self.state.behaviour) = behaviour;
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -104,6 +104,101 @@
     }
 }
 
+/// Plays a busy target that is warm until `cold_at`, asked as the guard does; an answer takes
+/// `answer_ms`. Returns the start times of its calls, `interval_us` apart where they may start.
+fn play_busy_target(cold_at: MicroTime, interval_us: u64, answer_ms: u64) -> Vec<MicroTime> {
+    let mut limit = cold_limit(MAX_RATE as u32);
+    limit.set_can_be_asked(true);
+    let mut starts = Vec::new();
+    let mut answers: VecDeque<(MicroTime, MicroTime, MicroTime)> = VecDeque::new();
+    let mut now = MicroTime(0);
+    while now < cold_at + SECOND + SECOND {
+        if let Some((_, asked_at, left)) = answers.front().copied().filter(|(due, ..)| *due <= now)
+        {
+            answers.pop_front();
+            if left == MicroTime(0) {
+                limit.confirm_warm(asked_at);
+            }
+            limit.note_health_answer(now, left);
+        }
+        // The guard looks each 20 ms.
+        if now.0.is_multiple_of(20_000) && limit.should_ask(now) {
+            limit.note_asked(now);
+            let left = if now < cold_at { MicroTime(0) } else { MicroTime::from_millis(5_000) };
+            answers.push_back((now + MicroTime::from_millis(answer_ms), now, left));
+        }
+        if now.0.is_multiple_of(interval_us) && limit.may_start(now) {
+            limit.record_start(now);
+            starts.push(now);
+        }
+        now = now + MicroTime(500);
+    }
+    starts
+}
+
+/// A busy target was not asked between its heartbeats, and overrun when it turned cold.
+#[test_case(5_000, 2; "two hundred calls a second")]
+#[test_case(1_000, 2; "a thousand calls a second")]
+#[test_case(5_000, 60; "answers that take long")]
+#[test_case(5_000, 10_000; "no answers in time")]
+fn a_busy_target_gets_no_more_than_it_sustains_when_it_turns_cold(
+    interval_us: u64,
+    answer_ms: u64,
+) {
+    for offset_ms in 0..40 {
+        let cold_at = MicroTime::from_millis(3_000 + 7 * offset_ms);
+        let starts = play_busy_target(cold_at, interval_us, answer_ms);
+        let cold: Vec<MicroTime> = starts.into_iter().filter(|at| *at >= cold_at).collect();
+        for start in &cold {
+            let count = cold.iter().filter(|at| **at >= *start && **at < *start + SECOND).count();
+            assert!(
+                count <= MAX_RATE,
+                "{count} calls in a second from {start:?}, cold {cold_at:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn asking_a_busy_target_does_not_slow_it_down() {
+    let end = MicroTime::from_millis(10_000);
+    let starts = play_busy_target(end, 5_000, 2);
+    let warm = starts.iter().filter(|at| **at < end).count();
+    assert_eq!(warm, 2_000, "calls of a warm target waited");
+}
+
+#[test]
+fn a_target_that_gets_few_calls_is_not_asked() {
+    let mut limit = cold_limit(MAX_RATE as u32);
+    limit.set_can_be_asked(true);
+    for number in 0..200 {
+        let now = MicroTime::from_millis(100 * number);
+        assert!(limit.may_start(now) && !limit.should_ask(now));
+        limit.record_start(now);
+    }
+}
+
+#[test]
+fn a_target_that_restarted_counts_as_warm_only_once_it_says_so() {
+    let mut limit = cold_limit(MAX_RATE as u32);
+    limit.set_can_be_asked(true);
+    let start_until_refused = |limit: &mut ColdStartLimit| {
+        let starts = (0..100).take_while(|_| {
+            let may_start = limit.may_start(SECOND);
+            if may_start {
+                limit.record_start(SECOND);
+            }
+            may_start
+        });
+        starts.count()
+    };
+    assert_eq!(start_until_refused(&mut limit), MAX_STARTS);
+    limit.confirm_warm(SECOND + MicroTime(1));
+    assert!(limit.may_start(SECOND + MicroTime(1)));
+    limit.forget_confirmation();
+    assert!(!limit.may_start(SECOND + MicroTime(1)));
+}
+
 #[test]
 fn a_late_heartbeat_does_not_end_a_cold_period() {
     let mut limit = cold_limit(32);
