Soak: targets that turn cold while busy, and calls that wait past a stop's end

Change: twelve clients keep a service busy while a target turns cold; targets report each 1.4 s; calls at a stop wait behind work that lasts beyond its end.

--- a/tests/soak/held_events.rs
+++ b/tests/soak/held_events.rs
@@ -13,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
+use super::capacity_events::TargetEvent;
 use super::client::{RequestKind, RequestOutcome, RequestRecord, send_request};
 use super::fleet::{MAX_ATTEMPTS, SERVICES, SoakFleet};
 use super::host::lock;
@@ -42,10 +43,10 @@
 /// Time after the deadline within which an answer must have ended, with a pause of its daemon.
 const END_LIMIT: Duration = Duration::from_secs(5);
 
-/// Calls that wait at a stop: more than the slots serve before its end.
+/// Calls at a stop: those that run do so until its end, and the others wait for them.
 const WAITING_CALLS: usize = 30;
-const WAITING_WORK: Duration = Duration::from_secs(2);
-const WAITING_DEADLINE: Duration = Duration::from_millis(8_900);
+const WAITING_WORK: Duration = Duration::from_millis(5_500);
+const WAITING_DEADLINE: Duration = Duration::from_secs(7);
 
 /// Time between the beginning of the waits and the first stop, and between the stops.
 const STOP_DELAY: Duration = Duration::from_millis(500);
@@ -53,8 +54,19 @@
 /// Time after which a request on an open connection has been read.
 const READ_TIME: Duration = Duration::from_secs(1);
 
-/// Interval between two heartbeats of a target.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Calls that teach the entry the usual work of the route, so that later ones may wait.
+const FIRST_CALLS: usize = 8;
+
+/// Interval between two heartbeats of a target; shorter than its lease.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_400);
+
+/// Clients that keep a target busy while it turns cold, for how long, their pause after a refusal,
+/// and when and for how long it is cold.
+const BUSY_CLIENTS: usize = 12;
+const BUSY_TIME: Duration = Duration::from_millis(2_500);
+const REFUSED_PAUSE: Duration = Duration::from_millis(10);
+const COLD_AFTER: Duration = Duration::from_millis(500);
+const COLD_TIME: Duration = Duration::from_millis(1_800);
 
 /// Time between two events, in milliseconds.
 const INTERVAL_MS: std::ops::Range<u64> = 700..2_500;
@@ -70,6 +82,8 @@
     Uploads,
     UnreadAnswers,
     EndlessAnswers,
+    /// The host's target turns cold while its service is busy.
+    ColdUnderLoad,
     /// Two hosts stop one after the other while calls wait at the first one.
     StopsUnderWait,
 }
@@ -96,10 +110,11 @@
         let mut at_ms = rng.random_range(INTERVAL_MS);
         let mut uploads = 0;
         while at_ms < end_ms {
-            let event = match rng.random_range(0..3) {
+            let event = match rng.random_range(0..4) {
                 0 if uploads < MAX_UPLOAD_EVENTS => HeldEvent::Uploads,
                 0 | 1 => HeldEvent::UnreadAnswers,
-                _ => HeldEvent::EndlessAnswers,
+                2 => HeldEvent::EndlessAnswers,
+                _ => HeldEvent::ColdUnderLoad,
             };
             uploads += usize::from(event == HeldEvent::Uploads);
             plan.events.push((Duration::from_millis(at_ms), rng.random_range(0..hosts), event));
@@ -173,6 +188,7 @@
             read_answers(fleet, number, host, ENDLESS_PREFIX, true);
             Vec::new()
         }
+        HeldEvent::ColdUnderLoad => turn_cold_under_load(fleet, number, host),
         HeldEvent::StopsUnderWait => stop_under_wait(fleet, number, host),
     }
 }
@@ -215,6 +231,39 @@
     send_all(fleet, requests.collect())
 }
 
+/// Keeps a service busy, and lets one of its targets turn cold meanwhile.
+fn turn_cold_under_load(fleet: &SoakFleet, number: usize, host: usize) -> Vec<RequestRecord> {
+    let end = Instant::now() + BUSY_TIME;
+    std::thread::scope(|scope| {
+        let clients: Vec<_> = (0..BUSY_CLIENTS)
+            .map(|client| {
+                scope.spawn(move || {
+                    let mut records: Vec<RequestRecord> = Vec::new();
+                    let mut connection = None;
+                    let entry = (host + client) % fleet.hosts.len();
+                    while Instant::now() < end {
+                        let id = format!("busy{number}-{client}-{}", records.len());
+                        let deadline = Duration::from_secs(1);
+                        let request = RequestRecord {
+                            service: SERVICES[host % SERVICES.len()],
+                            ..new_request(id, "/write/", entry, deadline)
+                        };
+                        let record = send_request(fleet, request, false, &mut connection);
+                        if !record.is_served() {
+                            std::thread::sleep(REFUSED_PAUSE);
+                        }
+                        records.push(record);
+                    }
+                    records
+                })
+            })
+            .collect();
+        std::thread::sleep(COLD_AFTER);
+        fleet.apply_target_event(host, TargetEvent::Cold(COLD_TIME));
+        clients.into_iter().flat_map(|client| client.join().expect("client")).collect()
+    })
+}
+
 /// Makes calls wait at slow targets, and stops two daemons meanwhile, one after the other.
 fn stop_under_wait(fleet: &SoakFleet, number: usize, host: usize) -> Vec<RequestRecord> {
     let service = SERVICES[host % SERVICES.len()];
@@ -222,6 +271,9 @@
         let hosts = fleet.hosts.iter().filter(|other| other.service == service);
         hosts.map(|other| std::sync::Arc::clone(&lock(&other.target)))
     };
+    let first_calls = (0..FIRST_CALLS)
+        .map(|call| new_request(format!("first{number}-{call}"), "/wait/", host, WAITING_DEADLINE));
+    let mut records = send_all(fleet, first_calls.collect());
     let service_times: Vec<_> = targets().map(|target| (target.service_time(), target)).collect();
     for (_, target) in &service_times {
         target.set_service_time(WAITING_WORK);
@@ -237,7 +289,7 @@
         std::thread::sleep(STOP_DELAY);
         fleet.stop(&fleet.hosts[next]);
         first.join().expect("stop");
-        let records = calls.join().expect("calls");
+        records.extend(calls.join().expect("calls"));
         for (usual, target) in &service_times {
             target.set_service_time(*usual);
         }
