Bound the last steps of a planned stop by its exit

Cause: after calls in progress at the exit limit, the notice of the leave could take another 0.3 s, past the end of the grace.

Change: every step ends at the exit limit. The memory of an answer has a name of its own beside that of bodies.

Measured: tests of stops, leaving and hosted life pass (28 of 28).

--- a/src/call/answer_room.rs
+++ b/src/call/answer_room.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -24,7 +25,7 @@
 
 /// Memory for long answers, in units of one answer.
 pub(crate) struct AnswerRoom {
-    permits: std::sync::Arc<Semaphore>,
+    permits: Arc<Semaphore>,
     limit: usize,
     waiting: Cell<usize>,
 }
@@ -47,7 +48,7 @@
     /// Creates the memory of a duty, all of it free.
     pub(crate) fn open(plan: MemoryPlan) -> Rc<Self> {
         let limit = (plan.long_answers() / ANSWER_BYTES).max(1) as usize;
-        let permits = std::sync::Arc::new(Semaphore::new(limit));
+        let permits = Arc::new(Semaphore::new(limit));
         Rc::new(Self { permits, limit, waiting: Cell::new(0) })
     }
 
@@ -55,7 +56,7 @@
     pub(crate) async fn acquire(&self) -> Option<AnswerPermit> {
         self.waiting.set(self.waiting.get() + 1);
         let _wait = CountedWait(&self.waiting);
-        let permit = std::sync::Arc::clone(&self.permits).acquire_owned().await;
+        let permit = Arc::clone(&self.permits).acquire_owned().await;
         permit.ok().map(|permit| AnswerPermit { _permit: permit })
     }
 
--- a/src/call/guard_body.rs
+++ b/src/call/guard_body.rs
@@ -99,14 +99,14 @@
     limits: AnswerLimits,
     /// Wakes the connection at the end of the answer's time; set once it waits for bytes.
     timer: Option<Pin<Box<Sleep>>>,
-    memory: BodyMemoryState,
+    memory: AnswerMemory,
     unread: Option<Rc<UnreadLimit>>,
     /// Called once when the body ends or is dropped.
     on_end: Option<Box<dyn FnOnce(AnswerEnd)>>,
 }
 
 /// Memory of a long answer.
-enum BodyMemoryState {
+enum AnswerMemory {
     /// The answer is short.
     NotNeeded,
     Awaited(LocalBoxFuture<'static, Option<AnswerPermit>>),
@@ -126,10 +126,10 @@
     ) -> Self {
         let is_short = length.is_some_and(|length| length <= MAX_SHORT_ANSWER as u64);
         let memory = if is_short {
-            BodyMemoryState::NotNeeded
+            AnswerMemory::NotNeeded
         } else {
             let room = Rc::clone(&limits.room);
-            BodyMemoryState::Awaited(Box::pin(async move { room.acquire().await }))
+            AnswerMemory::Awaited(Box::pin(async move { room.acquire().await }))
         };
         Self {
             buffered,
@@ -164,9 +164,9 @@
         if !is_whole && Instant::now() >= self.limits.ends_at {
             return self.fail(AnswerEnd::Late, "response body is not complete in time");
         }
-        if let BodyMemoryState::Awaited(permit) = &mut self.memory {
+        if let AnswerMemory::Awaited(permit) = &mut self.memory {
             let Poll::Ready(permit) = permit.as_mut().poll(cx) else { return self.wait(cx) };
-            self.memory = BodyMemoryState::Held { _permit: permit };
+            self.memory = AnswerMemory::Held { _permit: permit };
         }
         if !self.buffered.is_empty() {
             let chunk = std::mem::take(&mut self.buffered);
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -5,7 +5,7 @@
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::process::adapter::DeploymentTerms;
@@ -94,16 +94,18 @@
     let entry_sent = rings.entry.push(EntryEvent::Stop(entry_done)).is_ok();
     let guard_sent = rings.guard.push(GuardEvent::Stop(guard_done)).is_ok();
     let finished = async { tokio::join!(entry_stopped, guard_stopped) };
-    let in_time = timeout_at(started_at + exit, finished).await.is_ok();
+    let exit_at = started_at + exit;
+    let in_time = timeout_at(exit_at, finished).await.is_ok();
     if !in_time {
         warn!(logger, "stop limit reached with calls in progress");
     }
     if leave_sent {
-        drop(timeout(LEAVE_TIMEOUT, peers_notified).await);
-        sleep(LEAVE_TIMEOUT.saturating_sub(drain)).await;
+        let leave_end = exit_at.min(Instant::now() + LEAVE_TIMEOUT);
+        drop(timeout_at(leave_end, peers_notified).await);
+        sleep_until(exit_at.min(started_at + LEAVE_TIMEOUT)).await;
     }
     if removal_sent {
-        let removal_end = (started_at + ROW_REMOVAL_TIMEOUT).min(started_at + exit);
+        let removal_end = exit_at.min(started_at + ROW_REMOVAL_TIMEOUT);
         drop(timeout_at(removal_end, row_removed).await);
     }
     info!(logger, "stopped"; "entry" => entry_sent, "guard" => guard_sent, "in_time" => in_time);
