Soak: cold periods don't shorten each other, and targets finish their calls

Change: a cold target stays cold for the longer of the two; in these runs a drained target runs on for 6.5 s. No check or bound is changed.

--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -241,9 +241,10 @@
         self.state.sequence.store(0, Ordering::Relaxed);
     }
 
-    /// Makes the target cold for some time from now on.
+    /// Makes the target cold for some time from now on, or for longer if it is cold already.
     pub fn set_cold_for(&self, lasts: Duration) {
-        *lock(&self.state.cold_until) = Some(Instant::now() + lasts);
+        let mut cold_until = lock(&self.state.cold_until);
+        *cold_until = (*cold_until).max(Some(Instant::now() + lasts));
     }
 
     /// Changes the interval between two heartbeats, from the next one on.
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -330,7 +330,9 @@
         while Instant::now() < end {
             let acknowledged = current.drain(control).is_ok_and(|status| status == 200);
             if acknowledged && end == until {
-                end = Instant::now() + DRAIN_LINGER;
+                let linger =
+                    if self.holds_calls { held_events::DRAIN_LINGER } else { DRAIN_LINGER };
+                end = Instant::now() + linger;
                 let target = current.name().to_owned();
                 lock(&self.drains).push(DrainRecord { target, acknowledged: Instant::now() });
             }
--- a/tests/soak/held_events.rs
+++ b/tests/soak/held_events.rs
@@ -48,6 +48,9 @@
 const WAITING_WORK: Duration = Duration::from_millis(5_500);
 const WAITING_DEADLINE: Duration = Duration::from_secs(7);
 
+/// Time for which a target keeps running after its drain was acknowledged: it finishes its calls.
+pub const DRAIN_LINGER: Duration = Duration::from_millis(6_500);
+
 /// Time between the beginning of the waits and the first stop, and between the stops.
 const STOP_DELAY: Duration = Duration::from_millis(500);
 
