Let the longest body into small hosts

What callers saw: nothing yet. A host with 160 MiB, as some platforms have, held at most 42 MiB of large bodies at its entry, so it would have refused a body of 64 MiB, which the operator allows, even while it is calm.

Cause: the entry and the guard each had a fixed share, and a body had to fit into one of them.

Change: a body longer than the share may use up to half of the memory for calls; it is completed once the others are. The entry and the guard share one limit for large bodies, so that the sum stays as it was. A guard that the entry of its own daemon keeps from taking a body refuses it at once if another target is left, since that entry may hold this very body.

--- a/src/base/memory_plan.rs
+++ b/src/base/memory_plan.rs
@@ -18,8 +18,8 @@
 /// a small memory.
 const PROCESS_BYTES: u64 = 24 << 20;
 
-/// Shares of a process's memory that calls may use. An entry and a guard each have theirs, since
-/// a body is kept by both. The rest is for the process itself, its connections and its logs.
+/// Shares of a process's memory that calls may use, at the entry and at the guard, since a body is
+/// kept by both. The rest is for the process itself, its connections and its logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryPlan {
     /// Memory of the process, in bytes.
@@ -40,10 +40,17 @@
         if rest > half { rest } else { half }
     }
 
-    /// Returns the limit of all large bodies at one entry or one guard, in bytes.
+    /// Returns the limit of all large bodies at the entry and the guard together, in bytes.
     #[must_use]
     pub const fn large_bodies(self) -> u64 {
-        self.for_calls() / 16 * 5
+        self.for_calls() / 8 * 5
+    }
+
+    /// Returns the length of the longest body, in bytes: more than half of what the entry and the
+    /// guard have together, so that it may keep out large ones at the other one of the two.
+    #[must_use]
+    pub const fn longest_body(self) -> u64 {
+        self.for_calls() / 2
     }
 
     /// Returns the limit of all small bodies at one entry or one guard, in bytes.
--- a/src/call/body_room.rs
+++ b/src/call/body_room.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus::{IntCounter, IntGauge};
@@ -48,11 +49,39 @@
     }
 }
 
+/// Memory of a daemon for its calls, of which the entry and the guard share the part for large
+/// bodies.
+#[derive(Clone, Debug)]
+pub(crate) struct DaemonMemory {
+    pub(crate) plan: MemoryPlan,
+    /// Sum of the large bodies of both, in bytes; at most that of the plan.
+    large_held: Arc<AtomicU64>,
+}
+
+impl DaemonMemory {
+    /// Creates the memory of a daemon with `memory_mb` MiB, all of it free.
+    pub(crate) fn open(memory_mb: u64) -> Self {
+        Self { plan: MemoryPlan::of_mib(memory_mb), large_held: Arc::default() }
+    }
+
+    /// Takes memory for a large body; returns whether there was enough.
+    fn try_take(&self, bytes: u64) -> bool {
+        let limit = self.plan.large_bodies();
+        let add = |held: u64| Some(held + bytes).filter(|held| *held <= limit);
+        self.large_held.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
+    }
+
+    fn give_back(&self, bytes: u64) {
+        self.large_held.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
 /// Memory for all bodies of a duty.
 pub(crate) struct BodyRoom {
     clock: ProcessClock,
     small: RefCell<BodyMemory>,
     large: RefCell<BodyMemory>,
+    daemon_memory: DaemonMemory,
     /// Tells bodies that are being received that they were given up.
     receivers: RefCell<HashMap<(BodySize, BodyNumber), Rc<Notify>>>,
     /// Notified whenever memory is returned.
@@ -74,15 +103,20 @@
     /// Creates the memory of a duty, all of it free.
     pub(crate) fn open(
         clock: ProcessClock,
-        plan: MemoryPlan,
+        daemon_memory: &DaemonMemory,
         side: BodySide,
         metrics: &Arc<DaemonMetrics>,
     ) -> Rc<Self> {
         let labels = &[side.label()];
+        let plan = daemon_memory.plan;
         Rc::new(Self {
             clock,
             small: RefCell::new(BodyMemory::open(plan.small_bodies())),
-            large: RefCell::new(BodyMemory::open(plan.large_bodies())),
+            large: RefCell::new(BodyMemory::open_with_share(
+                plan.large_bodies() / 2,
+                plan.longest_body(),
+            )),
+            daemon_memory: daemon_memory.clone(),
             receivers: RefCell::default(),
             returned: Notify::new(),
             held_bytes: metrics.memory.body_bytes.with_label_values(labels),
@@ -112,7 +146,7 @@
     /// Returns limits and current use.
     pub(crate) fn memory_use(&self) -> DutyMemoryUse {
         let describe = |memory: &BodyMemory| MemoryUse {
-            limit_bytes: memory.capacity(),
+            limit_bytes: memory.share(),
             held_bytes: memory.held(),
             waiting: memory.waiting(),
         };
@@ -148,14 +182,32 @@
 impl BodyPermit {
     /// Takes memory if there is some now; returns whether there was.
     pub(crate) fn try_take(&self, bytes: usize) -> bool {
-        let now = self.room.clock.now();
-        let granted = self.room.memory(self.size).borrow_mut().take(now, self.number, bytes as u64);
+        let (room, bytes) = (&self.room, bytes as u64);
+        let now = room.clock.now();
+        let mut memory = room.memory(self.size).borrow_mut();
+        if self.size == BodySize::Large && !room.daemon_memory.try_take(bytes) {
+            memory.wait(now, self.number);
+            return false;
+        }
+        let granted = memory.take(now, self.number, bytes);
+        drop(memory);
         if granted {
-            self.room.update_gauge();
+            room.update_gauge();
+        } else if self.size == BodySize::Large {
+            room.daemon_memory.give_back(bytes);
         }
         granted
     }
 
+    /// Returns whether the body would fit into the memory of this duty, but the other one uses
+    /// too much of what they share.
+    pub(crate) fn is_kept_out_by_other(&self, bytes: usize) -> bool {
+        let own = self.room.large.borrow().held();
+        let memory = &self.room.daemon_memory;
+        let other = memory.large_held.load(Ordering::Relaxed).saturating_sub(own);
+        self.size == BodySize::Large && bytes as u64 + other > memory.plan.large_bodies()
+    }
+
     /// Returns whether the body has any memory.
     pub(crate) fn has_memory(&self) -> bool {
         self.room.memory(self.size).borrow().held_by(self.number) > 0
@@ -204,7 +256,12 @@
 
 impl Drop for BodyPermit {
     fn drop(&mut self) {
-        self.room.memory(self.size).borrow_mut().close(self.number);
+        let mut memory = self.room.memory(self.size).borrow_mut();
+        if self.size == BodySize::Large {
+            self.room.daemon_memory.give_back(memory.held_by(self.number));
+        }
+        memory.close(self.number);
+        drop(memory);
         self.room.receivers.borrow_mut().remove(&(self.size, self.number));
         self.room.update_gauge();
         self.room.returned.notify_waiters();
--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -37,10 +37,9 @@
 use crate::base::ids::{CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::load_report::{LoadReport, StatedRate};
 use crate::base::member::FleetView;
-use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
 use crate::call::answer_room::AnswerRoom;
-use crate::call::body_room::{BodyRoom, BodySide};
+use crate::call::body_room::{BodyRoom, BodySide, DaemonMemory};
 use crate::call::entry::nested::NestedRoutes;
 use crate::call::entry::pool::GuardPool;
 use crate::call::entry::quota::EntryQuotas;
@@ -144,7 +143,7 @@
     pub(crate) retry_share: RetryShare,
     pub(crate) quota_terms: QuotaTerms,
     pub(crate) readiness: DaemonReadiness,
-    pub(crate) memory: MemoryPlan,
+    pub(crate) memory: DaemonMemory,
     pub(crate) peers: RingSender<PeersEvent>,
     pub(crate) guard: RingSender<GuardEvent>,
     pub(crate) probe_budget: ProbeBudget,
@@ -169,8 +168,8 @@
         view: RefCell::default(),
         evacuated: RefCell::default(),
         pool: GuardPool::open(metrics.cross_centre_bytes.with_label_values(&["guards"])),
-        body_room: BodyRoom::open(clock, parts.memory, BodySide::Entry, &metrics),
-        answer_room: AnswerRoom::open(parts.memory),
+        body_room: BodyRoom::open(clock, &parts.memory, BodySide::Entry, &metrics),
+        answer_room: AnswerRoom::open(parts.memory.plan),
         metrics,
         probe_budget: RefCell::new(parts.probe_budget),
         probe_socket,
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -109,6 +109,10 @@
         {
             return Ok(transfer);
         }
+        if !head.last && permit.is_kept_out_by_other(length) {
+            // The entry of this daemon may hold this very body; other guards have room.
+            return Err(Some(self.refuse_without_memory(call, length)));
+        }
         let max_wait = call.queue_deadline.since(self.clock.now()).duration();
         let wait_end = Instant::now() + max_wait;
         // Waits for memory first, so that a small body doesn't wait for a transfer permit of a
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -37,11 +37,10 @@
 use crate::base::clock::ProcessClock;
 use crate::base::ids::{CallId, CentreName, DaemonIncarnation, HostName, ServiceName, TargetName};
 use crate::base::load_report::LoadReport;
-use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
 use crate::base::wire::{AnswerHead, RefusalReason};
 use crate::call::answer_room::AnswerRoom;
-use crate::call::body_room::{BodyRoom, BodySide};
+use crate::call::body_room::{BodyRoom, BodySide, DaemonMemory};
 use crate::call::guard::body_transfer::MAX_BODY_TRANSFERS;
 use crate::call::guard::load_reports::GuardWatchers;
 use crate::call::guard::local_target::LocalTarget;
@@ -105,7 +104,7 @@
     pub(crate) quota_terms: QuotaTerms,
     /// Maximum length of a call's body, in bytes.
     pub(crate) max_body: usize,
-    pub(crate) memory: MemoryPlan,
+    pub(crate) memory: DaemonMemory,
     pub(crate) address: SocketAddr,
     pub(crate) listener: std::net::TcpListener,
     pub(crate) socket: std::net::UdpSocket,
@@ -214,8 +213,8 @@
         nested: GuardNested::default(),
         evacuated: Cell::new(false),
         max_body: parts.max_body,
-        body_room: BodyRoom::open(clock, parts.memory, BodySide::Guard, &metrics),
-        answer_room: AnswerRoom::open(parts.memory),
+        body_room: BodyRoom::open(clock, &parts.memory, BodySide::Guard, &metrics),
+        answer_room: AnswerRoom::open(parts.memory.plan),
         body_transfers: Semaphore::new(MAX_BODY_TRANSFERS),
         metrics,
         rings,
--- a/src/decide/body_memory.rs
+++ b/src/decide/body_memory.rs
@@ -4,6 +4,9 @@
 //! be completed one after the other afterwards (the banker's algorithm), so that bodies that are
 //! received in part never wait for each other without end. Beside a body that waits, bodies that
 //! arrive later get nothing, and those that will miss their deadlines may be given up.
+//!
+//! A body longer than the usual share may use more, as far as it needs it: it is completed once
+//! the others are.
 
 use std::collections::BTreeMap;
 
@@ -42,11 +45,14 @@
 
 /// Memory for the bodies of calls.
 ///
-/// Invariant: the held memory is at most `capacity`, and all bodies can be completed in some
-/// order if each gives its memory back once it is complete.
+/// Invariant: the held memory is at most `share`, or the length of the longest body if that is
+/// more, and all bodies can be completed in some order if each gives its memory back once it is
+/// complete.
 #[derive(Clone, Debug, Serialize)]
 pub struct BodyMemory {
     /// Limit of the sum of all bodies, in bytes.
+    share: u64,
+    /// Maximum length of a body, in bytes; not less than `share`.
     capacity: u64,
     /// Sum of the memory of all bodies, in bytes.
     held: u64,
@@ -59,10 +65,22 @@
     /// Creates an empty memory of `capacity` bytes.
     #[must_use]
     pub const fn open(capacity: u64) -> Self {
-        Self { capacity, held: 0, next_number: 0, bodies: BTreeMap::new() }
+        Self::open_with_share(capacity, capacity)
+    }
+
+    /// Creates an empty memory of `share` bytes, and of up to `capacity` bytes for a longer body.
+    #[must_use]
+    pub const fn open_with_share(share: u64, capacity: u64) -> Self {
+        Self { share, capacity, held: 0, next_number: 0, bodies: BTreeMap::new() }
+    }
+
+    /// Returns the limit of the sum of all bodies, in bytes; a longer one may use more.
+    #[must_use]
+    pub const fn share(&self) -> u64 {
+        self.share
     }
 
-    /// Returns the limit of the sum of all bodies, in bytes.
+    /// Returns the maximum length of a body, in bytes.
     #[must_use]
     pub const fn capacity(&self) -> u64 {
         self.capacity
@@ -113,6 +131,13 @@
         Some(number)
     }
 
+    /// Records that a body waits for memory that is not free outside of this one.
+    pub fn wait(&mut self, now: MicroTime, number: BodyNumber) {
+        if let Some(body) = self.bodies.get_mut(&number) {
+            body.waiting_since.get_or_insert(now);
+        }
+    }
+
     /// Takes memory for a body, up to its claim; returns whether it got the memory. A body that
     /// did not waits from now on.
     pub fn take(&mut self, now: MicroTime, number: BodyNumber, bytes: u64) -> bool {
@@ -170,7 +195,8 @@
 
     fn may_take(&self, number: BodyNumber, bytes: u64) -> bool {
         let Some(body) = self.bodies.get(&number) else { return false };
-        if self.held + bytes > self.capacity || body.held + bytes > body.claim {
+        let limit = self.share.max(body.claim);
+        if self.held + bytes > limit || body.held + bytes > body.claim {
             return false;
         }
         // A large body would never be completed if smaller ones kept passing it.
@@ -184,20 +210,21 @@
 
     /// Returns whether all bodies can be completed in some order once a body has `bytes` more.
     fn can_complete_all(&self, number: BodyNumber, bytes: u64) -> bool {
-        let mut needs: Vec<(u64, u64)> = Vec::with_capacity(self.bodies.len());
+        // For each body the most that all may hold when it takes the rest of its claim.
+        let mut limits: Vec<(u64, u64)> = Vec::with_capacity(self.bodies.len());
         for (other, body) in &self.bodies {
             let held = if *other == number { body.held + bytes } else { body.held };
             if held > 0 {
-                needs.push((body.claim - held, held));
+                limits.push((self.share.max(body.claim) - (body.claim - held), held));
             }
         }
-        needs.sort_unstable();
-        let mut free = self.capacity - self.held - bytes;
-        for (need, held) in needs {
-            if need > free {
+        limits.sort_unstable_by(|a, b| b.cmp(a));
+        let mut all_held = self.held + bytes;
+        for (limit, held) in limits {
+            if all_held > limit {
                 return false;
             }
-            free += held;
+            all_held -= held;
         }
         true
     }
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -14,8 +14,8 @@
 use crate::base::ids::DaemonIncarnation;
 use crate::base::log::{self, LogFlusher};
 use crate::base::member::{MemberRecord, MemberState};
-use crate::base::memory_plan::MemoryPlan;
 use crate::base::metrics::DaemonMetrics;
+use crate::call::body_room::DaemonMemory;
 use crate::call::entry::{self, EntryParts};
 use crate::call::guard::{self, GuardParts, GuardRings};
 use crate::call::headers::{DEFAULT_HEADER_NAMES, HeaderNames};
@@ -136,6 +136,7 @@
         incarnation,
         own_target: OwnTarget::default(),
         confirmation: SharedConfirmation::open(terms.and_then(|terms| terms.revocation_bound())),
+        memory: DaemonMemory::open(settings.memory_mb),
     };
     let mut duties: Vec<(&str, DutyFactory)> = Vec::new();
 
@@ -153,7 +154,7 @@
         retry_share: reload::retry_share(terms),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         readiness: readiness.clone(),
-        memory: MemoryPlan::of_mib(settings.memory_mb),
+        memory: shared.memory.clone(),
         peers: rings.from_entry,
         guard: rings.nested_ends,
         probe_budget: ProbeBudget::open(
@@ -232,6 +233,7 @@
     incarnation: DaemonIncarnation,
     own_target: OwnTarget,
     confirmation: SharedConfirmation,
+    memory: DaemonMemory,
 }
 
 fn guard_parts(
@@ -258,7 +260,7 @@
         cold_terms: terms.map(|terms| terms.cold).unwrap_or_default(),
         quota_terms: terms.map(|terms| terms.quota).unwrap_or_default(),
         max_body: if terms.is_some() { MAX_DEPLOYMENT_BODY } else { MAX_REQUEST_BODY },
-        memory: MemoryPlan::of_mib(settings.memory_mb),
+        memory: shared.memory.clone(),
         address,
         listener,
         socket,
--- a/tests/body_memory.rs
+++ b/tests/body_memory.rs
@@ -64,6 +64,23 @@
     assert!(take_up_to(&mut memory, small, 100));
 }
 
+#[test]
+fn a_body_longer_than_the_share_is_completed_once_the_others_are() {
+    let mut memory = BodyMemory::open_with_share(600, CAPACITY);
+    let short = open_body(&mut memory, 300);
+    assert!(take_up_to(&mut memory, short, 100));
+    let long = open_body(&mut memory, 900);
+    assert!(!take_up_to(&mut memory, long, 900));
+    assert!(memory.held_by(long) <= 300, "the short one could not be completed");
+    assert!(take_up_to(&mut memory, short, 300));
+    memory.close(short);
+    assert!(take_up_to(&mut memory, long, 900));
+    let later = open_body(&mut memory, 10);
+    assert!(!take_up_to(&mut memory, later, 10), "beyond the share");
+    memory.close(long);
+    assert!(take_up_to(&mut memory, later, 10));
+}
+
 #[test]
 fn a_shorter_body_than_claimed_gives_up_the_rest() {
     let mut memory = BodyMemory::open(CAPACITY);
@@ -125,21 +142,30 @@
 fn the_shares_of_all_memories_fit_into_the_process() {
     for memory_mb in [32, 64, 130, 260, 1_024, 65_536] {
         let plan = MemoryPlan::of_mib(memory_mb);
-        let shares = [plan.large_bodies(), plan.small_bodies(), plan.long_answers()];
-        assert!(2 * shares.iter().sum::<u64>() <= plan.total / 8 * 7, "{memory_mb} MiB");
+        let of_each = plan.small_bodies() + plan.long_answers();
+        let of_all = plan.large_bodies() + 2 * of_each;
+        assert!(of_all <= plan.total / 8 * 7, "{memory_mb} MiB");
+        assert!(plan.longest_body() < plan.large_bodies(), "{memory_mb} MiB");
         assert!(plan.small_bodies() >= 8 * (64 << 10), "{memory_mb} MiB");
     }
 }
 
+/// Hosts with 160 MiB accept bodies of 64 MiB.
+#[test]
+fn the_longest_body_of_a_platform_fits_into_its_smallest_hosts() {
+    assert!(MemoryPlan::of_mib(160).longest_body() >= 64 << 20);
+}
+
 proptest! {
     #![proptest_config(seeded::seeded(128))]
 
     #[test]
     fn every_played_load_stays_within_memory_and_is_completed(
         claims in prop::collection::vec(1..=CAPACITY, 1..40),
+        share in 1..=CAPACITY,
         order in prop::collection::vec(any::<prop::sample::Index>(), 64),
     ) {
-        let mut memory = BodyMemory::open(CAPACITY);
+        let mut memory = BodyMemory::open_with_share(share, CAPACITY);
         let mut open: Vec<(BodyNumber, u64)> =
             claims.iter().map(|claim| (open_body(&mut memory, *claim), *claim)).collect();
         let mut steps = order.iter().cycle();
--- a/tests/upload_memory.rs
+++ b/tests/upload_memory.rs
@@ -12,7 +12,8 @@
 use common::hosted::{
     HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST, platform_config,
 };
-use railspan_standins::{HostedResponse, hosted_call};
+use railspan_standins::{HostedResponse, HostedTarget, hosted_call};
+use test_case::test_case;
 
 /// Memory of a daemon, in MiB.
 const MEMORY_MB: u64 = 96;
@@ -125,14 +126,16 @@
     });
 }
 
-#[test]
-fn an_upload_of_the_greatest_length_is_served() {
-    let fleet = spawn_fleet(1, Duration::from_millis(5), DEFAULT_MEMORY_MB);
-    assert_bounded(&fleet, DEFAULT_MEMORY_MB, || {
+/// A host with 160 MiB can't hold such a body at its entry and at its guard at the same time.
+#[test_case(1, DEFAULT_MEMORY_MB; "one host")]
+#[test_case(2, 160; "two small hosts")]
+fn an_upload_of_the_greatest_length_is_served(hosts: usize, memory_mb: u64) {
+    let fleet = spawn_fleet(hosts, Duration::from_millis(5), memory_mb);
+    assert_bounded(&fleet, memory_mb, || {
         let answer = upload(&fleet, 0, "greatest", &vec![7; MAX_BODY_BYTES]).expect("answer");
         assert_eq!(answer.status, 200);
     });
-    let runs = fleet.targets[0].runs();
+    let runs: Vec<_> = fleet.targets.iter().flat_map(HostedTarget::runs).collect();
     let run = runs.iter().find(|run| run.headers["x-request-id"] == "greatest").expect("run");
     assert_eq!(run.body.len(), MAX_BODY_BYTES);
 }
