Refuse a body in chunks that outgrows the memory, and give calls without one none

Cause, read in the diff: a body in chunks as long as the longest that can be held asked for a segment of no bytes again and again, without a pause, where the operator's limit is higher than that. A call without a body took part in the wait for memory at its guard, so it could be refused while small bodies waited.

Change: such a body is refused with 503; a call without a body needs no memory.

Measured: upload_memory::a_body_in_chunks_that_never_fits_is_refused passes; the state before was not run.

--- a/src/call/entry/body_intake.rs
+++ b/src/call/entry/body_intake.rs
@@ -178,8 +178,12 @@
             // More than the stated length doesn't come: the HTTP library ends the body there.
             Some(length) => SEGMENT_BYTES.min(length.saturating_sub(received)).max(1),
             None if received == 0 => needed.min(SEGMENT_BYTES),
-            None => SEGMENT_BYTES.min(self.segment_limit(size) - received),
+            None => SEGMENT_BYTES.min(self.segment_limit(size).saturating_sub(received)),
         };
+        if segment == 0 {
+            // The body is longer than any that can be held.
+            return Err(BodyError::NoRoom);
+        }
         self.take(segment).await?;
         self.writer.add_segment(segment);
         Ok(())
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -48,6 +48,9 @@
             let reason = RefusalReason::Malformed;
             return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
         }
+        if length == 0 {
+            return self.receive_end(call, reader).await;
+        }
         let Some(permit) =
             self.body_room.open_body(BodySize::of(length), length as u64, call.deadline)
         else {
@@ -89,6 +92,21 @@
         Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)))
     }
 
+    /// Receives the end of a call without a body.
+    async fn receive_end(
+        &self,
+        call: &ServedCall,
+        reader: &mut HeadReader,
+    ) -> Result<CallBody, Option<AnswerHead>> {
+        let reason = match reader.last_body(0, MAX_TRANSFER_PAUSE).await {
+            Ok(_empty) => return Ok(CallBody::default()),
+            Err(StreamError::Paused) => RefusalReason::TooLate,
+            Err(StreamError::Broken { .. }) => return Err(None),
+            Err(_too_long) => RefusalReason::Malformed,
+        };
+        Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)))
+    }
+
     /// Waits until a body that was announced may be requested.
     ///
     /// # Errors
--- a/tests/upload_memory.rs
+++ b/tests/upload_memory.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -140,6 +140,29 @@
     assert_eq!(run.body.len(), MAX_BODY_BYTES);
 }
 
+/// The length of a body in chunks is not known before its end.
+#[test]
+fn a_body_in_chunks_that_never_fits_is_refused() {
+    let fleet = spawn_fleet(1, Duration::from_millis(5), 32);
+    let caller = fleet.daemons[0].endpoints().caller;
+    assert_bounded(&fleet, 32, || {
+        let mut socket = TcpStream::connect(caller).expect("connect");
+        let head = format!(
+            "POST {UNSAFE_PREFIX}chunks HTTP/1.1\r\nHost: {VIRTUAL_HOST}\r\nX-Request-Id: chunks\r\n\
+             X-Deadline-Ms: 15000\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        socket.write_all(head.as_bytes()).expect("head");
+        let chunk = [b"10000\r\n".as_slice(), &vec![7; 64 << 10], b"\r\n"].concat();
+        // 12 MiB, where 8 MiB fit.
+        let sent = (0..192).try_for_each(|_| socket.write_all(&chunk));
+        socket.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+        let mut answer = String::new();
+        drop(socket.read_to_string(&mut answer));
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?} after {sent:?}");
+    });
+    assert_eq!(fleet.run_count("chunks"), 0);
+}
+
 /// Clients that stop halfway hold memory that others need.
 #[test]
 fn uploads_that_stop_halfway_are_given_up_for_others() {
