Give up a target that floods interim answers, and wait for late answers from now on

And a guard read interim answers without end as fast as the target sent them, which kept the daemon's thread from its other calls.

Change: 5 s from when the guard finds the deadline passed. After 16 interim answers to one request the target is given up.

--- a/src/call/guard/served_call/mod.rs
+++ b/src/call/guard/served_call/mod.rs
@@ -8,7 +8,7 @@
 
 use slog::info;
 use tokio::sync::OwnedMutexGuard;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::answer_relay::AnswerRelay;
 use crate::base::call_status::{CallStatus, ClaimRow, ClaimState};
@@ -192,11 +192,11 @@
             "waited_us" => duty.clock.now().since(self.arrived_at).0,
             "left_us" => self.deadline.since(duty.clock.now()).0);
         let remaining = self.deadline.since(duty.clock.now()).duration();
-        let deadline = tokio::time::Instant::now() + remaining;
+        let deadline = Instant::now() + remaining;
         // A call for which no connection is open by then is given up early enough that the entry
         // learns before the deadline that it did not run.
-        let unsent_deadline = tokio::time::Instant::now()
-            + remaining.saturating_sub(REVOKE_MARGIN.min(remaining / 4));
+        let unsent_deadline =
+            Instant::now() + remaining.saturating_sub(REVOKE_MARGIN.min(remaining / 4));
         let mut exchange = Box::pin(self.call_target(head, body));
         let answered = tokio::select! {
             answered = &mut exchange => Some(answered),
@@ -230,7 +230,8 @@
             if head.repeatable {
                 CallStatus::Unknown
             } else {
-                relay.ends_at = deadline + LATE_ANSWER_TIMEOUT;
+                // Counted from now: the guard may have been suspended past the deadline.
+                relay.ends_at = Instant::now() + LATE_ANSWER_TIMEOUT;
                 let late = timeout_at(relay.ends_at, exchange).await;
                 relay.forward(late.unwrap_or(Err(TargetFailure::Broken))).await
             }
--- a/src/call/guard/target_connections.rs
+++ b/src/call/guard/target_connections.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use http::{HeaderMap, Request, Response};
@@ -11,6 +13,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -43,6 +46,9 @@
 /// fit.
 const MAX_READ_AHEAD: usize = 64 << 10;
 
+/// Maximum number of interim answers (1xx) to one request; a target that sends more never ends.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -100,8 +106,14 @@
                 Some(sender) => sender,
                 None => connect(address).await.ok_or(TargetFailure::NotSent)?,
             };
-            let request = make_request().ok_or(TargetFailure::NotSent)?;
-            match sender.try_send_request(request).await {
+            let mut request = make_request().ok_or(TargetFailure::NotSent)?;
+            let too_many_interim = limit_interim_answers(&mut request);
+            let sent = tokio::select! {
+                biased;
+                sent = sender.try_send_request(request) => sent,
+                () = too_many_interim.notified() => return Err(TargetFailure::Broken),
+            };
+            match sent {
                 Ok(response) => {
                     let connections = Rc::clone(self);
                     return Ok((response, BusyConnection { connections, address, sender }));
@@ -171,6 +183,18 @@
     Some(stated.saturating_sub(IDLE_TIMEOUT_MARGIN))
 }
 
+/// Notifies the result once a target has sent too many interim answers to a request.
+fn limit_interim_answers(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (notify, count) = (Arc::clone(&too_many), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_answer| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_ANSWERS {
+            notify.notify_one();
+        }
+    });
+    too_many
+}
+
 /// Opens a connection to a target; returns `None` if that fails.
 async fn connect(address: SocketAddr) -> Option<SendRequest<RequestBody>> {
     let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
