Receive calls with and without a body in one place

Cause: a call without a body had a twin of the receiving code, without its bound by the deadline, its log line and the reset that tells the entry that the call did not run, if its stream broke off.

Change: the memory of a body is optional, and all calls are received by the same code as before; an empty body still waits for no memory. An entry asks for a segment's memory in one place instead of two.

--- a/src/call/call_body.rs
+++ b/src/call/call_body.rs
@@ -26,10 +26,10 @@
 }
 
 impl CallBody {
-    /// Creates the body that occupies the memory of `permit`.
-    pub(crate) fn open(segments: BodySegments, permit: BodyPermit) -> Self {
-        permit.complete();
-        Self { segments, _permit: Some(Rc::new(permit)) }
+    /// Creates the body that occupies the memory of `permit`; an empty one occupies none.
+    pub(crate) fn open(segments: BodySegments, permit: Option<BodyPermit>) -> Self {
+        permit.iter().for_each(BodyPermit::complete);
+        Self { segments, _permit: permit.map(Rc::new) }
     }
 
     /// Returns the length of the body, in bytes.
--- a/src/call/entry/body_intake.rs
+++ b/src/call/entry/body_intake.rs
@@ -155,10 +155,7 @@
             }
         }
         let segments = std::mem::take(&mut self.writer).finish();
-        Ok(self
-            .permit
-            .take()
-            .map_or_else(CallBody::default, |permit| CallBody::open(segments, permit)))
+        Ok(CallBody::open(segments, self.permit.take()))
     }
 
     /// Adds a segment for at least a part of the next `needed` bytes once there is memory.
@@ -213,9 +210,6 @@
     /// Takes memory, for which the body waits as long as it may.
     async fn take(&mut self, bytes: usize) -> Result<(), BodyError> {
         let Some(permit) = &self.permit else { return Err(BodyError::NoRoom) };
-        if permit.try_take(bytes) {
-            return Ok(());
-        }
         let started_at = Instant::now();
         let taken = permit.take(bytes, started_at + self.wait_left).await;
         self.wait_left = self.wait_left.saturating_sub(started_at.elapsed());
--- a/src/call/guard/body_transfer.rs
+++ b/src/call/guard/body_transfer.rs
@@ -48,26 +48,28 @@
             let reason = RefusalReason::Malformed;
             return Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)));
         }
-        if length == 0 {
-            return self.receive_end(call, reader).await;
-        }
-        let Some(permit) =
-            self.body_room.open_body(BodySize::of(length), length as u64, call.deadline)
-        else {
-            return Err(Some(self.refuse_without_memory(call, length)));
-        };
-        let _transfer = if head.body_follows {
-            let permitted = self.wait_for_transfer(call, head, &permit, answer).await;
-            let reply = if permitted.is_ok() { "requested" } else { "refused" };
-            self.metrics.announced_bodies.with_label_values(&[reply]).inc();
-            let transfer = permitted?;
-            let request = AnswerHead::SendBody { call: head.call };
-            answer.send_head(&request, false).await.map_err(|_broken| None)?;
-            Some(transfer)
-        } else if permit.try_take(length) {
+        // A call without a body needs no memory, so it waits for none.
+        let permit = if length == 0 {
             None
         } else {
-            return Err(Some(self.refuse_without_memory(call, length)));
+            let size = BodySize::of(length);
+            let opened = self.body_room.open_body(size, length as u64, call.deadline);
+            Some(opened.ok_or_else(|| Some(self.refuse_without_memory(call, length)))?)
+        };
+        let _transfer = match &permit {
+            Some(permit) if head.body_follows => {
+                let permitted = self.wait_for_transfer(call, head, permit, answer).await;
+                let reply = if permitted.is_ok() { "requested" } else { "refused" };
+                self.metrics.announced_bodies.with_label_values(&[reply]).inc();
+                let transfer = permitted?;
+                let request = AnswerHead::SendBody { call: head.call };
+                answer.send_head(&request, false).await.map_err(|_broken| None)?;
+                Some(transfer)
+            }
+            Some(permit) if !permit.try_take(length) => {
+                return Err(Some(self.refuse_without_memory(call, length)));
+            }
+            _ => None,
         };
         let remaining = call.deadline.since(self.clock.now()).duration();
         let body = reader.last_body(length, MAX_TRANSFER_PAUSE);
@@ -92,21 +94,6 @@
         Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)))
     }
 
-    /// Receives the end of a call without a body.
-    async fn receive_end(
-        &self,
-        call: &ServedCall,
-        reader: &mut HeadReader,
-    ) -> Result<CallBody, Option<AnswerHead>> {
-        let reason = match reader.last_body(0, MAX_TRANSFER_PAUSE).await {
-            Ok(_empty) => return Ok(CallBody::default()),
-            Err(StreamError::Paused) => RefusalReason::TooLate,
-            Err(StreamError::Broken { .. }) => return Err(None),
-            Err(_too_long) => RefusalReason::Malformed,
-        };
-        Err(Some(self.refusal(call, reason, UNAVAILABLE_RETRY_MS)))
-    }
-
     /// Waits until a body that was announced may be requested.
     ///
     /// # Errors
