Let one piece serve where the change had written twins

Cause: the diff had, several times over: the check interval and the pause for what is held, the header that closes a connection, the registration of labelled counters, and in tests the change of a fleet's configuration, its metrics and the soak's unsent requests. `BodyRoom` divided the memory by itself beside `MemoryPlan`, a permit was wrapped once more than needed, the time of a health check was taken twice, and a comment named a use that is gone.

Change: one constant, `set_connection_close`, `register_counters`, `large_bodies_of_each`; `HostedFleet::put_in_force`, `set_timeout` and `metrics`; `client::new_record`, which the soak had already. No bound, check or expectation is changed.

--- a/src/base/consts.rs
+++ b/src/base/consts.rs
@@ -49,7 +49,7 @@
 /// the fleet size that the design is for.
 pub const LEDGER_CAPACITY: usize = 200_000;
 
-/// Maximum pause within an answer that is sent to an entry as a whole or was generated here.
+/// Time for which a caller may leave an answer unread that the daemon made itself.
 pub const BODY_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time after a call's deadline within which its answer must be complete; later, its caller no
@@ -59,6 +59,12 @@
 /// Time for which the rest of an answer that is complete here is still sent after its deadline.
 pub const DELIVERY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Pause after which what is held for a call is given up while others wait for its memory.
+pub const MAX_HELD_PAUSE: Duration = Duration::from_secs(1);
+
+/// Interval at which a wait looks whether memory is short.
+pub const SHORTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum size of the part of an answer that is read without memory for long answers, in bytes.
 pub const MAX_SHORT_ANSWER: usize = 32 << 10;
 
--- a/src/base/lingering_socket.rs
+++ b/src/base/lingering_socket.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep};
 
+use crate::base::consts::SHORTAGE_CHECK_INTERVAL;
+
 /// Maximum time for which the socket reads from its peer after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -22,9 +24,6 @@
 /// second.
 const MAX_LINGER_BYTES: usize = 12 << 20;
 
-/// Interval at which a write that is blocked looks whether it should be given up.
-const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Returns the time at which a write is given up that has been blocked since the given time; that
 /// time may change meanwhile.
 pub(crate) type WriteEnd = Box<dyn Fn(Instant) -> Instant>;
@@ -69,11 +68,11 @@
         }
         let blocked = self.blocked.get_or_insert_with(|| BlockedWrite {
             since: Instant::now(),
-            next_check: Box::pin(sleep(WRITE_CHECK_INTERVAL)),
+            next_check: Box::pin(sleep(SHORTAGE_CHECK_INTERVAL)),
         });
         while Instant::now() < (self.write_end)(blocked.since) {
             ready!(blocked.next_check.as_mut().poll(cx));
-            blocked.next_check.as_mut().reset(Instant::now() + WRITE_CHECK_INTERVAL);
+            blocked.next_check.as_mut().reset(Instant::now() + SHORTAGE_CHECK_INTERVAL);
         }
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
--- a/src/base/memory_metrics.rs
+++ b/src/base/memory_metrics.rs
@@ -2,6 +2,8 @@
 
 use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
 
+use crate::base::metrics::register_counters;
+
 /// Metrics of the memory for calls; each is labelled with the duty or the reason.
 #[derive(Debug)]
 pub(crate) struct MemoryMetrics {
@@ -18,11 +20,8 @@
 impl MemoryMetrics {
     /// Registers all metrics.
     pub(crate) fn open(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let counters = |name: &str, help: &str, label: &str| {
-            let family = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(family.clone()))?;
-            Ok::<_, prometheus::Error>(family)
-        };
+        let counters =
+            |name: &str, help: &str, label: &str| register_counters(registry, name, help, label);
         let options = Opts::new("railspan_body_bytes", "Memory of the bodies of calls");
         let body_bytes = IntGaugeVec::new(options, &["duty"])?;
         registry.register(Box::new(body_bytes.clone()))?;
--- a/src/base/memory_plan.rs
+++ b/src/base/memory_plan.rs
@@ -46,6 +46,13 @@
         self.for_calls() / 8 * 5
     }
 
+    /// Returns the limit of all large bodies at one of the two, in bytes, unless a single one is
+    /// longer.
+    #[must_use]
+    pub const fn large_bodies_of_each(self) -> u64 {
+        self.large_bodies() / 2
+    }
+
     /// Returns the length of the longest body, in bytes: more than half of what the entry and the
     /// guard have together, so that it may keep out large ones at the other one of the two.
     #[must_use]
--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -78,6 +78,18 @@
     pub(crate) ring_drops: IntCounterVec,
 }
 
+/// Registers counters that differ by the value of a label.
+pub(super) fn register_counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntCounterVec, prometheus::Error> {
+    let family = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(family.clone()))?;
+    Ok(family)
+}
+
 impl DaemonMetrics {
     /// Registers all metrics.
     pub(crate) fn open() -> Result<Self, prometheus::Error> {
@@ -87,11 +99,8 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
-        let family = |name: &str, help: &str, label: &str| {
-            let family = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(family.clone()))?;
-            Ok::<_, prometheus::Error>(family)
-        };
+        let family =
+            |name: &str, help: &str, label: &str| register_counters(&registry, name, help, label);
         let options = HistogramOpts::new("railspan_call_seconds", "Time to the head of an answer");
         let latency = Histogram::with_opts(options.buckets(LATENCY_BOUNDS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
--- a/src/call/answer_room.rs
+++ b/src/call/answer_room.rs
@@ -6,23 +6,17 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
+use crate::base::consts::{MAX_HELD_PAUSE, SHORTAGE_CHECK_INTERVAL};
 use crate::base::memory_plan::{MemoryPlan, MemoryUse};
 
 /// Memory that one long answer has at most: what was read ahead from its source, and what waits
 /// to be sent.
 const ANSWER_BYTES: u64 = 256 << 10;
 
-/// Time without progress after which an answer is given up for others.
-pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(1);
-
-/// Interval at which an answer that makes no progress looks for others that wait.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Memory for long answers, in units of one answer.
 pub(crate) struct AnswerRoom {
     permits: Arc<Semaphore>,
@@ -31,9 +25,7 @@
 }
 
 /// Memory of one long answer, which is returned when this is dropped.
-pub(crate) struct AnswerPermit {
-    _permit: OwnedSemaphorePermit,
-}
+pub(crate) type AnswerPermit = OwnedSemaphorePermit;
 
 /// Counts a wait until it is dropped.
 struct CountedWait<'a>(&'a Cell<usize>);
@@ -56,8 +48,7 @@
     pub(crate) async fn acquire(&self) -> Option<AnswerPermit> {
         self.waiting.set(self.waiting.get() + 1);
         let _wait = CountedWait(&self.waiting);
-        let permit = Arc::clone(&self.permits).acquire_owned().await;
-        permit.ok().map(|permit| AnswerPermit { _permit: permit })
+        Arc::clone(&self.permits).acquire_owned().await.ok()
     }
 
     /// Returns whether an answer waits for memory.
@@ -67,9 +58,9 @@
 
     /// Waits until an answer that makes no progress should be given up for others.
     pub(crate) async fn wait_until_given_up(&self) {
-        sleep(MAX_PAUSE).await;
+        sleep(MAX_HELD_PAUSE).await;
         while !self.is_short() {
-            sleep(CHECK_INTERVAL).await;
+            sleep(SHORTAGE_CHECK_INTERVAL).await;
         }
     }
 
--- a/src/call/body_room.rs
+++ b/src/call/body_room.rs
@@ -5,20 +5,17 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use prometheus::{IntCounter, IntGauge};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::base::clock::{MicroTime, ProcessClock};
+use crate::base::consts::SHORTAGE_CHECK_INTERVAL;
 use crate::base::memory_plan::{DutyMemoryUse, MemoryPlan, MemoryUse, SMALL_BODY_BYTES};
 use crate::base::metrics::DaemonMetrics;
 use crate::decide::body_memory::{BodyMemory, BodyNumber};
 
-/// Interval at which a body that waits looks for others to give up.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Which duty keeps the bodies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodySide {
@@ -113,7 +110,7 @@
             clock,
             small: RefCell::new(BodyMemory::open(plan.small_bodies())),
             large: RefCell::new(BodyMemory::open_with_share(
-                plan.large_bodies() / 2,
+                plan.large_bodies_of_each(),
                 plan.longest_body(),
             )),
             daemon_memory: daemon_memory.clone(),
@@ -224,7 +221,7 @@
                 self.room.give_up_hopeless(self.size);
                 tokio::select! {
                     () = self.room.returned.notified() => {}
-                    () = sleep(CHECK_INTERVAL) => {}
+                    () = sleep(SHORTAGE_CHECK_INTERVAL) => {}
                 }
                 if self.try_take(bytes) {
                     return;
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -151,7 +151,7 @@
         Ok(Ok(SentCall::Complete(pending))) => pending,
         Ok(Ok(SentCall::Refused(answer, reader))) => {
             record_answer(duty, call, &answer);
-            return end_attempt(outstanding, call, head.call, deadline, (answer, reader));
+            return end_attempt(outstanding, call, head.call, deadline, &answer, reader);
         }
         Ok(Err(NotSent)) => {
             outstanding.failed = true;
@@ -182,7 +182,7 @@
     let failure = match answer {
         Ok((answer, reader)) => {
             record_answer(duty, call, &answer);
-            return end_attempt(outstanding, call, head.call, deadline, (answer, reader));
+            return end_attempt(outstanding, call, head.call, deadline, &answer, reader);
         }
         Err(failure) => failure,
     };
@@ -312,10 +312,11 @@
     call: &CallerCall,
     attempt: CallId,
     deadline: Instant,
-    (answer, reader): (AnswerHead, HeadReader),
+    answer: &AnswerHead,
+    reader: HeadReader,
 ) -> AttemptEnd {
     let latency = outstanding.duty.clock.now().since(outstanding.started_at);
-    match &answer {
+    match answer {
         AnswerHead::Answered { call: echoed, .. }
         | AnswerHead::Refused { call: echoed, .. }
         | AnswerHead::Lost { call: echoed, .. }
@@ -347,7 +348,7 @@
                 record_answer_end(&duty, &request_id, end);
             });
             let body = GuardBody::open(buffered, stream, length, limits, on_end);
-            AttemptEnd::Answered(responses::answered(&answer, &target, body))
+            AttemptEnd::Answered(responses::answered(answer, &target, body))
         }
         AnswerHead::Refused { reason, retry_after_ms, load, .. } => {
             outstanding.update_load(*load);
--- a/src/call/entry/body_intake.rs
+++ b/src/call/entry/body_intake.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
@@ -55,8 +55,7 @@
             Self::GivenUp => responses::not_run(StatusCode::REQUEST_TIMEOUT, "body_given_up", 0),
         };
         // The rest of the body is not read, so the connection can't be used again.
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
+        responses::set_connection_close(&mut response);
         response
     }
 }
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use http::header::{HeaderValue, RETRY_AFTER};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -180,7 +180,7 @@
             }
         }
         if self.is_withdrawn() {
-            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            responses::set_connection_close(response);
         }
     }
 
--- a/src/call/entry/stopping.rs
+++ b/src/call/entry/stopping.rs
@@ -6,8 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::CONNECTION;
-use http::{HeaderValue, Response, StatusCode};
+use http::{Response, StatusCode};
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
@@ -82,6 +81,6 @@
 pub(super) fn refuse_incomplete() -> Response<ResponseBody> {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut response = responses::not_run(status, "stopping", STOPPING_RETRY_MS);
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    responses::set_connection_close(&mut response);
     response
 }
--- a/src/call/guard/health.rs
+++ b/src/call/guard/health.rs
@@ -73,19 +73,19 @@
         target.queue.rate_limit_mut().record_health_check(now);
         target.queue.cold_start_mut().note_asked(now);
         let address = target.announcement.address;
-        tokio::task::spawn_local(check_target(Rc::clone(duty), key.clone(), address, path));
+        tokio::task::spawn_local(check_target(Rc::clone(duty), key.clone(), address, path, now));
     }
 }
 
 /// Sends a health check to a target and applies its answer; without one, the target counts as
-/// cold.
+/// cold. An answer says what the target was at `asked_at` or later.
 async fn check_target(
     duty: Rc<GuardDuty>,
     key: (ServiceName, TargetName),
     address: SocketAddr,
     path: String,
+    asked_at: MicroTime,
 ) {
-    let asked_at = duty.clock.now();
     let Some(answer) = fetch_health(&duty, address, &path).await else {
         duty.assume_cold(&key);
         return;
--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -10,10 +10,9 @@
 
 use super::ServedCall;
 use crate::base::call_status::{CallStatus, RecordedAnswer};
-use crate::base::consts::MAX_RECORDED_BODY;
+use crate::base::consts::{MAX_HELD_PAUSE, MAX_RECORDED_BODY};
 use crate::base::h2io;
 use crate::base::wire::{AnswerHead, CallHead, RefusalReason};
-use crate::call::answer_room::MAX_PAUSE;
 use crate::call::guard::UNAVAILABLE_RETRY_MS;
 use crate::call::guard::answer_stream::AnswerStream;
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
@@ -183,7 +182,7 @@
             return;
         };
         // The entry's window usually takes it at once.
-        let sent_by = self.ends_at.max(Instant::now() + MAX_PAUSE);
+        let sent_by = self.ends_at.max(Instant::now() + MAX_HELD_PAUSE);
         let sent = timeout_at(sent_by, stream.send(bytes, true)).await;
         if !sent.is_ok_and(|sent| sent.is_ok()) {
             stream.reset(Reason::INTERNAL_ERROR);
--- a/src/call/guard_body.rs
+++ b/src/call/guard_body.rs
@@ -10,10 +10,10 @@
 use h2::RecvStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::base::consts::{BODY_STALL_TIMEOUT, DELIVERY_TIMEOUT, MAX_SHORT_ANSWER};
+use crate::base::consts::{BODY_STALL_TIMEOUT, DELIVERY_TIMEOUT, MAX_HELD_PAUSE, MAX_SHORT_ANSWER};
 use crate::base::h2io;
 use crate::base::lingering_socket::WriteEnd;
-use crate::call::answer_room::{AnswerPermit, AnswerRoom, MAX_PAUSE};
+use crate::call::answer_room::{AnswerPermit, AnswerRoom};
 
 /// A response body that was cut off or does not match the length in its head.
 #[derive(Debug, PartialEq, Eq)]
@@ -76,7 +76,7 @@
         let (limit, room) = (Rc::clone(self), Rc::clone(room));
         Box::new(move |since| {
             let end = limit.ends_at.get().unwrap_or(since + BODY_STALL_TIMEOUT);
-            if room.is_short() { end.min(since + MAX_PAUSE) } else { end }
+            if room.is_short() { end.min(since + MAX_HELD_PAUSE) } else { end }
         })
     }
 }
--- a/src/call/responses.rs
+++ b/src/call/responses.rs
@@ -159,6 +159,12 @@
     response
 }
 
+/// Tells the caller that the connection closes after a response.
+pub(crate) fn set_connection_close(response: &mut Response<ResponseBody>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(http::header::CONNECTION, close);
+}
+
 fn set_retry_after(response: &mut Response<ResponseBody>, retry_after_ms: u32) {
     // `EntryDuty::finish_head` derives `Retry-After` from this header, and removes it where
     // callers don't use it.
--- a/src/decide/body_memory.rs
+++ b/src/decide/body_memory.rs
@@ -13,9 +13,7 @@
 use serde::Serialize;
 
 use crate::base::clock::MicroTime;
-
-/// Pause of a sender after which its body may be given up for others that wait for memory.
-const MAX_PAUSE: MicroTime = MicroTime::from_millis(1_000);
+use crate::base::consts::MAX_HELD_PAUSE;
 
 /// Time for which a body is received before its rate is known.
 const MIN_RATE_TIME: MicroTime = MicroTime::from_millis(1_000);
@@ -232,7 +230,7 @@
 
 impl HeldBody {
     fn is_late(&self, now: MicroTime) -> bool {
-        if now.since(self.progress_at) >= MAX_PAUSE {
+        if now.since(self.progress_at).duration() >= MAX_HELD_PAUSE {
             return true;
         }
         let reading = now.since(self.opened_at).since(self.waited);
--- a/tests/announced_bodies.rs
+++ b/tests/announced_bodies.rs
@@ -181,8 +181,7 @@
     assert_eq!(answer.status, 200);
     let runs = fleet.targets[0].runs();
     assert!(runs.len() == 1 && runs[0].body == body, "the target got another body");
-    let metrics = hosted_call(endpoints.admin, "GET", "/metrics", &[], b"").expect("metrics");
-    let metrics = String::from_utf8(metrics.body).expect("text");
+    let metrics = fleet.metrics(0);
     let requested = "railspan_announced_bodies_total{reply=\"requested\"} 1";
     assert_eq!(metrics.matches(requested).count(), announced, "{metrics}");
 }
--- a/tests/cold_under_load.rs
+++ b/tests/cold_under_load.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use common::eventually;
 use common::hosted::{
     HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST, platform_config,
 };
@@ -35,9 +34,8 @@
     let mut config: Value = serde_json::from_str(&platform_config(8, SERVICE)).expect("json");
     config["services"][0]["cold_start"] = json!("2s");
     config["services"][0]["cold_per_s"] = json!(COLD_PER_S);
-    fleet.platform.write_config(&config.to_string());
+    fleet.put_in_force(8, &config.to_string());
     for host in 0..hosts {
-        eventually("the limit is in force", || fleet.state(host)["entry"]["revision"] == 8);
         fleet.targets[host].set_heartbeat_interval(Duration::from_millis(1_500));
         // Answers to calls state the load, and not that the target is cold.
         fleet.targets[host].set_answer_headers("X-Server-Load: 4,0,4,100\r\n");
@@ -109,9 +107,7 @@
     let fleet = spawn_fleet(1);
     let stop = AtomicBool::new(false);
     let checks = || -> f64 {
-        let admin = fleet.daemons[0].endpoints().admin;
-        let page = railspan_standins::hosted_call(admin, "GET", "/metrics", &[], b"");
-        let text = String::from_utf8(page.expect("metrics").body).expect("text");
+        let text = fleet.metrics(0);
         let line = text.lines().find(|line| line.starts_with("railspan_health_asks_total"));
         line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).expect("counter")
     };
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -189,6 +189,30 @@
         hosted_call(address, "GET", "/readiness", &[], b"").map_or(0, |answer| answer.status)
     }
 
+    /// Publishes revision `version` of the configuration and waits until all daemons use it.
+    pub fn put_in_force(&self, version: u64, config: &str) {
+        self.platform.write_config(config);
+        for index in 0..self.daemons.len() {
+            eventually("the configuration is in force", || {
+                self.state(index)["entry"]["revision"] == version
+            });
+        }
+    }
+
+    /// Gives the routes another timeout, and an objective that lets calls wait for 10 s.
+    pub fn set_timeout(&self, timeout: &str) {
+        let config = platform_config(8, SERVICE);
+        let config = config.replace("\"3s\"", &format!("\"{timeout}\""));
+        self.put_in_force(8, &config.replace("\"1500ms\"", "\"10s\""));
+    }
+
+    /// Returns a daemon's metrics as text.
+    pub fn metrics(&self, index: usize) -> String {
+        let admin = self.daemons[index].endpoints().admin;
+        let page = hosted_call(admin, "GET", "/metrics", &[], b"").expect("metrics");
+        String::from_utf8(page.body).expect("text")
+    }
+
     /// Returns a daemon's state page, or null if it can't be read.
     pub fn state(&self, index: usize) -> Value {
         let admin = self.daemons[index].endpoints().admin;
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -169,9 +169,7 @@
     // A caller that reads slowly is no failure of the target.
     let target = &fleet.state(0)["entry"]["services"][common::hosted::SERVICE]["targets"][0];
     assert_eq!(target["failures"], 0, "{target}");
-    let metrics = fleet.daemons[0].endpoints().admin;
-    let page = railspan_standins::hosted_call(metrics, "GET", "/metrics", &[], b"").expect("page");
-    let text = String::from_utf8(page.body).expect("text");
+    let text = fleet.metrics(0);
     assert!(text.contains("railspan_cut_answers_total{reason=\"unread\"}"), "{text}");
 }
 
--- a/tests/soak/account_events.rs
+++ b/tests/soak/account_events.rs
@@ -311,33 +311,7 @@
         body.resize(rng.random_range(LARGE_BODY_BYTES), 0);
         rng.fill_bytes(&mut body);
     }
-    new_record(id, kind, host, service, request_line, body, DEADLINE)
-}
-
-fn new_record(
-    id: String,
-    kind: RequestKind,
-    host: usize,
-    service: &'static str,
-    request_line: String,
-    body: Vec<u8>,
-    deadline: Duration,
-) -> RequestRecord {
-    let now = Instant::now();
-    RequestRecord {
-        id,
-        kind,
-        host,
-        service,
-        request_line,
-        body,
-        token: None,
-        deadline,
-        sent: now,
-        ended: now,
-        incarnation: None,
-        outcome: RequestOutcome::NotSent,
-    }
+    client::new_record(id, kind, host, service, request_line, body, DEADLINE)
 }
 
 /// Returns the nested calls of all targets as requests of clients at their hosts, so that the
@@ -356,7 +330,8 @@
 fn nested_record(call: NestedCall, host: usize) -> RequestRecord {
     let kind = RequestKind::Safe;
     let NestedCall { id, request_line, deadline, sent, ended, .. } = call;
-    let mut record = new_record(id, kind, host, SERVICES[1], request_line, Vec::new(), deadline);
+    let mut record =
+        client::new_record(id, kind, host, SERVICES[1], request_line, Vec::new(), deadline);
     record.sent = sent;
     record.outcome = match ended {
         Some((at, response)) => {
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -90,6 +90,33 @@
     }
 }
 
+/// Returns a request that was not sent yet, without a token.
+pub fn new_record(
+    id: String,
+    kind: RequestKind,
+    host: usize,
+    service: &'static str,
+    request_line: String,
+    body: Vec<u8>,
+    deadline: Duration,
+) -> RequestRecord {
+    let now = Instant::now();
+    RequestRecord {
+        id,
+        kind,
+        host,
+        service,
+        request_line,
+        body,
+        token: None,
+        deadline,
+        sent: now,
+        ended: now,
+        incarnation: None,
+        outcome: RequestOutcome::NotSent,
+    }
+}
+
 /// Sends requests through one host until `stop` is set.
 pub fn run_client(
     fleet: &SoakFleet,
@@ -139,21 +166,9 @@
         rng.fill_bytes(&mut body);
     }
     let deadline = Duration::from_millis(u64::from(rng.random_range(DEADLINES_MS)));
-    let now = Instant::now();
-    let outcome = RequestOutcome::NotSent;
     RequestRecord {
-        id,
-        kind,
-        host,
-        service,
-        request_line,
-        body,
         token: fleet.accounts.as_ref().map(|_accounts| STEADY_TOKEN.to_owned()),
-        deadline,
-        sent: now,
-        ended: now,
-        incarnation: None,
-        outcome,
+        ..new_record(id, kind, host, service, request_line, body, deadline)
     }
 }
 
--- a/tests/soak/crash_requests.rs
+++ b/tests/soak/crash_requests.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::check::Arrival;
-use super::client::{self, RequestKind, RequestOutcome, RequestRecord};
+use super::client::{self, RequestKind, RequestRecord};
 use super::fleet::{SERVICES, SoakFleet};
 use super::host::lock;
 
@@ -35,21 +35,16 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x00de_ad1e);
     let mut records = Vec::new();
     while !stop.load(Ordering::Relaxed) {
-        let now = Instant::now();
-        let record = RequestRecord {
-            id: format!("deadly-{}", records.len()),
-            kind: RequestKind::Crash,
-            host: rng.random_range(0..fleet.hosts.len()),
-            service: SERVICES[0],
-            request_line: format!("GET {CRASH_PATH} HTTP/1.1"),
-            body: Vec::new(),
-            token: None,
-            deadline: COPY_DEADLINE,
-            sent: now,
-            ended: now,
-            incarnation: None,
-            outcome: RequestOutcome::NotSent,
-        };
+        let host = rng.random_range(0..fleet.hosts.len());
+        let record = client::new_record(
+            format!("deadly-{}", records.len()),
+            RequestKind::Crash,
+            host,
+            SERVICES[0],
+            format!("GET {CRASH_PATH} HTTP/1.1"),
+            Vec::new(),
+            COPY_DEADLINE,
+        );
         records.push(client::send_request(fleet, record, false, &mut None));
         std::thread::sleep(Duration::from_millis(rng.random_range(COPY_INTERVAL_MS)));
     }
--- a/tests/soak/held_events.rs
+++ b/tests/soak/held_events.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use super::capacity_events::TargetEvent;
-use super::client::{RequestKind, RequestOutcome, RequestRecord, send_request};
+use super::client::{RequestKind, RequestRecord, new_record, send_request};
 use super::fleet::{MAX_ATTEMPTS, SERVICES, SoakFleet};
 use super::host::lock;
 
@@ -77,7 +77,7 @@
 /// Interval between two looks at the daemons' memory.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Number of the last uploads event of one run; more would fill the memory of the test.
+/// Maximum number of upload events in one run; the test itself keeps all bodies.
 const MAX_UPLOAD_EVENTS: usize = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,21 +208,9 @@
 }
 
 fn new_request(id: String, path: &str, host: usize, deadline: Duration) -> RequestRecord {
-    let now = Instant::now();
-    RequestRecord {
-        request_line: format!("POST {path}{id} HTTP/1.1"),
-        id,
-        kind: RequestKind::Unsafe,
-        host,
-        service: SERVICES[host % SERVICES.len()],
-        body: Vec::new(),
-        token: None,
-        deadline,
-        sent: now,
-        ended: now,
-        incarnation: None,
-        outcome: RequestOutcome::NotSent,
-    }
+    let service = SERVICES[host % SERVICES.len()];
+    let request_line = format!("POST {path}{id} HTTP/1.1");
+    new_record(id, RequestKind::Unsafe, host, service, request_line, Vec::new(), deadline)
 }
 
 fn upload(fleet: &SoakFleet, number: usize, host: usize) -> Vec<RequestRecord> {
--- a/tests/stop_answers.rs
+++ b/tests/stop_answers.rs
@@ -8,9 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::eventually;
-use common::hosted::{
-    HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST, platform_config,
-};
+use common::hosted::{HostedFleet, SAFE_PREFIX, UNSAFE_PREFIX, VIRTUAL_HOST};
 use railspan_standins::HostedResponse;
 use test_case::test_case;
 
@@ -26,12 +24,7 @@
 /// Starts a fleet whose routes let calls wait for as long as [`DEADLINE_MS`].
 fn spawn_fleet(hosts: usize, service_time: Duration, terms: &str) -> HostedFleet {
     let fleet = HostedFleet::spawn_with_terms(hosts, service_time, terms);
-    let config = platform_config(8, SERVICE);
-    let config = config.replace("\"3s\"", "\"12s\"").replace("\"1500ms\"", "\"10s\"");
-    fleet.platform.write_config(&config);
-    for host in 0..hosts {
-        eventually("the routes are in force", || fleet.state(host)["entry"]["revision"] == 8);
-    }
+    fleet.set_timeout("12s");
     fleet
 }
 
--- a/tests/upload_memory.rs
+++ b/tests/upload_memory.rs
@@ -9,9 +9,7 @@
 use std::time::Duration;
 
 use common::eventually;
-use common::hosted::{
-    HostedFleet, SAFE_PREFIX, SERVICE, UNSAFE_PREFIX, VIRTUAL_HOST, platform_config,
-};
+use common::hosted::{HostedFleet, SAFE_PREFIX, UNSAFE_PREFIX, VIRTUAL_HOST};
 use railspan_standins::{HostedResponse, HostedTarget, hosted_call};
 use test_case::test_case;
 
@@ -33,12 +31,7 @@
 /// Starts a fleet whose routes allow 20 s for a call.
 fn spawn_fleet(hosts: usize, service_time: Duration, memory_mb: u64) -> HostedFleet {
     let fleet = HostedFleet::spawn_with_memory(hosts, service_time, memory_mb);
-    let config = platform_config(8, SERVICE);
-    let config = config.replace("\"3s\"", "\"20s\"").replace("\"1500ms\"", "\"10s\"");
-    fleet.platform.write_config(&config);
-    for host in 0..hosts {
-        eventually("the routes are in force", || fleet.state(host)["entry"]["revision"] == 8);
-    }
+    fleet.set_timeout("20s");
     fleet
 }
 
