Refuse answers of targets that can be read in two ways

What callers saw: a target whose answer has a spoilt head reached them as a complete, signed answer whose body is not the target's. Held already, and kept as tests: status 000 and the other spoilt status lines, blanks and control bytes in names, lines that are no field, other spoilt chunks, bytes after an answer.

Cause: the HTTP library decides what an answer is, and reads more than the protocol allows: an unknown coding as a body up to the close, chunks before a length that stays among the fields, a bare LF as a line's end; it does not look at the length of an answer to HEAD.

Change: `decide::answer_check`, a kernel without I/O, follows every byte of a target's connection: lines, status, fields, and exactly one rule for the end of the body, for each method and status. `CheckedSocket` gives the library only bytes that it has accepted. What it refuses closes the connection; the call is lost, so reads go on to another target and writes are never called not run; the caller gets 502 `invalid_answer` (an answer to another request or without its signature, too). `railspan_invalid_answers_total` and the log line `invalid answer` tell the reason. Lengths are passed on in one form, and none at 204 and 304, where the library broke off the caller's connection (dev builds) or told a length of no body.

Why it works: library and check agree on everything that the check lets through, since it allows one reading only; and no byte of a head reaches the library before its line is checked. Bytes after a whole answer don't spoil it: they are held back and close the connection. The limit on interim answers, and limits on lines of chunk sizes and trailers, moved to the same place: a chunk size of zeros without end is given up at once.

--- a/src/base/metrics.rs
+++ b/src/base/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) claims: IntCounterVec,
     /// Health checks sent to targets.
     pub(crate) health_requests: IntCounter,
+    /// What targets of this host sent that is no answer, by reason.
+    pub(crate) invalid_answers: IntCounterVec,
     /// Statements of targets that could not be read.
     pub(crate) invalid_statements: IntCounter,
     /// Targets of this host that state the rate of calls they take.
@@ -144,6 +146,11 @@
             platform_calls: family("railspan_platform_total", "Calls to the platform", "end")?,
             claims: family("railspan_claims_total", "Claims and their transactions", "kind")?,
             health_requests: counter("railspan_health_asks_total", "Questions for health")?,
+            invalid_answers: family(
+                "railspan_invalid_answers_total",
+                "Invalid answers of targets",
+                "reason",
+            )?,
             invalid_statements: counter(
                 "railspan_invalid_statements_total",
                 "Statements of targets that could not be read",
--- a/src/base/wire.rs
+++ b/src/base/wire.rs
@@ -278,6 +278,8 @@
         load: LoadReport,
         /// Crash record of the request at the guard, including this loss.
         suspect: SuspectRecord,
+        /// Whether the target sent something that is no answer to the call.
+        invalid_answer: bool,
     },
     /// The idempotency key is claimed by an earlier call.
     Claimed {
--- a/src/call/entry/attempt.rs
+++ b/src/call/entry/attempt.rs
@@ -35,12 +35,23 @@
     /// The call did not run at the target.
     Refused { reason: RefusalReason, retry_after_ms: u32 },
     /// The call may have run at the target.
-    Lost,
+    Lost(LossCause),
     /// An earlier call claimed the idempotency key; the call did not run.
     Claimed { row: Box<ClaimRow>, version: u64 },
 }
 
+/// Why there is no answer to a call that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LossCause {
+    /// No answer came, or not in time.
+    NoAnswer,
+    /// The target sent something that is no answer to the call.
+    InvalidAnswer,
+}
+
 impl AttemptEnd {
+    const LOST: Self = Self::Lost(LossCause::NoAnswer);
+
     const fn unreachable() -> Self {
         Self::not_run(RefusalReason::Unreachable)
     }
@@ -174,7 +185,7 @@
             }
             let Ok(answer) = timeout_at(deadline, &mut answer_future).await else {
                 outstanding.failed = status.is_none();
-                return AttemptEnd::Lost;
+                return AttemptEnd::LOST;
             };
             answer
         }
@@ -197,12 +208,12 @@
     duty.pool.remove(location.guard, location.incarnation, number);
     if call.options.repeatable && !last_target {
         // Another target is tried, whether or not the call ran: the reply would only delay it.
-        return AttemptEnd::Lost;
+        return AttemptEnd::LOST;
     }
     if revoke(duty, call, location, &head, number).await == Some(CallStatus::NotRun) {
         return AttemptEnd::not_run(RefusalReason::Revoked);
     }
-    AttemptEnd::Lost
+    AttemptEnd::LOST
 }
 
 /// Records what a guard's answer says about the call, apart from its target's load.
@@ -324,12 +335,12 @@
             if *echoed != attempt =>
         {
             outstanding.failed = true;
-            AttemptEnd::Lost
+            AttemptEnd::LOST
         }
         AnswerHead::SendBody { .. } => {
             // `exchange::send` has answered the request for the body.
             outstanding.failed = true;
-            AttemptEnd::Lost
+            AttemptEnd::LOST
         }
         AnswerHead::Answered { status, length, load, .. } => {
             outstanding.update_load(*load);
@@ -356,10 +367,15 @@
             outstanding.failed = unavailable || *reason == RefusalReason::Leaving;
             AttemptEnd::Refused { reason: *reason, retry_after_ms: *retry_after_ms }
         }
-        AnswerHead::Lost { load, .. } => {
+        AnswerHead::Lost { load, invalid_answer, .. } => {
             outstanding.update_load(*load);
             outstanding.failed = true;
-            AttemptEnd::Lost
+            let is_invalid = *invalid_answer;
+            AttemptEnd::Lost(if is_invalid {
+                LossCause::InvalidAnswer
+            } else {
+                LossCause::NoAnswer
+            })
         }
         AnswerHead::Claimed { row, version, .. } => {
             AttemptEnd::Claimed { row: row.clone(), version: *version }
--- a/src/call/entry/hedge.rs
+++ b/src/call/entry/hedge.rs
@@ -165,11 +165,11 @@
     if matches!(end, AttemptEnd::Answered(_)) {
         return end;
     }
-    let lost = matches!(end, AttemptEnd::Lost);
-    match other.await {
-        answered @ AttemptEnd::Answered(_) => answered,
+    let other_end = other.await;
+    match (end, other_end) {
+        (_, answered @ AttemptEnd::Answered(_)) => answered,
         // An attempt that may have run outweighs one that did not run.
-        _ if lost => AttemptEnd::Lost,
-        end => end,
+        (lost @ AttemptEnd::Lost(_), _) => lost,
+        (_, other_end) => other_end,
     }
 }
--- a/src/call/entry/routing.rs
+++ b/src/call/entry/routing.rs
@@ -11,7 +11,7 @@
 use crate::base::ids::TargetName;
 use crate::base::load_report::LoadReport;
 use crate::base::wire::{RefusalReason, RevokeHead};
-use crate::call::entry::attempt::AttemptEnd;
+use crate::call::entry::attempt::{AttemptEnd, LossCause};
 use crate::call::entry::intake::{CallerCall, NOT_READY_RETRY_MS};
 use crate::call::entry::load_probe;
 use crate::call::entry::{exchange, hedge, revocation};
@@ -52,6 +52,7 @@
         let mut attempts = CallAttempts::open(call.options.repeatable, call.options.attempts);
         let mut local_queueing = LocalQueueing::default();
         let mut refusal = ("no_target", NOT_READY_RETRY_MS);
+        let mut loss = LossCause::NoAnswer;
         // A target's server error, returned if no other target answers.
         let mut failure: Option<Response<ResponseBody>> = None;
         loop {
@@ -68,8 +69,8 @@
             }
             let elsewhere = self.left_out_of_local_queueing(&call, &tried, &mut local_queueing);
             let Some(mut chosen) = self.choose(&call, elsewhere.as_ref().unwrap_or(&tried)) else {
-                return failure
-                    .unwrap_or_else(|| final_response(attempts.failure_decision(), refusal));
+                let decision = attempts.failure_decision();
+                return failure.unwrap_or_else(|| final_response(decision, loss, refusal));
             };
             chosen.queues = elsewhere.is_some();
             load_probe::probe_random_target(self, &call.service);
@@ -113,7 +114,8 @@
                     };
                     (result, reason.label())
                 }
-                AttemptEnd::Lost => {
+                AttemptEnd::Lost(cause) => {
+                    loss = cause;
                     unusable.push(chosen.name);
                     (AttemptResult::Lost, "lost")
                 }
@@ -134,7 +136,7 @@
                 return failure.unwrap_or(response);
             }
             if next != RetryDecision::Retry {
-                return failure.unwrap_or_else(|| final_response(next, refusal));
+                return failure.unwrap_or_else(|| final_response(next, loss, refusal));
             }
             info!(self.logger, "retrying"; "id" => &*call.request_id, "cause" => cause);
             self.metrics.retries.with_label_values(&[cause]).inc();
@@ -278,9 +280,16 @@
 }
 
 /// Creates the response to a call that no target answered.
-fn final_response(decision: RetryDecision, refusal: (&str, u32)) -> Response<ResponseBody> {
+fn final_response(
+    decision: RetryDecision,
+    loss: LossCause,
+    refusal: (&str, u32),
+) -> Response<ResponseBody> {
     if decision == RetryDecision::ReportUnknown {
-        return responses::unknown("lost", None);
+        return match loss {
+            LossCause::NoAnswer => responses::unknown("lost", None),
+            LossCause::InvalidAnswer => responses::invalid_answer(),
+        };
     }
     let (reason, retry_after_ms) = refusal;
     responses::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms)
--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -10,6 +10,7 @@
 mod downstream;
 mod dump;
 mod health;
+mod invalid_answers;
 mod load_reports;
 mod local_target;
 mod nested;
--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -18,6 +18,7 @@
 use crate::call::guard::target_call::{self, AnswerClass, TargetAnswer};
 use crate::call::guard::target_connections::TargetFailure;
 use crate::call::headers;
+use crate::decide::answer_check::AnswerFault;
 
 /// Relays a target's answer to the entry and collects what has to be recorded of it.
 pub(super) struct AnswerRelay<'a> {
@@ -44,12 +45,27 @@
 impl AnswerRelay<'_> {
     /// Reports to the entry that the call is lost: it may have run, and no answer will follow.
     pub(super) async fn report_lost(&mut self) {
+        self.report_loss(false).await;
+    }
+
+    /// Reports likewise that the target sent something that is no answer to the call.
+    async fn report_invalid(&mut self, fault: AnswerFault) {
+        self.record_invalid(fault);
+        self.report_loss(true).await;
+    }
+
+    async fn report_loss(&mut self, invalid_answer: bool) {
+        let call = self.call.call_id;
         let load = self.call.duty.load(&self.call.target_key);
         let suspect = self.call.duty.suspect_record(self.call.digest);
-        self.send_head(&AnswerHead::Lost { call: self.call.call_id, load, suspect }, true).await;
+        self.send_head(&AnswerHead::Lost { call, load, suspect, invalid_answer }, true).await;
         self.stream = None;
     }
 
+    fn record_invalid(&self, fault: AnswerFault) {
+        self.call.duty.record_invalid_answer(&self.call.target_key.1, &self.call.request_id, fault);
+    }
+
     /// Relays the answer, or reports its absence; returns the call's status.
     pub(super) async fn forward(
         &mut self,
@@ -64,6 +80,12 @@
                 self.report_lost().await;
                 return CallStatus::Unknown;
             }
+            Err(TargetFailure::Invalid(fault)) => {
+                // A target that ends may send anything before its connections close.
+                self.call.duty.wait_for_crash_check(&self.call.target_key).await;
+                self.report_invalid(fault).await;
+                return CallStatus::Unknown;
+            }
         };
         let names = self.call.duty.header_names;
         let reason =
@@ -78,7 +100,7 @@
                 AnswerClass::Mismatched => {
                     // The answers on this connection no longer match the calls, so it is
                     // dropped, which closes it.
-                    self.report_lost().await;
+                    self.report_invalid(AnswerFault::Mismatch).await;
                     return CallStatus::Unknown;
                 }
             };
@@ -146,7 +168,10 @@
             match next {
                 Ok(Some(next)) => data = next,
                 Ok(None) => break,
-                Err(_broken) => {
+                Err(error) => {
+                    if let TargetFailure::Invalid(fault) = TargetFailure::of_answer(&error) {
+                        self.record_invalid(fault);
+                    }
                     self.cut_off("broken");
                     return CallStatus::Unknown;
                 }
--- a/src/call/guard/target_call.rs
+++ b/src/call/guard/target_call.rs
@@ -133,7 +133,7 @@
                     start.extend_from_slice(&data);
                 }
             }
-            Some(Err(_broken)) => return Err(TargetFailure::Broken),
+            Some(Err(error)) => return Err(TargetFailure::of_answer(&error)),
             None => break,
         }
         if start.len() > MAX_SHORT_ANSWER && permit.is_none() {
--- a/src/call/guard/target_connections.rs
+++ b/src/call/guard/target_connections.rs
@@ -4,8 +4,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use http::{HeaderMap, Request, Response};
@@ -13,13 +11,15 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::call::call_body::RequestBody;
+use crate::call::checked_socket::{CheckedSocket, RequestNotice, find_fault};
+use crate::call::headers;
 use crate::call::keepalive::{KeepaliveLimits, enable_keepalive};
+use crate::decide::answer_check::{AnswerFault, MAX_HEAD_BYTES};
 
 /// Maximum time to connect to a target on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -44,10 +44,7 @@
 
 /// Maximum number of bytes of an answer that are read before they are passed on; its head must
 /// fit.
-const MAX_READ_AHEAD: usize = 64 << 10;
-
-/// Maximum number of interim answers (1xx) to one request; a target that sends more never ends.
-const MAX_INTERIM_ANSWERS: u32 = 16;
+const MAX_READ_AHEAD: usize = MAX_HEAD_BYTES;
 
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -59,10 +56,26 @@
     NotSent,
     /// The connection broke; the target may have run the call.
     Broken,
+    /// The target sent something that is no answer; it may have run the call.
+    Invalid(AnswerFault),
 }
 
-struct IdleConnection {
+impl TargetFailure {
+    /// Returns why an answer that the HTTP library could not read is missing.
+    pub(crate) fn of_answer(error: &hyper::Error) -> Self {
+        let unreadable = || error.is_parse().then_some(AnswerFault::Unreadable);
+        find_fault(error).or_else(unreadable).map_or(Self::Broken, Self::Invalid)
+    }
+}
+
+/// An open connection, and what tells it of the next request.
+struct TargetConnection {
     sender: SendRequest<RequestBody>,
+    notice: RequestNotice,
+}
+
+struct IdleConnection {
+    connection: TargetConnection,
     idle_since: MicroTime,
     idle_timeout: Duration,
 }
@@ -79,7 +92,7 @@
 pub(crate) struct BusyConnection {
     connections: Rc<TargetConnections>,
     address: SocketAddr,
-    sender: SendRequest<RequestBody>,
+    connection: TargetConnection,
 }
 
 impl TargetConnections {
@@ -102,28 +115,24 @@
         loop {
             let idle = self.take_idle(address, max_idle);
             let fresh = idle.is_none();
-            let mut sender = match idle {
-                Some(sender) => sender,
+            let mut connection = match idle {
+                Some(connection) => connection,
                 None => connect(address).await.ok_or(TargetFailure::NotSent)?,
             };
-            let mut request = make_request().ok_or(TargetFailure::NotSent)?;
-            let too_many_interim = limit_interim_answers(&mut request);
-            let sent = tokio::select! {
-                biased;
-                sent = sender.try_send_request(request) => sent,
-                () = too_many_interim.notified() => return Err(TargetFailure::Broken),
-            };
-            match sent {
-                Ok(response) => {
+            let request = make_request().ok_or(TargetFailure::NotSent)?;
+            connection.notice.announce(request.method());
+            match connection.sender.try_send_request(request).await {
+                Ok(mut response) => {
+                    headers::normalise_answer(&mut response);
                     let connections = Rc::clone(self);
-                    return Ok((response, BusyConnection { connections, address, sender }));
+                    return Ok((response, BusyConnection { connections, address, connection }));
                 }
                 Err(mut error) => match error.take_message() {
                     // The target closed the idle connection before a byte was written; the
                     // next one is tried.
                     Some(_unsent) if !fresh => {}
                     Some(_unsent) => return Err(TargetFailure::NotSent),
-                    None => return Err(TargetFailure::Broken),
+                    None => return Err(TargetFailure::of_answer(error.error())),
                 },
             }
         }
@@ -137,18 +146,16 @@
 
     /// Takes the most recently used idle connection, if it was idle for less than
     /// `max_idle`.
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        max_idle: Duration,
-    ) -> Option<SendRequest<RequestBody>> {
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let idle_time = |idle: &IdleConnection| self.clock.now().since(idle.idle_since).duration();
-        connections.retain(|idle| !idle.sender.is_closed() && idle_time(idle) < idle.idle_timeout);
+        connections.retain(|idle| {
+            !idle.connection.sender.is_closed() && idle_time(idle) < idle.idle_timeout
+        });
         // The target is the least likely to have closed the most recently used one.
         let newest = connections.pop_if(|newest| idle_time(newest) < max_idle)?;
-        Some(newest.sender)
+        Some(newest.connection)
     }
 }
 
@@ -157,21 +164,22 @@
     /// completely.
     pub(crate) fn release(self, headers: &HeaderMap) {
         let Some(idle_timeout) = idle_timeout(headers) else { return };
-        if self.sender.is_closed() {
+        if self.connection.sender.is_closed() {
             return;
         }
         let mut idle = self.connections.idle.borrow_mut();
         let connections = idle.entry(self.address).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             let idle_since = self.connections.clock.now();
-            connections.push(IdleConnection { sender: self.sender, idle_since, idle_timeout });
+            let connection = self.connection;
+            connections.push(IdleConnection { connection, idle_since, idle_timeout });
         }
     }
 }
 
 /// Returns how long a connection may stay idle; `None` if the target will close it.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let text = |name: &str| crate::call::headers::get_str(headers, name).unwrap_or_default();
+    let text = |name: &str| headers::get_str(headers, name).unwrap_or_default();
     if text("connection").to_ascii_lowercase().contains("close") {
         return None;
     }
@@ -183,27 +191,17 @@
     Some(stated.saturating_sub(IDLE_TIMEOUT_MARGIN))
 }
 
-/// Notifies the result once a target has sent too many interim answers to a request.
-fn limit_interim_answers(request: &mut Request<RequestBody>) -> Arc<Notify> {
-    let too_many = Arc::new(Notify::new());
-    let (notify, count) = (Arc::clone(&too_many), AtomicU32::new(0));
-    hyper::ext::on_informational(request, move |_answer| {
-        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_ANSWERS {
-            notify.notify_one();
-        }
-    });
-    too_many
-}
-
 /// Opens a connection to a target; returns `None` if that fails.
-async fn connect(address: SocketAddr) -> Option<SendRequest<RequestBody>> {
+async fn connect(address: SocketAddr) -> Option<TargetConnection> {
     let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
     socket.set_nodelay(true).ok()?;
     enable_keepalive(&socket, &KEEPALIVE_LIMITS).ok()?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_READ_AHEAD);
+    let notice = RequestNotice::default();
+    let socket = CheckedSocket::open(socket, &notice);
     let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.ok()?;
     // An error of the connection also shows in the call that it carries.
     spawn_local(async move { drop(connection.await) });
-    Some(sender)
+    Some(TargetConnection { sender, notice })
 }
--- a/src/call/headers.rs
+++ b/src/call/headers.rs
@@ -1,6 +1,7 @@
 //! HTTP headers that railspan reads and sets, and which other headers it forwards.
 
-use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, HeaderValue};
+use http::{HeaderMap, Response, StatusCode};
 
 /// Outcome of the call: `answered`, `not_run` or `unknown`; set on every response.
 pub const OUTCOME: &str = "railspan-outcome";
@@ -152,6 +153,23 @@
     list
 }
 
+/// Brings the head of a target's answer into the form in which all of it may be used: with one
+/// length at most, by which the body is read.
+pub(crate) fn normalise_answer<B>(response: &mut Response<B>) {
+    let status = response.status();
+    let headers = response.headers_mut();
+    let stated = headers.remove(CONTENT_LENGTH);
+    // An answer to `HEAD` may state the length that its body would have.
+    if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        return;
+    }
+    let text = stated.as_ref().and_then(|value| value.to_str().ok());
+    let first = text.and_then(|text| text.split(',').next());
+    if let Some(length) = first.and_then(|text| text.trim().parse::<u64>().ok()) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+}
+
 /// Returns the headers that are forwarded in either direction: neither those of one connection
 /// nor railspan's own.
 fn forward(headers: &HeaderMap) -> HeaderList {
--- a/src/call/responses.rs
+++ b/src/call/responses.rs
@@ -99,6 +99,12 @@
     response
 }
 
+/// Creates the response to a call that may have run and whose target sent something that is no
+/// answer.
+pub(crate) fn invalid_answer() -> Response<ResponseBody> {
+    generated_response(StatusCode::BAD_GATEWAY, CallOutcome::Unknown, "invalid_answer")
+}
+
 /// Creates the response from the recorded answer of an earlier call with the same key.
 pub(crate) fn recorded(answer: &RecordedAnswer) -> Response<ResponseBody> {
     let Some(body) = &answer.body else {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod account_demand;
 pub(crate) mod account_usage;
 pub(crate) mod admission;
+pub(crate) mod answer_check;
 pub(crate) mod benefit;
 pub(crate) mod body_memory;
 pub(crate) mod call_ledger;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 };
 pub use decide::account_usage::{AccountUsage, MAX_TRACKED_ACCOUNTS};
 pub use decide::admission::{AdmissionAction, AdmissionEvent, AdmissionQueue, WaitingCall};
+pub use decide::answer_check::{AnswerCheck, AnswerFault, MAX_HEAD_BYTES, MAX_INTERIM_ANSWERS};
 pub use decide::benefit::BENEFIT_POLICY;
 pub use decide::body_memory::{BodyMemory, BodyNumber};
 pub use decide::call_ledger::{CallLedger, ClaimVerdict, LedgerUse};
--- a/standins/src/hosted.rs
+++ b/standins/src/hosted.rs
@@ -3,7 +3,7 @@
 //! It writes responses as raw bytes, so that it can also send invalid ones.
 
 use std::collections::HashMap;
-use std::io::{self, BufReader, Read, Write};
+use std::io::{self, BufReader, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,7 +11,7 @@
 
 use crate::hosted_behaviour::{HostedBehaviour, respond};
 use crate::hosted_client::{hosted_call, read_head_fields};
-use crate::hosted_heartbeat::{health_response, heartbeat, send_heartbeat};
+use crate::hosted_heartbeat::{heartbeat, respond_to_health_check, send_heartbeat};
 use crate::hosted_nested::NestedCalls;
 
 /// Interval between two heartbeats, unless another one is set.
@@ -66,6 +66,7 @@
     answer_headers: Mutex<String>,
     /// Header lines that are added to each answer to a health check.
     pub(crate) health_headers: Mutex<String>,
+    pub(crate) health_behaviour: Mutex<Option<HostedBehaviour>>,
     open_connections: AtomicU64,
     /// Open connections, which are closed when the target crashes.
     connections: Mutex<Vec<TcpStream>>,
@@ -75,7 +76,7 @@
 #[derive(Debug)]
 pub struct HostedTarget {
     address: SocketAddr,
-    state: Arc<HostedState>,
+    pub(crate) state: Arc<HostedState>,
 }
 
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -138,6 +139,7 @@
             nested: NestedCalls::default(),
             answer_headers: Mutex::default(),
             health_headers: Mutex::default(),
+            health_behaviour: Mutex::default(),
             open_connections: AtomicU64::new(0),
             connections: Mutex::default(),
         });
@@ -349,8 +351,10 @@
             return Ok(());
         }
         if line.starts_with("GET /health ") {
-            writer.write_all(health_response(state).as_bytes())?;
-            continue;
+            if respond_to_health_check(&mut writer, state)? {
+                continue;
+            }
+            return Ok(());
         }
         let id = headers.get("x-request-id").cloned().unwrap_or_default();
         let mut behaviour = state.behaviour_for(&id);
--- a/standins/src/hosted_behaviour.rs
+++ b/standins/src/hosted_behaviour.rs
@@ -1,6 +1,6 @@
 //! Correct and faulty responses of a hosted target.
 
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,8 @@
     ServerError,
     /// It runs the request and responds with a body of this many bytes.
     LongBody(usize),
-    /// It runs the request and sends these bytes, in which `{id}` is the request's id.
+    /// It runs the request and sends these bytes, in which `{id}` is the request's id. Each character
+    /// up to U+00FF is sent as one byte.
     RawBytes {
         /// What it sends first.
         start: String,
@@ -41,8 +42,14 @@
 pub enum RawEnd {
     /// It closes the connection.
     Close,
+    /// It goes on with the next request on the connection.
+    Serve,
+    /// It sends nothing more until its peer closes the connection, for at most [`MAX_HOLD_TIME`].
+    Hold,
     /// It sends these bytes again and again until its peer closes the connection.
     Repeat(String),
+    /// It does so as fast as its peer reads.
+    Flood(String),
 }
 
 /// Pause between two repetitions of raw bytes, and size of one repetition: 20 MB/s or so.
@@ -52,15 +59,30 @@
 /// Time after which a target stops to repeat bytes.
 const MAX_REPEAT_TIME: Duration = Duration::from_secs(30);
 
+/// Time for which a target holds a connection open.
+const MAX_HOLD_TIME: Duration = Duration::from_millis(3_500);
+
 fn respond_raw(writer: &mut TcpStream, id: &str, start: &str, then: &RawEnd) -> io::Result<()> {
-    writer.write_all(start.replace("{id}", id).as_bytes())?;
-    let RawEnd::Repeat(pattern) = then else { return Ok(()) };
+    let text = start.replace("{id}", id);
+    let bytes = text.chars().map(|character| u8::try_from(character).unwrap_or(b'?'));
+    writer.write_all(&bytes.collect::<Vec<u8>>())?;
+    let (pattern, pause) = match then {
+        RawEnd::Close | RawEnd::Serve => return Ok(()),
+        RawEnd::Hold => {
+            writer.set_read_timeout(Some(MAX_HOLD_TIME))?;
+            // Ends with a byte or an error, too: what the peer sends is not answered.
+            drop(writer.read(&mut [0]));
+            return Ok(());
+        }
+        RawEnd::Repeat(pattern) => (pattern, REPEAT_PAUSE),
+        RawEnd::Flood(pattern) => (pattern, Duration::ZERO),
+    };
     let block = pattern.repeat((REPEAT_BYTES / pattern.len()).max(1));
     // Bounded, so that a peer which never closes does not keep the thread for ever.
     let end = Instant::now() + MAX_REPEAT_TIME;
     while Instant::now() < end {
         writer.write_all(block.as_bytes())?;
-        std::thread::sleep(REPEAT_PAUSE);
+        std::thread::sleep(pause);
     }
     Ok(())
 }
@@ -109,7 +131,7 @@
         }
         HostedBehaviour::RawBytes { start, then } => {
             respond_raw(writer, id, start, then)?;
-            return Ok(false);
+            return Ok(*then == RawEnd::Serve);
         }
         HostedBehaviour::Truncate => {
             writer.write_all(&correct.as_bytes()[..correct.len() - 3])?;
--- a/standins/src/hosted_heartbeat.rs
+++ b/standins/src/hosted_heartbeat.rs
@@ -1,13 +1,14 @@
 //! What a hosted target says of itself: heartbeats and answers to health checks.
 
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 
-use crate::hosted::{HostedState, lock};
+use crate::hosted::{HostedState, HostedTarget, lock};
+use crate::hosted_behaviour::{HostedBehaviour, respond};
 use crate::hosted_client::hosted_call;
 
 pub(crate) fn heartbeat(
@@ -49,8 +50,28 @@
     until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
 }
 
-/// Returns the response to a health check, which does not count as a run.
-pub(crate) fn health_response(state: &HostedState) -> String {
+impl HostedTarget {
+    /// Sets how the target responds to health checks; `None` for a correct response.
+    pub fn set_health_behaviour(&self, behaviour: Option<HostedBehaviour>) {
+        *lock(&self.state.health_behaviour) = behaviour;
+    }
+}
+
+/// Responds to a health check, which does not count as a run; returns `false` if the connection is
+/// to be closed.
+pub(crate) fn respond_to_health_check(
+    writer: &mut TcpStream,
+    state: &HostedState,
+) -> io::Result<bool> {
+    let behaviour = lock(&state.health_behaviour).clone();
+    if let Some(behaviour) = behaviour {
+        return respond(writer, &behaviour, "", "");
+    }
+    writer.write_all(health_response(state).as_bytes())?;
+    Ok(true)
+}
+
+fn health_response(state: &HostedState) -> String {
     let slowness = state.reported_slowness.load(Ordering::Relaxed);
     let status =
         if state.draining.load(Ordering::Relaxed) { "503 Service Unavailable" } else { "200 OK" };
