Take out the fields of the connection before an answer is judged

What callers saw: a target's 200 with `Connection: x-server-signature` reached them without its signature, as a success; likewise with the request id.

Cause: the answer was checked for id and signature as it came, and the fields that `Connection` names were taken out later, on the way to the caller. A value of `Connection` with a byte beyond ASCII was not read at all, so its options stayed.

Change: `normalise_answer` takes them out as soon as the head is there, before anything reads it, so what is judged is what the caller gets; options are read from bytes. An option that names a field of the content (`content-*`) is refused with the head: without it the body would be another one.

--- a/src/call/headers.rs
+++ b/src/call/headers.rs
@@ -1,6 +1,6 @@
 //! HTTP headers that railspan reads and sets, and which other headers it forwards.
 
-use http::header::{CONTENT_LENGTH, HeaderValue};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::{HeaderMap, Response, StatusCode};
 
 /// Outcome of the call: `answered`, `not_run` or `unknown`; set on every response.
@@ -153,11 +153,18 @@
     list
 }
 
-/// Brings the head of a target's answer into the form in which all of it may be used: with one
-/// length at most, by which the body is read.
+/// Brings the head of a target's answer into the form in which all of it may be used: without the
+/// fields that concern the connection only, and with one length at most, by which the body is read.
+///
+/// Fields with a meaning for the connection itself stay, for its pool.
 pub(crate) fn normalise_answer<B>(response: &mut Response<B>) {
     let status = response.status();
     let headers = response.headers_mut();
+    for option in connection_headers(headers) {
+        if !HOP_BY_HOP.contains(&&*option) {
+            headers.remove(option);
+        }
+    }
     let stated = headers.remove(CONTENT_LENGTH);
     // An answer to `HEAD` may state the length that its body would have.
     if matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
@@ -189,7 +196,8 @@
 
 /// Returns the names of the headers listed in `Connection`, in lower case.
 fn connection_headers(headers: &HeaderMap) -> Vec<String> {
-    let values = headers.get_all(http::header::CONNECTION);
-    let texts = values.iter().filter_map(|value| value.to_str().ok());
-    texts.flat_map(|text| text.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
+    let values = headers.get_all(CONNECTION).iter();
+    let options = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    let texts = options.filter_map(|option| std::str::from_utf8(option).ok());
+    texts.map(|text| text.trim().to_ascii_lowercase()).collect()
 }
--- a/src/decide/answer_check/head.rs
+++ b/src/decide/answer_check/head.rs
@@ -77,6 +77,11 @@
                 return Err(AnswerFault::Coding);
             }
             self.chunked = true;
+        } else if name.eq_ignore_ascii_case(b"connection") {
+            let mut options = value.split(|byte| *byte == b',').map(trim_blanks);
+            if options.any(describes_content) {
+                return Err(AnswerFault::ConnectionOption);
+            }
         }
         Ok(())
     }
@@ -132,3 +137,9 @@
     let digits = std::str::from_utf8(text).map_err(|_not_text| AnswerFault::Length)?;
     digits.parse().map_err(|_too_large| AnswerFault::Length)
 }
+
+/// Returns whether a connection option is the name of a field that describes the content.
+fn describes_content(option: &[u8]) -> bool {
+    const PREFIX: &[u8] = b"content-";
+    option.get(..PREFIX.len()).is_some_and(|start| start.eq_ignore_ascii_case(PREFIX))
+}
--- a/src/decide/answer_check/mod.rs
+++ b/src/decide/answer_check/mod.rs
@@ -40,6 +40,9 @@
     /// The end of the body is stated in more than one way, or for an answer without a body.
     #[snafu(display("contradictory framing"))]
     Framing,
+    /// A field that describes the content is said to concern the connection only.
+    #[snafu(display("a field of the content is a connection option"))]
+    ConnectionOption,
     /// The head or the trailers are longer than [`MAX_HEAD_BYTES`].
     #[snafu(display("head too long"))]
     HeadSize,
@@ -78,6 +81,7 @@
             Self::Length => "length",
             Self::Coding => "coding",
             Self::Framing => "framing",
+            Self::ConnectionOption => "connection_option",
             Self::HeadSize => "head_size",
             Self::InterimAnswers => "interim_answers",
             Self::Chunk => "chunk",
