Pass on no status that promises what the target does not state

What callers saw: a target that ran a write and answered 503, 429 or 408 without X-Not-Executed. The caller got that status, which promises that the write did not run and never will, and may send it again. The same with X-Not-Executed named in Connection, since the field is taken out before.

Cause: only a target's own statement was looked for; without one any other status but a success was passed on as it was.

Change: where targets state in a header that they did not run a call, such a status without it is an invalid answer: 502, and a read goes on to another target. Without that header (deployments outside of the platform) nothing changes.

--- a/src/call/guard/served_call/answer_relay.rs
+++ b/src/call/guard/served_call/answer_relay.rs
@@ -97,10 +97,10 @@
                     self.call.duty.end_target(&self.call.target_key.1, None);
                     RefusalReason::Absent
                 }
-                AnswerClass::Mismatched => {
-                    // The answers on this connection no longer match the calls, so it is
+                AnswerClass::Invalid(fault) => {
+                    // The answers on this connection may no longer match the calls, so it is
                     // dropped, which closes it.
-                    self.report_invalid(AnswerFault::Mismatch).await;
+                    self.report_invalid(fault).await;
                     return CallStatus::Unknown;
                 }
             };
--- a/src/call/guard/target_call.rs
+++ b/src/call/guard/target_call.rs
@@ -13,11 +13,20 @@
 use crate::call::call_body::{CallBody, RequestBody};
 use crate::call::guard::target_connections::{BusyConnection, TargetFailure};
 use crate::call::headers::{self, HeaderNames};
+use crate::decide::answer_check::AnswerFault;
 
 /// Number of values in a load header: running calls, waiting calls, slots, and slowness in
 /// percent.
 const LOAD_VALUES: usize = 4;
 
+/// Statuses that promise a caller that its call did not run, where targets state so in a header.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// An answer of a target whose body has been read at least in part.
 pub(crate) struct TargetAnswer {
     pub(crate) status: StatusCode,
@@ -40,8 +49,8 @@
     NotRun,
     /// Another target listens at the address; it did not run the call.
     OtherTarget,
-    /// The answer doesn't belong to this call.
-    Mismatched,
+    /// The answer doesn't belong to this call, or must not be passed on.
+    Invalid(AnswerFault),
 }
 
 /// Makes the request for a target; `remaining_ms` is the time left until the deadline.
@@ -87,17 +96,22 @@
     let id = names.request_id.and_then(|name| headers::find_str(&head.headers, name));
     let echoed_id = names.request_id.and_then(|name| headers::get_str(answer_headers, name));
     if id.is_some() && echoed_id.is_some() && id != echoed_id {
-        return AnswerClass::Mismatched;
+        return AnswerClass::Invalid(AnswerFault::Mismatch);
     }
     if names.expected_target.is_some() && status == StatusCode::MISDIRECTED_REQUEST {
         return AnswerClass::OtherTarget;
     }
-    if names.not_executed.is_some_and(|name| answer_headers.contains_key(name)) {
-        return AnswerClass::NotRun;
+    if let Some(name) = names.not_executed {
+        if answer_headers.contains_key(name) {
+            return AnswerClass::NotRun;
+        }
+        if NOT_RUN_STATUSES.contains(&status) {
+            return AnswerClass::Invalid(AnswerFault::Promise);
+        }
     }
     let signed = names.signature.is_none_or(|name| answer_headers.contains_key(name));
     if status.is_success() && !(signed && echoed_id == id) {
-        return AnswerClass::Mismatched;
+        return AnswerClass::Invalid(AnswerFault::Mismatch);
     }
     AnswerClass::Answer
 }
--- a/src/decide/answer_check/mod.rs
+++ b/src/decide/answer_check/mod.rs
@@ -61,6 +61,9 @@
     /// The answer belongs to another request, or lacks what a success must have.
     #[snafu(display("not the answer to this request"))]
     Mismatch,
+    /// The status promises that the request did not run, which the target does not state.
+    #[snafu(display("unfounded promise"))]
+    Promise,
 }
 
 /// Maximum number of bytes of a head, and of the trailers of a body.
@@ -88,6 +91,7 @@
             Self::Excess => "excess",
             Self::Unreadable => "unreadable",
             Self::Mismatch => "mismatch",
+            Self::Promise => "promise",
         }
     }
 }
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -574,6 +574,20 @@
     }
 }
 
+/// Some statuses promise that the request did not run; only a target that states so may promise it.
+#[test_case("HTTP/1.1 503 Service Unavailable", ""; "503")]
+#[test_case("HTTP/1.1 429 Too Many Requests", ""; "429")]
+#[test_case("HTTP/1.1 408 Request Timeout", ""; "408")]
+#[test_case("HTTP/1.1 503 Service Unavailable", "Connection: x-not-executed\r\nX-Not-Executed: 1\r\n"; "503, with a statement for the connection only")]
+fn a_target_that_ran_a_call_makes_no_promise(first_line: &str, lines: &str) {
+    let fleet = spawn_fleet();
+    let start = format!("{first_line}\r\n{FIELDS}{lines}{LENGTH}\r\n{BODY}");
+    let behaviour = HostedBehaviour::RawBytes { start, then: RawEnd::Serve };
+    for (id, method, got) in make_calls(&fleet, 0, &CALLS[..3], &behaviour) {
+        assert_eq!(find_fault(&fleet, &id, method, &got), None, "{id}: {got:?}");
+    }
+}
+
 /// A length that says nothing of the body's end must not keep the target's connection, or the
 /// memory of a daemon, until long after the deadline.
 #[test]
