Check the answers of the store and of daemons to commands, too

What was seen on the untouched code, tests/store_answers.rs: a store's answer with an unknown coding or a coding beside its length counted as a committed transaction, and its rows were taken; status 600 and 999 counted as "nothing was applied". `railspan dump` printed what an answer with an unknown coding held, and took status 600 for a refusal by the daemon.

Cause: the same HTTP library, used through its own pool.

Change: `CheckedConnector` opens the pool's connections with the check of `answer_check`. A fault counts as a lost reply, which is read back; errors name it.

--- a/src/call/checked_socket.rs
+++ b/src/call/checked_socket.rs
@@ -43,6 +43,11 @@
         Self { socket, check: AnswerCheck::open(), answers_head, fault: None }
     }
 
+    /// Returns the connection without its checks.
+    pub(super) const fn socket(&self) -> &TcpStream {
+        &self.socket
+    }
+
     /// Checks bytes that were read; returns how many of them may be used.
     fn accept(&mut self, bytes: &[u8]) -> Result<usize, AnswerFault> {
         let answers_head = self.answers_head.load(Ordering::Relaxed);
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod answer_room;
 pub(crate) mod body_room;
 pub(crate) mod call_body;
+pub(crate) mod checked_connector;
 pub(crate) mod checked_socket;
 pub(crate) mod entry;
 pub(crate) mod guard;
--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -8,6 +8,7 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,7 @@
 use crate::base::ids::{CentreName, HostName, ServiceName, TargetName};
 use crate::base::member::{FleetView, MemberRecord, MemberState};
 use crate::base::memory_plan::DutyMemoryUse;
+use crate::call::checked_connector::{CheckedConnector, describe_error};
 use crate::command::progress::CommandProgress;
 use crate::decide::connection_account::ConnectionUse;
 
@@ -336,7 +338,7 @@
     let (status, body) = timeout(DAEMON_TIMEOUT, send_request(method, daemon, path))
         .await
         .map_err(|elapsed| unreachable(elapsed.to_string()))?
-        .map_err(|error| unreachable(error.to_string()))?;
+        .map_err(|error| unreachable(describe_error(&*error)))?;
     let value: Value =
         serde_json::from_slice(&body).map_err(|error| unreachable(error.to_string()))?;
     if status.is_success() {
@@ -352,7 +354,8 @@
     daemon: SocketAddr,
     path: &str,
 ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
-    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let connector = CheckedConnector(HttpConnector::new());
+    let client = Client::builder(TokioExecutor::new()).build::<_, Empty<Bytes>>(connector);
     let uri = format!("http://{daemon}{path}");
     let request = Request::builder().method(method).uri(uri).body(Empty::new())?;
     let response = client.request(request).await?;
