Count a write as refused only if the store says so

Cause: every status but 200 and 412 became `Unavailable`, and a body that can't be decoded `InvalidData`, both of which promise that nothing was applied.

--- a/tests/store_answers.rs
+++ b/tests/store_answers.rs
@@ -75,6 +75,25 @@
     assert!(update.is_err(), "{update:?}");
 }
 
+/// A reply that says neither what was done nor that nothing was done leaves both possible.
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoise", true; "a body that can't be decoded")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true; "a body without a version")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true; "no body")]
+#[test_case(&with_length("HTTP/1.1 204 No Content"), true; "204")]
+#[test_case(&with_length("HTTP/1.1 302 Found"), true; "302")]
+#[test_case(&with_length("HTTP/1.1 500 Internal Server Error"), true; "500")]
+#[test_case(&with_length("HTTP/1.1 502 Bad Gateway"), true; "502")]
+#[test_case(&with_length("HTTP/1.1 504 Gateway Timeout"), true; "504")]
+#[test_case(&with_length("HTTP/1.1 429 Too Many Requests"), false; "429")]
+#[test_case(&with_length("HTTP/1.1 503 Service Unavailable"), false; "503")]
+#[test_case(&with_length("HTTP/1.1 403 Forbidden"), false; "403")]
+fn a_write_counts_as_refused_only_if_the_store_says_so(answer: &str, may_be_applied: bool) {
+    let address = spawn_server(answer);
+    let committed = run(address, async |store| store.commit(&[write()]).await);
+    let is_lost = matches!(committed, Err(PlatformError::ReplyLost { .. }));
+    assert!(committed.is_err() && is_lost == may_be_applied, "{committed:?}");
+}
+
 /// The same answer without a fault is taken, so the test above would see it.
 #[test]
 fn a_valid_answer_is_taken() {
