Write the outcomes of keyed calls before a planned stop ends

Cause: a planned stop waited for the answers of calls but not for the writes of their outcomes, which are queued for another duty. The process usually outlived them by some milliseconds.

Change: the guard's part of the stop ends when the queued writes have ended. `FinishWrites` goes through the guard's own ring, behind its writes. The wait ends after 2 s while the store is down, and with the stop's limit.

--- a/src/call/guard/stopping.rs
+++ b/src/call/guard/stopping.rs
@@ -9,6 +9,7 @@
 use super::GuardDuty;
 use crate::base::clock::MicroTime;
 use crate::base::consts::WORK_MARGIN;
+use crate::duty::events::PlatformEvent;
 
 impl GuardDuty {
     /// Returns the time by which a call must have started to end before a planned stop; `None`
@@ -31,13 +32,15 @@
         drop(stopping.wait_for(|stopping| *stopping).await);
     }
 
-    /// Refuses new calls from now on and reports when all open streams have ended.
+    /// Refuses new calls from now on, and reports when all open streams have ended and the outcomes
+    /// of their calls are written.
     pub(super) async fn stop(self: Rc<Self>, done: oneshot::Sender<()>) {
         self.stopping.send_replace(true);
         self.apply_leases();
         let mut open_streams = self.open_streams.subscribe();
         // Fails only if the duty itself has been dropped.
         drop(open_streams.wait_for(|streams| *streams == 0).await);
-        _ = done.send(());
+        // If the ring is full, `done` is dropped, which ends the stop's wait as well.
+        drop(self.rings.platform.push(PlatformEvent::FinishWrites(done)));
     }
 }
--- a/src/durable/commits.rs
+++ b/src/durable/commits.rs
@@ -2,6 +2,10 @@
 
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::PlatformDuty;
 use crate::base::consts::MAX_CLAIM_BATCH;
@@ -11,6 +15,9 @@
 /// Maximum number of queued writes, for an outage of the table; further writes are dropped.
 const MAX_PENDING_WRITES: usize = 10_000;
 
+/// Maximum wait for queued writes at a planned stop, for an outage of the table.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
+
 impl PlatformDuty {
     /// Writes the queued claims and outcomes in transactions until the runtime ends.
     ///
@@ -19,6 +26,7 @@
         loop {
             let batch = self.next_batch();
             if batch.is_empty() {
+                self.has_writes.send_replace(false);
                 self.pending_wake.notified().await;
                 continue;
             }
@@ -28,6 +36,13 @@
         }
     }
 
+    /// Reports when no write is left, or after [`FINISH_TIMEOUT`].
+    pub(super) async fn finish_writes(self: Rc<Self>, done: oneshot::Sender<()>) {
+        let mut has_writes = self.has_writes.subscribe();
+        drop(timeout(FINISH_TIMEOUT, has_writes.wait_for(|has_writes| !*has_writes)).await);
+        _ = done.send(());
+    }
+
     /// Queues a write; drops it if the queue is full.
     pub(super) fn enqueue(&self, pending: PendingWrite) {
         let mut queue = self.pending_writes.borrow_mut();
@@ -36,6 +51,7 @@
             return;
         }
         queue.push_back(pending);
+        self.has_writes.send_replace(true);
         self.pending_wake.notify_one();
     }
 
--- a/src/durable/mod.rs
+++ b/src/durable/mod.rs
@@ -62,6 +62,8 @@
     pending_writes: RefCell<VecDeque<PendingWrite>>,
     /// Notified when a write is queued.
     pending_wake: Notify,
+    /// Whether writes are queued or in a transaction.
+    has_writes: watch::Sender<bool>,
     commit_backoff: RefCell<CommitBackoff>,
     clock: ProcessClock,
     /// Notified to read the configuration at once.
@@ -109,6 +111,7 @@
         evacuation: RefCell::default(),
         pending_writes: RefCell::default(),
         pending_wake: Notify::new(),
+        has_writes: watch::Sender::new(false),
         commit_backoff: RefCell::new(CommitBackoff::open()),
         clock: ProcessClock::open(),
         poll_wake: Notify::new(),
@@ -137,6 +140,9 @@
             PlatformEvent::FollowStore(follows) => _ = duty.following.send_replace(follows),
             PlatformEvent::FleetSize(size) => *duty.fleet_size.borrow_mut() = size,
             PlatformEvent::Dump(reply) => drop(reply.send(duty.dump())),
+            PlatformEvent::FinishWrites(done) => {
+                spawn_local(Rc::clone(&duty).finish_writes(done));
+            }
             PlatformEvent::RemoveMemberRow(done) => {
                 spawn_local(Rc::clone(&duty).remove_member_row(own.clone(), done));
             }
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -154,6 +154,8 @@
     FleetSize(usize),
     /// Request for the duty's state, as JSON.
     Dump(oneshot::Sender<Value>),
+    /// Reply when the writes that were queued before have ended.
+    FinishWrites(oneshot::Sender<()>),
     /// Delete this daemon's member row; reply when that is done.
     RemoveMemberRow(oneshot::Sender<()>),
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,6 +7,7 @@
 
 use common::{FleetPlan, TestFleet, WAIT_TIMEOUT, eventually};
 use railspan_standins::{Verdict, fetch};
+use test_case::test_case;
 
 /// Longest time for which a target may get new calls after it stopped being ready: the sum
 /// of its lease of 3 s, the guard's tick, and the heartbeat interval of the stand-in.
@@ -103,13 +104,15 @@
     }
 }
 
-#[test]
-fn a_stopping_guard_finishes_and_records_a_call_with_an_idempotency_key() {
+#[test_case(0; "the store answers at once")]
+#[test_case(300; "the store is slow")]
+fn a_stopping_guard_finishes_and_records_a_call_with_an_idempotency_key(store_delay_ms: u64) {
     let mut fleet = TestFleet::spawn(FleetPlan::default());
     let call = fleet.post_request("k", "/bulletin?size=100&us=500000");
     let first = fleet.start_call(0, call.clone());
     eventually("the call runs", || fleet.target_that_ran("k").is_some());
     let guard = fleet.target_that_ran("k").expect("ran");
+    fleet.set_faults(|faults| faults.slow_ms = store_delay_ms);
     fleet.daemons[guard].terminate().expect("terminate");
     assert_eq!(fleet.join_call(first).verdict, Verdict::Complete);
     fleet.daemons[guard].wait(WAIT_TIMEOUT).expect("wait").expect("stopped");
