Refute versions of the own record that the daemon never had

Reported by other operators: an odd entry among those of the upstreams, with a number too large, and the readers stopped following the list.

Cause: a row of a running daemon with a greater version than its own replaces all its later records at whoever reads it. The daemon refuted records of another incarnation or state, but took one with its own for right, whatever its version; with the greatest version of all, raising it overflowed. So the host's targets stayed unknown, for good.

Change: a greater version than the own is wrong as well. A peer that gets an older record of its sender than it knows answers with the one it knows, so that the sender learns of it at the next message. Rows with a version over half of the range are not read, so a version can always be exceeded.

--- a/src/durable/rows.rs
+++ b/src/durable/rows.rs
@@ -20,6 +20,9 @@
 /// Key prefix of all rows that a daemon reads when it starts.
 const START_PREFIX: &str = "fleet-";
 
+/// Maximum version of a member row: its daemon must be able to refute it with a greater one.
+const MAX_STORED_VERSION: u64 = u64::MAX / 2;
+
 /// Key prefix of member rows.
 const MEMBER_PREFIX: &str = "fleet-member-";
 
@@ -90,6 +93,10 @@
         let mut members: Vec<MemberRecord> = Vec::new();
         for row in rows.into_iter().filter(|row| row.key.starts_with(MEMBER_PREFIX)) {
             match serde_json::from_str::<MemberRecord>(&row.value) {
+                Ok(record) if record.version > MAX_STORED_VERSION => {
+                    warn!(self.logger, "can't parse member row"; "key" => row.key,
+                        "why" => "version too large");
+                }
                 Ok(record) => {
                     if record.host == own_record.host && same_addresses(&record, own_record) {
                         self.own_row_version.set(Some(row.version));
--- a/src/fleet/membership/mod.rs
+++ b/src/fleet/membership/mod.rs
@@ -271,25 +271,6 @@
         }
     }
 
-    /// Refutes a wrong record of the own host, from a daemon that suspects this one or from an
-    /// earlier incarnation, by raising the own version above it.
-    fn refute_record(&mut self, record: &MemberRecord, out: &mut Vec<MembershipAction>) {
-        let is_wrong = record.incarnation != self.own_record.incarnation
-            || record.state != self.own_record.state;
-        if !is_wrong || self.own_record.state == MemberState::Left {
-            return;
-        }
-        if record.version < self.own_record.version {
-            // This was refuted before, but the refutation did not reach all daemons.
-            self.updates.enqueue(&self.own_record.host);
-            return;
-        }
-        let version = record.version + 1;
-        self.update_own_record(|own| own.version = version);
-        out.push(MembershipAction::ViewChanged);
-        self.refutation_due = true;
-    }
-
     fn set_own_targets(
         &mut self,
         targets: Vec<AdvertisedTarget>,
--- a/src/fleet/membership/receive.rs
+++ b/src/fleet/membership/receive.rs
@@ -9,7 +9,7 @@
 use super::{MembershipAction, MembershipState};
 use crate::base::clock::MicroTime;
 use crate::base::ids::HostName;
-use crate::base::member::{GossipKind, GossipMessage, MemberRecord};
+use crate::base::member::{GossipKind, GossipMessage, MemberRecord, MemberState};
 
 /// Maximum number of updates in a message from another data centre that are relayed at once.
 const MAX_RELAYED: usize = 8;
@@ -30,8 +30,7 @@
         self.merge_evacuation(evacuation, rng, out);
         self.merge_suspect_updates(now, &suspects, false, rng, out);
         self.reply_to_blamed_hash(now, from, blamed_hash, rng, out);
-        let sender_is_outdated =
-            updates.iter().any(|record| self.loses_to_earlier_incarnation(&sender, record));
+        let sender_is_outdated = updates.iter().any(|record| self.is_outdated(&sender, record));
         let mut relayed = Vec::new();
         let sender_is_remote = self.is_remote_host(&sender);
         for record in updates {
@@ -90,6 +89,26 @@
         }
     }
 
+    /// Refutes a wrong record of the own host, from a daemon that suspects this one, from an
+    /// earlier incarnation or from another writer, by raising the own version above it.
+    pub(super) fn refute_record(&mut self, record: &MemberRecord, out: &mut Vec<MembershipAction>) {
+        let is_wrong = record.incarnation != self.own_record.incarnation
+            || record.state != self.own_record.state
+            || record.version > self.own_record.version;
+        if !is_wrong || self.own_record.state == MemberState::Left {
+            return;
+        }
+        if record.version < self.own_record.version {
+            // This was refuted before, but the refutation did not reach all daemons.
+            self.updates.enqueue(&self.own_record.host);
+            return;
+        }
+        let version = record.version.saturating_add(1);
+        self.update_own_record(|own| own.version = version);
+        out.push(MembershipAction::ViewChanged);
+        self.refutation_due = true;
+    }
+
     /// Returns whether a record is of another data centre and newer than the known one.
     fn is_new_remote_record(&self, record: &MemberRecord) -> bool {
         let known = self.members.get(&record.host);
@@ -97,11 +116,12 @@
         is_newer && !record.is_in(&self.own_record.data_centre)
     }
 
-    /// Returns whether a sender's own record is older than the known record of an earlier
-    /// incarnation; the sender needs that record to refute it.
-    fn loses_to_earlier_incarnation(&self, sender: &HostName, record: &MemberRecord) -> bool {
+    /// Returns whether a sender's own record is older than the known one of its host; the sender
+    /// needs that one to refute it, if it is of an earlier incarnation or of another writer.
+    fn is_outdated(&self, sender: &HostName, record: &MemberRecord) -> bool {
         let Some(known) = self.members.get(sender) else { return false };
-        let other_incarnation = known.record.incarnation != record.incarnation;
-        record.host == *sender && other_incarnation && !record.supersedes(&known.record)
+        let is_other =
+            known.record.incarnation != record.incarnation || known.record.version > record.version;
+        record.host == *sender && is_other && !record.supersedes(&known.record)
     }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -129,3 +129,30 @@
     let MembershipAction::Send { message, .. } = &out[0] else { panic!("{out:?}") };
     assert_eq!(message.updates, [state.own_record().clone()]);
 }
+
+/// A record of a daemon with a version that it never had, as another writer may leave it in the store,
+/// does not keep the daemon's later records out.
+#[test]
+fn a_daemon_refutes_a_version_that_it_never_had() {
+    for version in [7, 70_000, u64::MAX / 2, u64::MAX - 1] {
+        let mut network = FakeNetwork::open(4, 3, 0.0);
+        network.run(20_000).expect("invariants");
+        let forged = railspan::MemberRecord { version, ..record(0, 1) };
+        let own = network.nodes[&address(0)].own_record().clone();
+        let forged = railspan::MemberRecord { incarnation: own.incarnation, ..forged };
+        network.step(address(1), MembershipEvent::RecordsReceived(vec![forged]));
+        let target =
+            AdvertisedTarget { service: "s".into(), name: "t".into(), slots: 4, ready: true };
+        let targets = vec![target];
+        network.step(
+            address(0),
+            MembershipEvent::OwnRecordChanged { targets: targets.clone(), revision: 1 },
+        );
+        network.run(30_000).expect("invariants");
+        for node in network.nodes.values() {
+            let view = node.view();
+            let known = view.members.iter().find(|member| member.host.as_str() == "host-0");
+            assert_eq!(known.expect("known").targets, targets, "after version {version}");
+        }
+    }
+}
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -7,6 +7,7 @@
 
 use common::hosted::{HostedFleet, SAFE_PREFIX, SERVICE, platform_config};
 use railspan_standins::hosted_call;
+use serde_json::{Value, json};
 use test_case::test_case;
 
 const SERVICE_TIME: Duration = Duration::from_millis(2);
@@ -136,6 +137,19 @@
     assert_following(&mut fleet);
 }
 
+/// A row of a running daemon with a version that it never had must not keep its later records out.
+#[test_case(70_000; "a large version")]
+#[test_case(u64::MAX / 2; "the largest version that is read")]
+#[test_case(u64::MAX; "the largest version of all")]
+fn a_row_with_a_wrong_version_hides_no_target(version: u64) {
+    let mut fleet = HostedFleet::spawn(2, SERVICE_TIME);
+    let (key, row) = fleet.platform.rows("fleet-member-").remove(0);
+    let mut record: Value = serde_json::from_str(&row).expect("record");
+    record["version"] = json!(version);
+    fleet.platform.write_system_row(&format!("{key}-odd"), record.to_string().as_bytes());
+    assert_following(&mut fleet);
+}
+
 #[test]
 fn odd_rows_of_the_operator_end_no_daemon() {
     let mut fleet = HostedFleet::spawn(2, SERVICE_TIME);
