Read the options of Connection once for each answer

The fields that Connection names are taken out of an answer before it is judged, and were looked for again when it is forwarded.

--- a/src/call/headers.rs
+++ b/src/call/headers.rs
@@ -134,8 +134,11 @@
 
 /// Returns the request headers that are forwarded to the target.
 pub(crate) fn forward_request_headers(headers: &HeaderMap, names: &HeaderNames) -> HeaderList {
+    let connection_headers = connection_headers(headers);
     let mut list = forward(headers);
-    list.retain(|(name, _)| name != "content-length" && !names.is_reserved(name));
+    list.retain(|(name, _)| {
+        name != "content-length" && !names.is_reserved(name) && !connection_headers.contains(name)
+    });
     if names.preserve_host
         && let Some(host) = headers.get(http::header::HOST)
     {
@@ -145,7 +148,7 @@
 }
 
 /// Returns the response headers that are forwarded to the caller, without those that are
-/// meant for the guard only.
+/// meant for the guard only. They must come from [`normalise_answer`].
 pub(crate) fn forward_response_headers(headers: &HeaderMap, names: &HeaderNames) -> HeaderList {
     let mut list = forward(headers);
     let guard_only = [names.load, names.responding_target];
@@ -177,18 +180,15 @@
     }
 }
 
-/// Returns the headers that are forwarded in either direction: neither those of one connection
-/// nor railspan's own.
+/// Returns the headers that are forwarded in either direction, apart from those that `Connection`
+/// names: neither those of one connection nor railspan's own.
 fn forward(headers: &HeaderMap) -> HeaderList {
-    let connection_headers = connection_headers(headers);
     headers
         .iter()
         .filter(|(name, _)| {
             let name = name.as_str();
             let is_railspan = name.starts_with("railspan-");
-            !HOP_BY_HOP.contains(&name)
-                && !is_railspan
-                && !connection_headers.iter().any(|other| other == name)
+            !HOP_BY_HOP.contains(&name) && !is_railspan
         })
         .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
         .collect()
