Follow an answer from its head to its body without a case for each

The check asked in three places whether a body had ended. A head that is complete now goes on to its body in the same round.

--- a/src/call/checked_socket.rs
+++ b/src/call/checked_socket.rs
@@ -18,7 +18,7 @@
 pub(crate) struct CheckedSocket {
     socket: TcpStream,
     check: AnswerCheck,
-    answers_head: Arc<AtomicBool>,
+    notice: RequestNotice,
     /// Set once the connection can't be used any more.
     fault: Option<AnswerFault>,
 }
@@ -39,8 +39,7 @@
 impl CheckedSocket {
     /// Wraps a new connection, for requests that are announced by `notice`.
     pub(crate) fn open(socket: TcpStream, notice: &RequestNotice) -> Self {
-        let answers_head = Arc::clone(&notice.is_head);
-        Self { socket, check: AnswerCheck::open(), answers_head, fault: None }
+        Self { socket, check: AnswerCheck::open(), notice: notice.clone(), fault: None }
     }
 
     /// Returns the connection without its checks.
@@ -50,7 +49,7 @@
 
     /// Checks bytes that were read; returns how many of them may be used.
     fn accept(&mut self, bytes: &[u8]) -> Result<usize, AnswerFault> {
-        let answers_head = self.answers_head.load(Ordering::Relaxed);
+        let answers_head = self.notice.is_head.load(Ordering::Relaxed);
         let accepted = self.check.accept(bytes, answers_head)?;
         if accepted < bytes.len() {
             // The answer itself is whole. What follows it was not asked for.
--- a/src/decide/answer_check/mod.rs
+++ b/src/decide/answer_check/mod.rs
@@ -10,14 +10,13 @@
 mod head;
 mod line;
 
-use serde::Serialize;
 use snafu::Snafu;
 
 use self::body::BodyCheck;
 use self::head::HeadCheck;
 
 /// Why bytes are no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum AnswerFault {
     /// The first line is no status line of HTTP/1.0 or HTTP/1.1.
     #[snafu(display("no status line"))]
@@ -131,23 +130,16 @@
     pub fn accept(&mut self, bytes: &[u8], answers_head: bool) -> Result<usize, AnswerFault> {
         let mut rest = bytes;
         while !rest.is_empty() {
-            let ended = match &mut self.stage {
-                AnswerStage::Head(head) => match head.accept(&mut rest, answers_head)? {
-                    Some(body) => {
-                        let ended = body.is_ended();
-                        self.stage = AnswerStage::Body(body);
-                        ended
-                    }
-                    None => false,
-                },
-                AnswerStage::Body(body) => {
-                    body.accept(&mut rest)?;
-                    body.is_ended()
+            if let AnswerStage::Head(head) = &mut self.stage {
+                let Some(body) = head.accept(&mut rest, answers_head)? else { break };
+                self.stage = AnswerStage::Body(body);
+            }
+            if let AnswerStage::Body(body) = &mut self.stage {
+                body.accept(&mut rest)?;
+                if body.is_ended() {
+                    self.stage = AnswerStage::default();
+                    break;
                 }
-            };
-            if ended {
-                self.stage = AnswerStage::default();
-                break;
             }
         }
         Ok(bytes.len() - rest.len())
