Log how old the knowledge of the configuration is

Neither a refusal for want of a route nor 'revision in force' told which revision was used, from whom it came and how old the knowledge was, so that the hypotheses of the incident could not be told apart.

A failed call is logged with the revision, how long it was in force and how long ago the store provably held none newer; 'revision in force' with its source, the revision that it replaces and the same two ages; a change of the follower role with whether the store is lost here.

--- a/src/call/entry/mod.rs
+++ b/src/call/entry/mod.rs
@@ -237,7 +237,7 @@
                 self.nested_routes.borrow_mut().retain(&active.config.routes);
                 let revision = active.head.revision;
                 *self.active.borrow_mut() = Some(active);
-                self.confirmation.lock().set_in_force(revision);
+                self.confirmation.set_in_force(revision);
                 self.update_readiness();
             }
             EntryEvent::Joined { least_revision } => {
--- a/src/call/entry/serving.rs
+++ b/src/call/entry/serving.rs
@@ -252,10 +252,12 @@
                 "took_us" => took.0,
                 "target" => text(headers::TARGET));
         } else {
+            let revision = self.active.borrow().as_ref().map(|active| active.head.revision);
             warn!(self.logger, "call failed"; "id" => request_id, "status" => status,
                 "took_us" => took.0,
                 "outcome" => outcome, "reason" => reason,
-                "retry_after_ms" => text(headers::RETRY_AFTER_MS));
+                "retry_after_ms" => text(headers::RETRY_AFTER_MS),
+                "revision" => revision, self.confirmation.age());
         }
     }
 
--- a/src/durable/mod.rs
+++ b/src/durable/mod.rs
@@ -23,6 +23,7 @@
 use crate::base::member::MemberRecord;
 use crate::base::metrics::DaemonMetrics;
 use crate::decide::commit_backoff::CommitBackoff;
+use crate::durable::revisions::RevisionSource;
 use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent};
 use crate::duty::ring::{RingInbox, RingSender};
@@ -135,7 +136,9 @@
         match inbox.next().await {
             PlatformEvent::Claim(request) => duty.enqueue(PendingWrite::Claim(request)),
             PlatformEvent::Write(write) => duty.enqueue_write(write),
-            PlatformEvent::RevisionOffer { head, body } => duty.adopt(&head, &body),
+            PlatformEvent::RevisionOffer { head, body, peer } => {
+                duty.adopt(&head, &body, RevisionSource::Peer(peer));
+            }
             PlatformEvent::Hint => duty.poll_wake.notify_one(),
             PlatformEvent::FollowStore(follows) => _ = duty.following.send_replace(follows),
             PlatformEvent::FleetSize(size) => *duty.fleet_size.borrow_mut() = size,
--- a/src/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -1,5 +1,7 @@
 //! Reading configuration revisions from the platform, and putting them in force.
 
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +22,24 @@
 /// it started, so a long wait would leave no time to pass the confirmation on.
 const STRICT_FEED_WAIT: Duration = Duration::from_millis(500);
 
+/// Where a daemon got a revision from.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum RevisionSource {
+    /// The platform's store.
+    Store,
+    /// The peer with this address.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for RevisionSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Peer(address) => address.fmt(f),
+        }
+    }
+}
+
 impl PlatformDuty {
     /// Watches the operator's configuration while this daemon follows the store.
     ///
@@ -154,7 +174,7 @@
             publish: String::new(),
             operator: String::new(),
         };
-        self.adopt(&head, &body);
+        self.adopt(&head, &body, RevisionSource::Store);
     }
 
     /// Polls the head row, less often the larger the fleet is.
@@ -192,18 +212,20 @@
         let object = self.client.object(&body_name(&head.hash)).await;
         self.count("body", &object);
         match object {
-            Ok(Some(body)) => self.adopt(&head, &body),
+            Ok(Some(body)) => self.adopt(&head, &body, RevisionSource::Store),
             Ok(None) => warn!(self.logger, "revision body not found"; "revision" => head.revision),
             Err(_counted) => {}
         }
     }
 
     /// Puts a revision in force and passes it to the other duties.
-    pub(super) fn adopt(&self, head: &RevisionHead, body: &[u8]) {
+    pub(super) fn adopt(&self, head: &RevisionHead, body: &[u8], source: RevisionSource) {
         let mut revisions = self.revisions.borrow_mut();
+        let replaced = revisions.number();
         match revisions.adopt(head, body) {
             Ok(active) => {
-                info!(self.logger, "revision in force"; "revision" => head.revision);
+                info!(self.logger, "revision in force"; "revision" => head.revision,
+                    "replaced" => replaced, "from" => %source, self.confirmation.age());
                 self.broadcast(active);
             }
             Err(error) => {
--- a/src/duty/confirmation.rs
+++ b/src/duty/confirmation.rs
@@ -1,7 +1,10 @@
 //! Revocation state that the duties of a daemon share.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use slog::{KV, Record, Serializer};
+
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::decide::revocation::{RevocationState, StoreConfirmation};
 
@@ -14,11 +17,17 @@
 pub(crate) struct SharedConfirmation {
     clock: ProcessClock,
     state: Arc<Mutex<RevocationState>>,
+    /// When the revision in force came into force at the entry, in microseconds.
+    in_force_at: Arc<AtomicU64>,
 }
 
 impl SharedConfirmation {
     pub(crate) fn open(bound: Option<MicroTime>) -> Self {
-        let shared = Self { clock: ProcessClock::open(), state: Arc::default() };
+        let shared = Self {
+            clock: ProcessClock::open(),
+            state: Arc::default(),
+            in_force_at: Arc::default(),
+        };
         shared.lock().set_bound(bound);
         shared
     }
@@ -32,6 +41,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a revision is in force at the entry.
+    pub(crate) fn set_in_force(&self, revision: u64) {
+        self.in_force_at.store(self.now().0, Ordering::Relaxed);
+        self.lock().set_in_force(revision);
+    }
+
+    /// Returns how old the knowledge of the configuration is, for the log.
+    pub(crate) fn age(&self) -> KnowledgeAge {
+        let state = self.lock();
+        let now = self.clock.now();
+        let in_force_at = MicroTime(self.in_force_at.load(Ordering::Relaxed));
+        KnowledgeAge { in_force: now.since(in_force_at), confirmed: state.age(now) }
+    }
+
     /// Records that the store held no newer configuration than `revision` at `at`.
     pub(crate) fn confirm(&self, revision: u64, at: MicroTime) {
         self.lock().confirm(StoreConfirmation { revision, at });
@@ -44,3 +67,22 @@
         state.serves_tokens(self.clock.now())
     }
 }
+
+/// Age of what a daemon knows of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnowledgeAge {
+    /// Time since the revision in force came into force at the entry.
+    in_force: MicroTime,
+    /// Time since the store provably held no newer revision than that.
+    confirmed: Option<MicroTime>,
+}
+
+impl KV for KnowledgeAge {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        serializer.emit_u64("in_force_us", self.in_force.0)?;
+        match self.confirmed {
+            Some(age) => serializer.emit_u64("confirmed_us", age.0),
+            None => serializer.emit_none("confirmed_us"),
+        }
+    }
+}
--- a/src/duty/events.rs
+++ b/src/duty/events.rs
@@ -4,6 +4,7 @@
 //! on each other.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -145,7 +146,7 @@
     /// Write a row in the background. The write is conditional, so it may be retried.
     Write(TableWrite),
     /// A peer sent a revision.
-    RevisionOffer { head: RevisionHead, body: Bytes },
+    RevisionOffer { head: RevisionHead, body: Bytes, peer: SocketAddr },
     /// A newer revision may be in the store: read it now.
     Hint,
     /// Follow the store on behalf of the fleet (`true`), or no longer do so.
--- a/src/fleet/peers/exchange.rs
+++ b/src/fleet/peers/exchange.rs
@@ -36,7 +36,7 @@
         let request = client.differing_records(tarpc::context::current(), digests);
         let records = timeout(PEER_TIMEOUT, request).await.ok()?.ok()?;
         self.step(MembershipEvent::RecordsReceived(records));
-        Rc::clone(&self).fetch_newer_revision(&client).await
+        Rc::clone(&self).fetch_newer_revision(&client, peer).await
     }
 
     /// Connects to a peer; counts the bytes to other data centres under `cause`.
@@ -49,7 +49,11 @@
     ///
     /// Returns the number of the newer of the two revisions; returns `None` if the request
     /// fails or the body can't be decompressed.
-    async fn fetch_newer_revision(self: Rc<Self>, client: &rpc::PeerRpcClient) -> Option<u64> {
+    async fn fetch_newer_revision(
+        self: Rc<Self>,
+        client: &rpc::PeerRpcClient,
+        peer: SocketAddr,
+    ) -> Option<u64> {
         let own = self.active.borrow().as_ref().map_or(0, |active| active.head.revision);
         let request = client.newer_revision(tarpc::context::current(), own);
         let newer = timeout(PEER_TIMEOUT, request).await.ok()?.ok()?;
@@ -57,7 +61,7 @@
         let revision = head.revision;
         match decompress(&body) {
             Ok(body) => {
-                let offer = PlatformEvent::RevisionOffer { head, body: Bytes::from(body) };
+                let offer = PlatformEvent::RevisionOffer { head, body: Bytes::from(body), peer };
                 drop(self.rings.platform.push(offer));
                 Some(revision)
             }
@@ -89,7 +93,7 @@
 
     async fn fetch_revision_from(self: Rc<Self>, peer: SocketAddr) -> Option<u64> {
         let client = self.connect(peer, "revision").await?;
-        self.fetch_newer_revision(&client).await
+        self.fetch_newer_revision(&client, peer).await
     }
 
     /// Exchanges all differing records with a peer in both directions.
--- a/src/fleet/peers/store_role.rs
+++ b/src/fleet/peers/store_role.rs
@@ -48,7 +48,8 @@
         {
             info!(self.logger, "store follower role changed"; "follows" => follows,
                 "alone" => isolated,
-                "unheard_us" => now.since(self.last_message_at.get()).0);
+                "unheard_us" => now.since(self.last_message_at.get()).0,
+                "store_lost" => self.membership.borrow().own_record().store_lost);
             self.following.set(follows);
         }
     }
