Test that a configuration is in force in time whoever can't read the store

Thirteen daemons, each with links of its own to the store and to the others. Red on this code, x86-64, dev build, in force everywhere after:

- open connections to the store silent right after a change, the next change at once 12.8 s (the rule allows 5), 3.2 s later 9.6 s (2), 5 s later 7.8 s (2)
- the store silent for 4.5 s soon after a change, the next change 3.2 s after that 4.9 s (2)
- the others have lost the store for a moment and reach it again, and the only follower left is cut off from it 6.9 s, or its connection is silent 6.9 s (2); frozen or killed it is in time, since the others notice that
- a request for a route that the daemon does not know gets 404, though it can't know the configuration

Links can silence what is opened from now on, too.

--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -43,6 +43,8 @@
     /// Number of [`FaultyLink::silence`] calls; a connection that was opened under an
     /// earlier number passes nothing any more.
     silences: AtomicU64,
+    /// Whether connections that are open or opened now fall silent for good.
+    mute: AtomicBool,
     /// Number of [`FaultyLink::reset`] calls.
     resets: watch::Sender<u64>,
 }
@@ -59,6 +61,13 @@
         };
         cut.load(Ordering::Relaxed)
     }
+
+    /// Returns whether a connection that was opened after `silences_at_open` calls of
+    /// [`FaultyLink::silence`] passes nothing any more.
+    fn is_silent(&self, silences_at_open: u64) -> bool {
+        self.mute.load(Ordering::Relaxed)
+            || self.silences.load(Ordering::Relaxed) != silences_at_open
+    }
 }
 
 /// A running link, whose tasks end with the runtime.
@@ -84,6 +93,7 @@
             cut_inbound: AtomicBool::new(false),
             cut_outbound: AtomicBool::new(false),
             silences: AtomicU64::new(0),
+            mute: AtomicBool::new(false),
             resets: watch::Sender::new(0),
         });
         runtime.spawn(accept(listener, Arc::clone(&state)));
@@ -124,14 +134,24 @@
         self.state.silences.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Silences all connections that are open or opened from now on, until it is called with
+    /// `false`; those stay silent.
+    pub fn mute(&self, mute: bool) {
+        self.state.mute.store(mute, Ordering::Relaxed);
+        self.silence();
+    }
+
     /// Resets all connections open now.
     pub fn reset(&self) {
         self.state.resets.send_modify(|resets| *resets += 1);
     }
 
-    /// Ends delays and cuts; silenced connections remain silent.
+    /// Ends delays, cuts and silence; silenced connections remain silent.
     pub fn heal(&self) {
         self.delay(0);
+        if self.state.mute.load(Ordering::Relaxed) {
+            self.mute(false);
+        }
         self.cut(LinkDirection::Inbound, false);
         self.cut(LinkDirection::Outbound, false);
     }
@@ -221,7 +241,7 @@
         while state.is_cut(direction) {
             tokio::time::sleep(CUT_CHECK_INTERVAL).await;
         }
-        if state.silences.load(Ordering::Relaxed) != silences_at_open {
+        if state.is_silent(silences_at_open) {
             // Neither bytes nor the end of the stream are forwarded any more.
             discard_forever(from).await;
         }
--- a/tests/common/hosted.rs
+++ b/tests/common/hosted.rs
@@ -183,6 +183,18 @@
         DaemonProcess::spawn(&spec).expect("daemon")
     }
 
+    /// Starts a daemon that reaches the store, and is reached by others, at other addresses.
+    pub fn start_daemon_behind(
+        &self,
+        index: usize,
+        store: SocketAddr,
+        (guard, peer): (SocketAddr, SocketAddr),
+    ) -> DaemonProcess {
+        let advertised = Some((guard, peer));
+        let spec = DaemonSpec { platform: store, advertised, ..self.daemon_spec(index) };
+        DaemonProcess::spawn(&spec).expect("daemon")
+    }
+
     fn daemon_spec(&self, index: usize) -> DaemonSpec {
         DaemonSpec {
             advertised: None,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod guard_wire;
 pub mod hosted;
+pub mod linked_fleet;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
