Deny a request for good only while the configuration is current

Cause: what the configuration in force does not allow was denied whatever its age. Now 404, 401 and 413 are final only if the knowledge is no older than config_deadline at the moment of the answer. A version acknowledged that long before the request was sent is then in force here, so no denial can be due to an older one, whatever was lost. Otherwise the request is refused as not run, 503 'outdated', to come back within 0.1 to 0.5 s.

The price: while nobody who is heard reaches the store for longer than the deadline, a request for a route that does not exist gets 503 instead of 404, and its caller may try again until its own deadline.

--- a/src/call/entry/body_intake.rs
+++ b/src/call/entry/body_intake.rs
@@ -46,11 +46,9 @@
 
 impl BodyError {
     /// Returns the response to the request, none of which has run.
-    fn response(self) -> Response<ResponseBody> {
+    fn response(self, duty: &EntryDuty) -> Response<ResponseBody> {
         let mut response = match self {
-            Self::TooLarge => {
-                responses::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", 0)
-            }
+            Self::TooLarge => duty.deny(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
             Self::Broken => responses::not_run(StatusCode::BAD_REQUEST, "body_broken", 0),
             Self::TooSlow => responses::not_run(StatusCode::REQUEST_TIMEOUT, "body_too_slow", 0),
             Self::NoRoom => {
@@ -86,7 +84,7 @@
             info!(duty.logger, "body not held"; "reason" => ?error, "length" => length,
                 "received" => reader.writer.len(), "memory" => ?duty.body_room.memory_use());
         }
-        error.response()
+        error.response(duty)
     })
 }
 
--- a/src/call/entry/confirmation.rs
+++ b/src/call/entry/confirmation.rs
@@ -41,6 +41,13 @@
 /// Reason in the response to such a request.
 const UNCONFIRMED_REASON: &str = "unconfirmed";
 
+/// Bounds of the random retry delay of a request that only a newer configuration may allow, in
+/// milliseconds: the store is read about that often.
+const OUTDATED_RETRY_MS_BOUNDS: (u32, u32) = (100, 500);
+
+/// Reason in the response to such a request.
+const OUTDATED_REASON: &str = "outdated";
+
 impl EntryDuty {
     /// Returns the response to a request with a token if its token may have been revoked without
     /// this daemon's knowledge, or `None` if it may be served.
@@ -54,6 +61,18 @@
         Some(responses::not_run(status, UNCONFIRMED_REASON, retry_ms))
     }
 
+    /// Returns the response to a request that the configuration in force does not allow.
+    ///
+    /// It is final only if no configuration has to be in force by now that may allow the request.
+    pub(super) fn deny(&self, status: StatusCode, reason: &str) -> Response<ResponseBody> {
+        if self.confirmation.is_current() {
+            return responses::not_run(status, reason, 0);
+        }
+        let (shortest, longest) = OUTDATED_RETRY_MS_BOUNDS;
+        let retry_ms = self.rng.borrow_mut().random_range(shortest..longest);
+        responses::not_run(StatusCode::SERVICE_UNAVAILABLE, OUTDATED_REASON, retry_ms)
+    }
+
     /// Returns the hash of a request's token if it is to be checked again before each attempt.
     pub(super) fn token_to_recheck(&self, headers: &http::HeaderMap) -> Option<TokenHash> {
         let strict = self.confirmation.lock().is_strict();
--- a/src/call/entry/intake.rs
+++ b/src/call/entry/intake.rs
@@ -112,12 +112,12 @@
     let host = headers::get_str(&parts.headers, "host");
     let host = host.or_else(|| parts.uri.authority().map(http::uri::Authority::as_str));
     let route = config.route(host.unwrap_or_default(), parts.uri.path());
-    let route = route.ok_or_else(|| responses::not_run(StatusCode::NOT_FOUND, "no_route", 0))?;
+    let route = route.ok_or_else(|| duty.deny(StatusCode::NOT_FOUND, "no_route"))?;
     let stated_deadline = headers::get_str(&parts.headers, names.deadline_ms);
     let account = authenticate_routed(config, route, &parts.headers).map_err(|UnknownToken| {
         // A newer revision may have added the token.
         let refusal = duty.refuse_unconfirmed();
-        refusal.unwrap_or_else(|| responses::not_run(StatusCode::UNAUTHORIZED, "no_account", 0))
+        refusal.unwrap_or_else(|| duty.deny(StatusCode::UNAUTHORIZED, "no_account"))
     })?;
     if let Some(refusal) = account.and_then(|_account| duty.refuse_unconfirmed()) {
         return Err(refusal);
--- a/src/decide/revocation/mod.rs
+++ b/src/decide/revocation/mod.rs
@@ -91,6 +91,14 @@
         self.deadline.map(ReadSchedule::open)
     }
 
+    /// Returns whether a revision that was acknowledged the deadline ago, or earlier, is provably
+    /// in force here.
+    #[must_use]
+    pub fn is_current(&self, now: MicroTime) -> bool {
+        let Some(deadline) = self.deadline else { return true };
+        self.age(now).is_some_and(|age| age <= deadline)
+    }
+
     /// Returns whether revocations have a bound.
     #[must_use]
     pub const fn is_strict(&self) -> bool {
--- a/src/duty/confirmation.rs
+++ b/src/duty/confirmation.rs
@@ -67,6 +67,12 @@
         self.lock().confirm(StoreConfirmation { revision, at });
     }
 
+    /// Returns whether each revision that has to be in force now is in force here.
+    pub(crate) fn is_current(&self) -> bool {
+        let state = self.lock();
+        state.is_current(self.clock.now())
+    }
+
     /// Returns whether requests with a token are served now.
     pub(crate) fn serves_tokens(&self) -> bool {
         // The lock comes first: waiting for it must not make the time too early.
