Soak: configurations in force in time, beside faults of all who read the store

The soak checked that no daemon goes back to an older version, and nothing about when one is in force: a 404 to a route of any version was allowed for ever, and it silenced one link at a time.

Now each answer is checked at hosts that had no harm for 3 s, with the store sound as long: a version that was acknowledged 2 s before the request was sent is in force, its route is served or refused as not run, and the route that it dropped does not run.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -8,7 +8,9 @@
 use super::client::{RequestKind, RequestOutcome, RequestRecord};
 use super::fleet::{DrainRecord, MAX_ATTEMPTS, RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK, SoakFleet};
 use super::host::lock;
-use super::{account_checks, capacity_events, crash_requests, held_events, statement_events};
+use super::{
+    account_checks, capacity_events, config_events, crash_requests, held_events, statement_events,
+};
 
 /// Statuses which promise that the request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -76,7 +78,8 @@
     crash_requests::check_arrivals(fleet, &arrivals, &mut findings);
     statement_events::check_arrivals(fleet, records, &arrivals, &mut findings);
     account_checks::check_run(fleet, &arrivals, &mut findings);
-    check_config_versions(records, &mut findings);
+    check_config_versions(fleet, records, &mut findings);
+    config_events::check_deadlines(fleet, records, &mut findings);
     check_retry_budget(records, &by_id, &mut findings);
     findings
 }
@@ -231,7 +234,7 @@
 }
 
 /// Checks that no daemon returns to an older configuration within one incarnation.
-fn check_config_versions(records: &[RequestRecord], findings: &mut Vec<String>) {
+fn check_config_versions(fleet: &SoakFleet, records: &[RequestRecord], findings: &mut Vec<String>) {
     let mut served_versions: HashMap<(usize, u64), Vec<(Instant, u64)>> = HashMap::new();
     for (record, version, status) in answered_versioned(records) {
         if let Some(incarnation) = record.incarnation
@@ -248,6 +251,10 @@
         let Some(incarnation) = record.incarnation.filter(|_incarnation| status == 404) else {
             continue;
         };
+        let dropped_by = version + config_events::KEPT_VERSIONS;
+        if fleet.sent_at(dropped_by).is_some_and(|sent| sent < record.ended) {
+            continue;
+        }
         let earlier = served_versions.get(&(record.host, incarnation)).into_iter().flatten();
         if earlier.clone().any(|(at, seen)| *at < record.sent && *seen >= version) {
             let (id, host) = (&record.id, record.host);
--- a/tests/soak/configuration.rs
+++ b/tests/soak/configuration.rs
@@ -4,10 +4,11 @@
 
 use super::account_events::{self, AccountState};
 use super::capacity_events::COLD_PER_S;
+use super::config_events::KEPT_VERSIONS;
 use super::fleet::{MAX_ATTEMPTS, SERVICES};
 use super::held_events;
 
-/// Returns a configuration with three routes per service, and one more per version.
+/// Returns a configuration with three routes per service, and one for each of the last versions.
 pub fn config_text(version: u64, accounts: Option<&AccountState>) -> String {
     let route = |service: &str, name: &str, prefix: &str, kind: &str| {
         json!({
@@ -26,7 +27,8 @@
             if accounts.is_some() {
                 paths.extend(account_events::routes(&route, service));
             }
-            let versions = 1..=version;
+            let oldest = (version + 1).saturating_sub(KEPT_VERSIONS).max(1);
+            let versions = oldest..=version;
             paths.extend(versions.map(|number| {
                 route(service, &format!("v{number}"), &format!("/v{number}/"), "safe")
             }));
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -17,6 +17,7 @@
 
 use super::account_events::{self, AccountState};
 use super::capacity_events::{COLD_OVER, COLD_SLACK, ColdPeriod, EvacuationPeriod, TargetEvent};
+use super::config_events::CONFIG_DEADLINE;
 use super::configuration::config_text;
 use super::crash_requests::CRASH_PATH;
 use super::held_events;
@@ -80,6 +81,10 @@
     pub findings: Mutex<Vec<String>>,
     /// Version of the newest configuration that the store acknowledged.
     pub config_version: AtomicU64,
+    /// When each version, from the first one on, was sent and acknowledged.
+    config_times: Mutex<Vec<(Instant, Instant)>>,
+    /// Start and end of each fault of the store.
+    store_faults: Mutex<Vec<(Instant, Instant)>>,
     platform: PlatformStandin,
     /// Numbers the names and the incarnations of targets.
     target_counter: AtomicU64,
@@ -110,6 +115,8 @@
             accounts,
             findings: Mutex::default(),
             config_version: AtomicU64::new(1),
+            config_times: Mutex::new(vec![(Instant::now(), Instant::now())]),
+            store_faults: Mutex::default(),
             platform,
             target_counter: AtomicU64::new(0),
             sends_crash_requests: plan.sends_crash_requests,
@@ -126,8 +133,8 @@
         let service = SERVICES[index % SERVICES.len()];
         let bind = |datagrams| FaultyLink::bind(runtime, datagrams).expect("link");
         let links = HostLinks {
-            // Quotas and confirmations of revisions are requested by datagrams.
-            guard: bind(self.accounts.is_some()),
+            // Quotas and what is known of the store are requested by datagrams.
+            guard: bind(true),
             peer: bind(true),
             store: bind(false),
             target: bind(false),
@@ -322,12 +329,54 @@
         }
     }
 
-    fn with_store_faults(&self, duration: Duration, set_fault: impl FnOnce(&mut PlatformFaults)) {
+    pub fn with_store_faults(
+        &self,
+        duration: Duration,
+        set_fault: impl FnOnce(&mut PlatformFaults),
+    ) {
+        let from = Instant::now();
         let mut faults = PlatformFaults::default();
         set_fault(&mut faults);
         self.platform.set_faults(faults);
         std::thread::sleep(duration);
         self.platform.set_faults(PlatformFaults::default());
+        lock(&self.store_faults).push((from, Instant::now()));
+    }
+
+    /// Resets the connections of a host to the store and refuses new ones, or no longer does so.
+    pub fn refuse_store(&self, host: usize, refused: bool) {
+        let link = &self.hosts[host].links.store;
+        if refused {
+            // Nothing listens at port 1 of loopback.
+            link.set_upstream(SocketAddr::from(([127, 0, 0, 1], 1)));
+            link.reset();
+        } else {
+            link.set_upstream(self.platform.address());
+        }
+    }
+
+    /// Whether a host or the store was disrupted at any time between `from` and `to`.
+    pub fn was_harmed(&self, host: usize, from: Instant, to: Instant) -> bool {
+        let store_faults = lock(&self.store_faults);
+        store_faults.iter().any(|(start, end)| *start < to && *end > from)
+            || self.was_disrupted(host, from, to)
+    }
+
+    /// Returns when a version of the configuration was sent to the store.
+    pub fn sent_at(&self, version: u64) -> Option<Instant> {
+        lock(&self.config_times).get(version as usize - 1).map(|(sent, _)| *sent)
+    }
+
+    /// Returns when the store acknowledged a version of the configuration.
+    pub fn acknowledged_at(&self, version: u64) -> Option<Instant> {
+        lock(&self.config_times).get(version as usize - 1).map(|(_, acknowledged)| *acknowledged)
+    }
+
+    /// Returns the newest version that has to be in force at a time, or zero.
+    pub fn newest_due_at(&self, time: Instant) -> u64 {
+        let times = lock(&self.config_times);
+        times.iter().filter(|(_, acknowledged)| *acknowledged + CONFIG_DEADLINE < time).count()
+            as u64
     }
 
     fn replace_target(&self, host: &SoakHost) {
@@ -381,8 +430,10 @@
         let version = self.config_version.load(Ordering::Relaxed) + 1;
         let accounts = self.accounts.as_ref();
         accounts.filter(|_accounts| revokes).inspect(|accounts| accounts.begin_revocation());
+        let sent = Instant::now();
         self.platform.write_config(&config_text(version, accounts));
         accounts.filter(|_accounts| revokes).inspect(|accounts| accounts.acknowledge());
+        lock(&self.config_times).push((sent, Instant::now()));
         self.config_version.store(version, Ordering::Relaxed);
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod capacity_events;
 mod check;
 mod client;
+mod config_events;
 mod configuration;
 mod crash_requests;
 #[path = "../client_crowds/crowd.rs"]
@@ -61,10 +62,13 @@
 #[test_case(6_000; "crowds beside planned stops")]
 #[test_case(6_001; "crowds beside faults")]
 #[test_case(7_000; "targets that send broken answers")]
+#[test_case(8_000; "changes of the configuration beside faults of the store")]
 #[test_case(4_001; "quotas, revoked tokens, nested calls and announced bodies")]
 fn a_short_run_breaks_no_guarantee(seed: u64) {
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-    run_plan(&SoakPlan::draw(seed, CI_HOSTS, CI_DURATION));
+    let duration =
+        if seed < config_events::FIRST_SEED { CI_DURATION } else { config_events::CI_DURATION };
+    run_plan(&SoakPlan::draw(seed, CI_HOSTS, duration));
 }
 
 #[test]
@@ -124,6 +128,16 @@
         let crowds = scope.spawn(|| crowd_events::run(&fleet, &plan.crowds, start));
         let memory_watch =
             plan.held.is_active().then(|| scope.spawn(|| held_events::watch_memory(&fleet, &stop)));
+        let config_faults = scope.spawn(|| config_events::run_faults(&fleet, &plan.config, start));
+        let config_changes =
+            scope.spawn(|| config_events::run_changes(&fleet, &plan.config, start));
+        let probed_hosts = if plan.config.is_active() { plan.hosts } else { 0 };
+        let probes: Vec<_> = (0..probed_hosts)
+            .map(|host| {
+                let (fleet, stop) = (&fleet, &stop);
+                scope.spawn(move || config_events::run_probes(fleet, host, stop))
+            })
+            .collect();
         let account_clients = account_events::spawn_clients(scope, &fleet, plan.seed, &stop);
         let revocation_thread =
             scope.spawn(|| account_events::run(&fleet, &plan.revocations, start));
@@ -147,6 +161,8 @@
         revocation_thread.join().expect("revocation thread");
         let held_records = held_clients.join().expect("held event thread");
         crowds.join().expect("crowd thread");
+        config_faults.join().expect("store fault thread");
+        config_changes.join().expect("configuration thread");
         fleet.clear_faults();
         fleet.wait_recovered();
         std::thread::sleep((start + plan.duration).saturating_duration_since(Instant::now()));
@@ -154,7 +170,7 @@
         if let Some(watch) = memory_watch {
             watch.join().expect("memory thread");
         }
-        let clients = crash_client.into_iter().chain(account_clients).chain(clients);
+        let clients = crash_client.into_iter().chain(account_clients).chain(clients).chain(probes);
         let records = clients.flat_map(|client| client.join().expect("client thread"));
         records.chain(held_records).collect()
     });
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -9,6 +9,7 @@
 use super::account_events::{self, RevocationPlan};
 use super::broken_answers;
 use super::capacity_events::CapacityPlan;
+use super::config_events::ConfigPlan;
 use super::crash_requests;
 use super::crowd_events::CrowdEvents;
 use super::held_events::HeldPlan;
@@ -128,6 +129,8 @@
     pub held: HeldPlan,
     /// Crowds of clients that don't behave.
     pub crowds: CrowdEvents,
+    /// Changes of the configuration beside faults of the store.
+    pub config: ConfigPlan,
     /// Whether clients also send copies of a request that crashes each target that runs it.
     pub sends_crash_requests: bool,
 }
@@ -136,7 +139,8 @@
     /// Draws a run; every third seed has planned operations only.
     pub fn draw(seed: u64, hosts: usize, duration: Duration) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let planned_only = seed.is_multiple_of(3);
+        let config = ConfigPlan::draw(seed, hosts, duration);
+        let planned_only = seed.is_multiple_of(3) && !config.is_active();
         let end_ms = duration.mul_f64(DISRUPTED_SHARE).as_millis() as u64;
         let mut disruptions = Vec::new();
         let mut at_ms = 0;
@@ -158,6 +162,7 @@
                 });
             }
         }
+        disruptions.retain(|_planned| config.keeps(&mut rng));
         disruptions.sort_by_key(|planned| planned.at);
         broken_answers::replace(seed, &mut disruptions);
         let mut capacity = CapacityPlan::draw(seed, hosts, duration);
@@ -186,6 +191,7 @@
             revocations,
             held: HeldPlan::draw(seed, hosts, duration),
             crowds: CrowdEvents::draw(seed, hosts, duration),
+            config,
             sends_crash_requests,
         }
     }
