--- a/tests/soak/crowd_events.rs
+++ b/tests/soak/crowd_events.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::config_events;
 use super::crowd::{CROWD_DIVISOR, CrowdPlan, MessageMaker, play};
 use super::fleet::{SERVICES, SoakFleet};
 use super::held_events::UNRECORDED_PREFIX;
@@ -67,7 +68,7 @@
 impl CrowdEvents {
     pub fn draw(seed: u64, hosts: usize, duration: Duration) -> Self {
         let mut events = Vec::new();
-        if seed < FIRST_SEED {
+        if !(FIRST_SEED..config_events::FIRST_SEED).contains(&seed) {
             return Self(events);
         }
         let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(23));
--- a/tests/soak/held_events.rs
+++ b/tests/soak/held_events.rs
@@ -15,6 +15,7 @@
 
 use super::capacity_events::TargetEvent;
 use super::client::{RequestKind, RequestRecord, new_record, send_request};
+use super::config_events;
 use super::fleet::{MAX_ATTEMPTS, SERVICES, SoakFleet};
 use super::host::lock;
 
@@ -100,7 +101,7 @@
 impl HeldPlan {
     pub fn draw(seed: u64, hosts: usize, duration: Duration) -> Self {
         let mut plan = Self::default();
-        if seed < FIRST_SEED {
+        if !(FIRST_SEED..config_events::FIRST_SEED).contains(&seed) {
             return plan;
         }
         let mut rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(41));
@@ -134,7 +135,7 @@
 
 /// Returns the memory of the daemons of a seed's run, in MiB; `None` for their default.
 pub fn memory_mb(seed: u64) -> Option<u64> {
-    (seed >= FIRST_SEED).then_some(MEMORY_MB)
+    (FIRST_SEED..config_events::FIRST_SEED).contains(&seed).then_some(MEMORY_MB)
 }
 
 /// Returns the route whose calls may wait for long.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -62,7 +62,8 @@
 #[test_case(6_000; "crowds beside planned stops")]
 #[test_case(6_001; "crowds beside faults")]
 #[test_case(7_000; "targets that send broken answers")]
-#[test_case(8_000; "changes of the configuration beside faults of the store")]
+#[test_case(8_003; "changes of the configuration beside faults of the store")]
+#[test_case(8_007; "changes of the configuration while nobody can read the store for the others")]
 #[test_case(4_001; "quotas, revoked tokens, nested calls and announced bodies")]
 fn a_short_run_breaks_no_guarantee(seed: u64) {
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
