--- a/tests/config_deadline.rs
+++ b/tests/config_deadline.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Mutex, PoisonError};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::eventually;
 use common::hosted::SAFE_PREFIX;
@@ -15,6 +15,10 @@
 
 const HOSTS: usize = 13;
 
+/// Time after its acknowledgement in which an evacuation has to be in force, as the users' platform
+/// states it.
+const EVACUATION_DEADLINE: Duration = Duration::from_secs(5);
+
 /// Held by each test, so that no two fleets run at the same time.
 static FLEET_LOCK: Mutex<()> = Mutex::new(());
 
@@ -110,6 +114,24 @@
     assert!(took <= CONFIG_DEADLINE, "in force at the others after {took:?}");
 }
 
+#[test]
+fn an_evacuation_is_known_in_time_after_all_connections_to_the_store_fell_silent() {
+    let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut fleet = LinkedFleet::spawn(HOSTS);
+    let all: Vec<usize> = (0..HOSTS).collect();
+    let earlier = fleet.change_config();
+    fleet.time_to_force(&all, earlier);
+    for host in &fleet.hosts {
+        host.store.silence();
+    }
+    let started = Instant::now();
+    fleet.fleet.platform.write_operator_row("evacuate/ba-norte-1", Some(b"{}"));
+    let knows = |host: &usize| fleet.fleet.state(*host)["entry"]["evacuated"][0] == "ba-norte-1";
+    eventually("all know the evacuation", || all.iter().all(knows));
+    let took = started.elapsed();
+    assert!(took <= STABILITY + EVACUATION_DEADLINE, "known everywhere after {took:?}");
+}
+
 #[test]
 fn a_request_is_not_denied_for_want_of_a_configuration_that_may_exist() {
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
