Repeat what a duty with a full ring has not taken

A revision, an evacuation, the end of joining or the host's own targets that a full ring did not take were dropped and counted, and never sent again: the entry would stay on the old revision for good, while the daemon tells its peers that it has the new one, so nobody sends it again.

They are repeated until taken, as evacuations between peers and entry were.

Not reproduced: each ring belongs to one pair of duties and has 512 places. Between the platform duty and the entry it carries revisions alone, so an entry would have to stand still for 512 of them while the platform duty goes on, which no fault from outside brings about; no test was written. Crash reports to the peers duty and blame to the platform duty are still dropped and counted; they are listed in docs/OPEN.md.

--- a/src/call/guard/mod.rs
+++ b/src/call/guard/mod.rs
@@ -126,6 +126,8 @@
     pub(crate) incarnation: DaemonIncarnation,
     pub(crate) address: SocketAddr,
     pub(crate) targets: RefCell<HashMap<(ServiceName, TargetName), LocalTarget>>,
+    /// Whether the peers have not taken the last change of the targets.
+    advertisement_due: Cell<bool>,
     /// Targets that ended, the most recent last; their late heartbeats are ignored.
     pub(crate) ended_targets: RefCell<VecDeque<(TargetName, TargetIncarnation)>>,
     pub(crate) ledger: RefCell<CallLedger>,
@@ -197,6 +199,7 @@
         data_centre: parts.data_centre,
         incarnation: parts.incarnation,
         address: parts.address,
+        advertisement_due: Cell::new(false),
         targets: RefCell::default(),
         ended_targets: RefCell::default(),
         ledger: RefCell::new(CallLedger::open(parts.memory.plan.call_records())),
--- a/src/call/guard/target_lifecycle.rs
+++ b/src/call/guard/target_lifecycle.rs
@@ -208,12 +208,12 @@
         }
         self.execute_actions(actions);
         self.count_limited_targets();
-        if changed {
+        if changed || self.advertisement_due.get() {
             self.advertise_targets();
         }
     }
 
-    /// Publishes the host's targets and their readiness to the peers.
+    /// Publishes the host's targets and their readiness to the peers; repeated if a ring was full.
     fn advertise_targets(&self) {
         let targets = self.targets.borrow();
         let advertised = targets.values().map(|target| AdvertisedTarget {
@@ -224,7 +224,9 @@
         });
         let mut advertised: Vec<AdvertisedTarget> = advertised.collect();
         advertised.sort_by(|a, b| a.name.cmp(&b.name));
-        if self.rings.peers.push(PeersEvent::LocalTargets(advertised)).is_err() {
+        let is_full = self.rings.peers.push(PeersEvent::LocalTargets(advertised)).is_err();
+        self.advertisement_due.set(is_full);
+        if is_full {
             self.metrics.ring_drops.with_label_values(&["peers"]).inc();
         }
     }
--- a/src/durable/mod.rs
+++ b/src/durable/mod.rs
@@ -7,7 +7,7 @@
 mod rows;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +24,7 @@
 use crate::base::member::MemberRecord;
 use crate::base::metrics::DaemonMetrics;
 use crate::decide::commit_backoff::CommitBackoff;
-use crate::durable::revisions::RevisionSource;
+use crate::durable::revisions::{PendingDelivery, RevisionSource};
 use crate::duty::confirmation::SharedConfirmation;
 use crate::duty::events::{
     AdminEvent, EntryEvent, GuardEvent, PeersEvent, PlatformEvent, StoreRole,
@@ -76,6 +76,10 @@
     role: watch::Sender<StoreRole>,
     /// Number of the revision in force, or zero.
     in_force: watch::Sender<u64>,
+    /// What other duties have not taken yet.
+    undelivered: RefCell<BTreeSet<PendingDelivery>>,
+    /// Notified when there are any.
+    undelivered_wake: Notify,
     /// Notified when a request shows that open connections to the store are silent.
     silence_found: Notify,
     /// Whether the peers duty was told that the store can't be reached.
@@ -127,6 +131,8 @@
         poll_wake: Notify::new(),
         role: watch::Sender::default(),
         in_force: watch::Sender::default(),
+        undelivered: RefCell::default(),
+        undelivered_wake: Notify::new(),
         silence_found: Notify::new(),
         store_lost: Cell::new(false),
         own_row_version: Cell::new(None),
@@ -147,6 +153,7 @@
         }
     };
     spawn_local(Rc::clone(&duty).commit_loop());
+    spawn_local(Rc::clone(&duty).repeat_deliveries());
     loop {
         match inbox.next().await {
             PlatformEvent::Claim(request) => duty.enqueue(PendingWrite::Claim(request)),
--- a/src/durable/revisions.rs
+++ b/src/durable/revisions.rs
@@ -12,10 +12,23 @@
 use super::PlatformDuty;
 use crate::base::consts::{HEAD_POLL_BOUNDS, HEAD_POLLS_PER_S};
 use crate::duty::events::{AdminEvent, EntryEvent, GuardEvent, PeersEvent};
-use crate::rules::revision::{ActiveRevision, RevisionHead};
+use crate::rules::revision::RevisionHead;
 use crate::store::publish::{body_name, read_head};
 use crate::store::table::{ConfigUpdate, OperatorConfig};
 
+/// Pause before a revision is passed again to a duty whose ring was full.
+const DELIVERY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Part of what this duty knows that another one needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum PendingDelivery {
+    EntryConfig,
+    PeersConfig,
+    AdminConfig,
+    GuardConfig,
+    Evacuation,
+}
+
 /// Where a daemon got a revision from.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum RevisionSource {
@@ -45,11 +58,9 @@
             self.adopt_operator_config(&config);
         }
         if let Some((version, evacuated)) = update.evacuations {
-            let mut evacuation = self.evacuation.borrow_mut();
-            evacuation.apply(version, evacuated);
-            if self.rings.peers.push(PeersEvent::Evacuation(evacuation.clone())).is_err() {
-                self.metrics.ring_drops.with_label_values(&["peers"]).inc();
-            }
+            self.evacuation.borrow_mut().apply(version, evacuated);
+            self.undelivered.borrow_mut().insert(PendingDelivery::Evacuation);
+            self.deliver();
         }
         has_changes
     }
@@ -122,11 +133,12 @@
         let mut revisions = self.revisions.borrow_mut();
         let replaced = revisions.number();
         match revisions.adopt(head, body) {
-            Ok(active) => {
+            Ok(_active) => {
                 info!(self.logger, "revision in force"; "revision" => head.revision,
                     "replaced" => replaced, "from" => %source, self.confirmation.age());
                 self.in_force.send_replace(head.revision);
-                self.broadcast(active);
+                drop(revisions);
+                self.broadcast();
             }
             Err(error) => {
                 drop(revisions);
@@ -138,15 +150,64 @@
         }
     }
 
-    /// Passes a revision to the other duties.
-    pub(super) fn broadcast(&self, active: &ActiveRevision) {
+    /// Passes the revision in force to all other duties.
+    fn broadcast(&self) {
+        let deliveries = [
+            PendingDelivery::EntryConfig,
+            PendingDelivery::PeersConfig,
+            PendingDelivery::AdminConfig,
+            PendingDelivery::GuardConfig,
+        ];
+        self.undelivered.borrow_mut().extend(deliveries);
+        self.deliver();
+    }
+
+    /// Passes on what the other duties have not taken yet, since their rings were full.
+    fn deliver(&self) {
+        self.undelivered.borrow_mut().retain(|delivery| {
+            let is_taken = self.push(*delivery);
+            if !is_taken {
+                self.metrics.ring_drops.with_label_values(&["platform"]).inc();
+            }
+            !is_taken
+        });
+        if !self.undelivered.borrow().is_empty() {
+            self.undelivered_wake.notify_one();
+        }
+    }
+
+    /// Returns whether the other duty has taken a delivery.
+    fn push(&self, delivery: PendingDelivery) -> bool {
         let rings = &self.rings;
-        let entry = rings.entry.push(EntryEvent::Config(active.clone())).is_ok();
-        let peers = rings.peers.push(PeersEvent::Config(active.clone())).is_ok();
-        let admin = rings.admin.push(AdminEvent::Config(active.head.clone())).is_ok();
-        let guard = rings.guard.push(GuardEvent::Config(Arc::clone(&active.config))).is_ok();
-        if !(entry && peers && admin && guard) {
-            self.metrics.ring_drops.with_label_values(&["platform"]).inc();
+        if delivery == PendingDelivery::Evacuation {
+            let evacuation = self.evacuation.borrow().clone();
+            return rings.peers.push(PeersEvent::Evacuation(evacuation)).is_ok();
+        }
+        let revisions = self.revisions.borrow();
+        let Some(active) = revisions.active() else { return true };
+        match delivery {
+            PendingDelivery::EntryConfig => {
+                rings.entry.push(EntryEvent::Config(active.clone())).is_ok()
+            }
+            PendingDelivery::PeersConfig => {
+                rings.peers.push(PeersEvent::Config(active.clone())).is_ok()
+            }
+            PendingDelivery::AdminConfig => {
+                rings.admin.push(AdminEvent::Config(active.head.clone())).is_ok()
+            }
+            PendingDelivery::GuardConfig => {
+                rings.guard.push(GuardEvent::Config(Arc::clone(&active.config))).is_ok()
+            }
+            PendingDelivery::Evacuation => true,
+        }
+    }
+
+    /// Repeats what the other duties have not taken until they have.
+    pub(super) async fn repeat_deliveries(self: Rc<Self>) {
+        loop {
+            self.undelivered_wake.notified().await;
+            tokio::time::sleep(DELIVERY_PAUSE).await;
+            self.deliver();
         }
     }
 }
--- a/src/fleet/peers/mod.rs
+++ b/src/fleet/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The duty that communicates with other daemons: gossip, full exchanges and revisions.
 
 mod exchange;
+mod joining;
 mod parts;
 mod rpc;
 mod store_role;
@@ -11,10 +12,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use futures::StreamExt;
 use prometheus::IntCounter;
 use rand::SeedableRng;
-use rand::seq::SliceRandom;
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use slog::{Logger, info};
@@ -23,7 +22,7 @@
 
 use crate::base::clock::{MicroTime, ProcessClock};
 use crate::base::consts::{GOSSIP_PERIOD, MAX_DATAGRAM};
-use crate::base::member::{FleetView, GossipMessage, MemberRecord};
+use crate::base::member::GossipMessage;
 use crate::base::metrics::DaemonMetrics;
 use crate::base::wire;
 use crate::duty::events::{EntryEvent, GuardEvent, PeersEvent, PlatformEvent, StoreRole};
@@ -34,9 +33,6 @@
 pub(crate) use parts::PeersParts;
 use suspects::PendingSuspects;
 
-/// Number of peers from which a new daemon fetches records and revisions when it joins.
-const JOIN_PEERS: usize = 3;
-
 /// Interval between two log lines of the traffic between data centres.
 const TRAFFIC_LOG_INTERVAL: MicroTime = MicroTime::from_millis(10_000);
 
@@ -64,6 +60,8 @@
     view_dirty: RefCell<bool>,
     /// Whether the entry may serve.
     joined: RefCell<bool>,
+    /// Oldest revision that the entry may serve with, until it was told.
+    unreported_join: Cell<Option<u64>>,
     /// Whether records and revisions of peers are being fetched before joining.
     joining: RefCell<bool>,
     fetching_revision: RefCell<bool>,
@@ -115,6 +113,7 @@
         seed_addresses,
         view_dirty: RefCell::new(true),
         joined: RefCell::new(false),
+        unreported_join: Cell::new(None),
         joining: RefCell::new(false),
         fetching_revision: RefCell::new(false),
         bootstrapped: Cell::new(false),
@@ -274,6 +273,7 @@
             }
             self.step(MembershipEvent::Tick);
             self.join_if_discovered();
+            self.report_join();
             let now = self.clock.now();
             self.update_store_role(now);
             if *self.view_dirty.borrow() && now.since(view_sent) >= VIEW_INTERVAL {
@@ -301,77 +301,6 @@
         *self.view_dirty.borrow_mut() = !(entry && guard && platform);
     }
 
-    /// Joins through a peer that sent a message, if the store's rows were not read yet.
-    fn join_if_discovered(self: &Rc<Self>) {
-        let discovered = !*self.joined.borrow() && self.membership.borrow().knows_others();
-        if discovered && !*self.joining.borrow() {
-            spawn_local(Rc::clone(self).join(Vec::new(), false));
-        }
-    }
-
-    /// Merges the members from the store and fetches records and revisions from some peers.
-    ///
-    /// The entry may serve at once if `reached`, that is, if the store was read; otherwise
-    /// once the first peer has replied.
-    async fn join(self: Rc<Self>, members: Vec<MemberRecord>, reached: bool) {
-        self.joining.replace(true);
-        self.step(MembershipEvent::RecordsReceived(members));
-        self.bootstrapped.set(true);
-        let view = self.membership.borrow().view();
-        let (local_count, peers) = self.join_candidates(&view);
-        // Without the store, the newest revision of some peers is used, local or remote.
-        let peers_needed = if reached { local_count.clamp(1, JOIN_PEERS) } else { JOIN_PEERS };
-        if reached {
-            // If no peer provides a revision in time, the platform duty reads it.
-            self.finish_join(0, 0);
-        }
-        let mut peers_read = 0;
-        let mut newest = 0;
-        let fetches =
-            peers.into_iter().map(|peer| Rc::clone(&self).fetch_records_and_revision(peer));
-        let mut revisions = futures::stream::iter(fetches).buffer_unordered(JOIN_PEERS);
-        while let Some(revision) = revisions.next().await {
-            let Some(revision) = revision else { continue };
-            peers_read += 1;
-            newest = newest.max(revision);
-            self.finish_join(peers_read, newest);
-            if peers_read >= peers_needed {
-                break;
-            }
-        }
-        self.joining.replace(false);
-    }
-
-    /// Returns the peers to fetch from, in order, and the number of local ones.
-    ///
-    /// Local peers come first, to keep traffic between data centres low.
-    fn join_candidates(&self, view: &FleetView) -> (usize, Vec<SocketAddr>) {
-        // The first member of the view is this daemon.
-        let Some((own, others)) = view.members.split_first() else { return Default::default() };
-        let up = others.iter().filter(|member| member.is_up());
-        let (local, remote): (Vec<_>, Vec<_>) =
-            up.partition(|member| member.is_in(&own.data_centre));
-        let mut local: Vec<SocketAddr> = local.iter().map(|member| member.peer).collect();
-        let remote = remote.iter().map(|member| member.peer);
-        let mut remote: Vec<SocketAddr> =
-            remote.chain(self.seed_addresses.iter().copied()).collect();
-        let mut rng = self.rng.borrow_mut();
-        local.shuffle(&mut *rng);
-        remote.shuffle(&mut *rng);
-        (local.len(), local.into_iter().chain(remote).collect())
-    }
-
-    /// Lets the entry serve with the given revision or a later one.
-    fn finish_join(&self, peers_read: usize, least_revision: u64) {
-        if !self.joined.replace(true) {
-            // The entry needs the members before it serves.
-            self.publish_view();
-            info!(self.logger, "joined the fleet"; "peers" => peers_read,
-                "least_revision" => least_revision);
-            drop(self.rings.entry.push(EntryEvent::Joined { least_revision }));
-        }
-    }
-
     /// Returns the duty's state, as JSON.
     fn dump(&self) -> Value {
         let membership = self.membership.borrow();
