--- a/tests/common/linked_fleet.rs
+++ b/tests/common/linked_fleet.rs
@@ -87,6 +87,13 @@
         (self.version, Instant::now())
     }
 
+    /// Writes a change of the configuration and waits until all daemons use it, so that all begin to
+    /// wait for the next one at the same time.
+    pub fn put_change_in_force(&mut self) {
+        let change = self.change_config();
+        self.time_to_force(&(0..self.hosts.len()).collect::<Vec<_>>(), change);
+    }
+
     /// Returns the version in force at a host, or zero if its state can't be read.
     pub fn version_in_force(&self, host: usize) -> u64 {
         self.fleet.state(host)["entry"]["revision"].as_u64().unwrap_or_default()
--- a/tests/config_deadline.rs
+++ b/tests/config_deadline.rs
@@ -32,8 +32,7 @@
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let mut fleet = LinkedFleet::spawn(HOSTS);
     let all: Vec<usize> = (0..HOSTS).collect();
-    let earlier = fleet.change_config();
-    fleet.time_to_force(&all, earlier);
+    fleet.put_change_in_force();
     for host in &fleet.hosts {
         host.store.silence();
     }
@@ -50,8 +49,7 @@
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let mut fleet = LinkedFleet::spawn(HOSTS);
     let all: Vec<usize> = (0..HOSTS).collect();
-    let earlier = fleet.change_config();
-    fleet.time_to_force(&all, earlier);
+    fleet.put_change_in_force();
     sleep(after_change);
     for host in &fleet.hosts {
         host.store.mute(true);
@@ -119,8 +117,7 @@
     let _alone = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let mut fleet = LinkedFleet::spawn(HOSTS);
     let all: Vec<usize> = (0..HOSTS).collect();
-    let earlier = fleet.change_config();
-    fleet.time_to_force(&all, earlier);
+    fleet.put_change_in_force();
     for host in &fleet.hosts {
         host.store.silence();
     }
--- a/tests/terms.rs
+++ b/tests/terms.rs
@@ -50,6 +50,21 @@
     assert_eq!(parsed.terms.revoke, railspan::DeploymentTerms::default().revoke);
 }
 
+/// With a shorter time, a read of the store and its way to all daemons would take longer.
+#[test]
+fn a_deadline_of_configurations_that_daemons_cannot_meet_is_invalid() {
+    let parse = |text: &str| (railspan::adapter().parse_terms)(text);
+    let parsed = parse("config_deadline=2.5s");
+    assert_eq!(
+        (parsed.errors.len(), parsed.terms.config_deadline),
+        (0, Duration::from_millis(2_500))
+    );
+    let parsed = parse("config_deadline=499ms");
+    assert_eq!(parsed.errors.len(), 1, "{:?}", parsed.errors);
+    let default = railspan::DeploymentTerms::default().config_deadline;
+    assert_eq!(parsed.terms.config_deadline, default);
+}
+
 #[test]
 fn an_invalid_term_is_reported_and_the_others_are_used() {
     let parsed = (railspan::adapter().parse_terms)("heartbeat=1s,0.2,grace=soon,budget_slack=9");
