Read past log lines to the addresses that a daemon prints

The stacks and the memory of the test show the chain. The stand-in took the first line of a restarted daemon's output for its addresses; it was a line of the log, which may come first when the start takes over 100 ms ('missing field caller', known from docs/OPEN.md). The process was neither killed nor kept, so the next restart found its ports taken ('EOF'). The thread of the disruption panicked, and the run waited for ever for clients that nobody had told to stop.

The stand-in reads on to the addresses and kills a daemon that it gives up, and a run ends its clients also when it panics. No code of the daemon is changed.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -140,17 +140,16 @@
             .stdout(Stdio::piped())
             .stderr(if logs { Stdio::inherit() } else { Stdio::null() })
             .spawn()?;
-        let mut line = String::new();
-        if let Some(stdout) = child.stdout.take() {
-            let mut reader = BufReader::new(stdout);
-            reader.read_line(&mut line)?;
-            let file = spec.log_file.as_ref();
-            let file = file.map(|path| File::options().create(true).append(true).open(path));
-            let file = file.transpose()?;
-            std::thread::spawn(move || forward_log(reader, logs, file));
-        }
-        let endpoints = serde_json::from_str(&line).map_err(io::Error::other)?;
-        Ok(Self { child, endpoints, _settings: settings })
+        let stdout = child.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
+        // Kills the process if it is dropped early.
+        let mut daemon = Self { child, endpoints: *endpoints, _settings: settings };
+        let mut reader = BufReader::new(stdout);
+        daemon.endpoints = read_endpoints(&mut reader)?;
+        let file = spec.log_file.as_ref();
+        let file = file.map(|path| File::options().create(true).append(true).open(path));
+        let file = file.transpose()?;
+        std::thread::spawn(move || forward_log(reader, logs, file));
+        Ok(daemon)
     }
 
     /// Returns where the daemon listens.
@@ -264,6 +263,18 @@
     }
 }
 
+/// Reads the addresses that a daemon prints; lines of its log may precede them.
+fn read_endpoints(reader: &mut impl BufRead) -> io::Result<DaemonEndpoints> {
+    let mut line = String::new();
+    while reader.read_line(&mut line)? > 0 {
+        if let Ok(endpoints) = serde_json::from_str(&line) {
+            return Ok(endpoints);
+        }
+        line.clear();
+    }
+    Err(io::Error::other("the daemon ended before it printed its addresses"))
+}
+
 /// Reads a daemon's log lines, so that its pipe never fills up, and passes them on.
 fn forward_log(mut reader: impl BufRead, to_stderr: bool, mut file: Option<File>) {
     let mut line = String::new();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -96,6 +96,16 @@
         .map_or(default, |text| text.parse().expect("environment variable must be a number"))
 }
 
+/// Ends the clients of a run when it is dropped, also by a panic, which would wait for them for ever
+/// otherwise.
+struct StopAtEnd<'a>(&'a AtomicBool);
+
+impl Drop for StopAtEnd<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs one plan.
 ///
 /// Panics with all findings if a guarantee was broken.
@@ -114,6 +124,7 @@
     let stop = AtomicBool::new(false);
     let start = Instant::now();
     let mut records: Vec<client::RequestRecord> = std::thread::scope(|scope| {
+        let _stop_at_end = StopAtEnd(&stop);
         let clients: Vec<_> = (0..plan.hosts * CLIENTS_PER_HOST)
             .map(|number| {
                 scope.spawn({
